Serve a request from end to end through three daemons

Cause: nothing ran yet. The thin path carries a call through key, turn, reservation, runner, answer and bill; the ledger is a fold over the log. Four requests of the harbour budget end as budget_unreachable after 10 s, because tokens granted to other daemons are not called back yet. Conclusion: the path stands; call-back comes next.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""The demo and the benches."""
--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,111 @@
+"""A small fleet in one process: stand-ins and daemons as greenlets."""
+
+from __future__ import annotations
+
+import json
+from contextlib import ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Final, Self
+from uuid import uuid4
+
+from geventhttpclient import HTTPClient
+
+from godwitrudder import codec
+from godwitrudder.platform.hosts import HostEntry
+from godwitrudder.process.daemon import Daemon
+from godwitrudder.process.settings import Settings, load
+from godwitrudder.sections import Address, Problem
+from godwitrudder.version.document import SECTIONS, STREAM, Edit
+from standins.engine import Engine
+from standins.platform import Platform
+from standins.service import Service
+
+EXAMPLES: Final = Path(__file__).parent.parent / "examples"
+DOMAINS: Final = ("magong", "budai", "anping", "donggang")
+PLATFORM: Final = Address("127.0.0.1", 8090)
+
+
+class Fleet:
+    """The Penghu example, as a context manager.
+
+    Parameters
+    ----------
+    daemons, engines, services : int
+        How many of each.
+    """
+
+    def __init__(self, daemons: int = 3, engines: int = 3, services: int = 2) -> None:
+        self.engines = [
+            Engine(Address("127.0.0.1", 8200 + number)) for number in range(engines)
+        ]
+        self.services = [
+            Service(Address("127.0.0.1", 8300 + number)) for number in range(services)
+        ]
+        self.platform = Platform(PLATFORM, self._hosts())
+        self.daemons = [Daemon(settings(number + 1)) for number in range(daemons)]
+        self._stack = ExitStack()
+
+    def __enter__(self) -> Self:
+        """Start the stand-ins, publish the document, start the daemons."""
+        for server in [self.platform, *self.engines, *self.services]:
+            self._stack.enter_context(server)
+        for section in SECTIONS:
+            text = (EXAMPLES / "penghu" / f"{section}.json5").read_text()
+            edit = Edit(uuid4().hex, section, -1, text, "demo")
+            self.platform.streams_by_name[STREAM].append(codec.encode(edit))
+        for daemon in self.daemons:
+            self._stack.enter_context(daemon)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop everything."""
+        self._stack.close()
+
+    def _hosts(self) -> list[HostEntry]:
+        hosts = []
+        for number, engine in enumerate(self.engines):
+            hosts.append(_entry("engine", number, "rudder-llm", engine.address))
+        for number, service in enumerate(self.services):
+            hosts.append(_entry("service", number, "registry-app", service.address))
+        return hosts
+
+
+def _entry(kind: str, number: int, target: str, address: Address) -> HostEntry:
+    return HostEntry(
+        id=f"{kind}-{number}",
+        role="runner",
+        address=str(address),
+        failure_domain=DOMAINS[number % len(DOMAINS)],
+        target=target,
+    )
+
+
+def settings(number: int) -> Settings:
+    """Return the settings of an example daemon, counted from one."""
+    loaded = load(EXAMPLES / "penghu" / f"router-{number}.json5")
+    if isinstance(loaded, Problem):
+        raise ValueError(str(loaded))
+    return loaded
+
+
+def post(
+    address: Address,
+    path: str,
+    key: str,
+    body: Any,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    """POST JSON as a caller and return status and body."""
+    client = HTTPClient(address.ip, address.port, network_timeout=30.0)
+    sent = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    sent.update(headers or {})
+    response = client.post(path, json.dumps(body), sent)
+    data = bytes(response.read())
+    client.close()
+    return response.status_code, data
--- /dev/null
+++ b/bench/report.py
@@ -0,0 +1,44 @@
+"""Rows of the bench report, each with its bound."""
+
+from __future__ import annotations
+
+from dataclasses import asdict, dataclass
+from typing import Any, Literal
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One measured figure.
+
+    Attributes
+    ----------
+    bound : float or None
+        From the stated target; None for a baseline or a slope.
+    better : str
+        Whether ``lower`` or ``higher`` values are better.
+    """
+
+    name: str
+    value: float
+    unit: str
+    bound: float | None = None
+    better: Literal["lower", "higher"] = "lower"
+
+    @property
+    def ok(self) -> bool:
+        """Whether the bound holds; true where there is none."""
+        if self.bound is None:
+            return True
+        if self.better == "lower":
+            return self.value <= self.bound
+        return self.value >= self.bound
+
+    def plain(self) -> dict[str, Any]:
+        """Return the row as it stands in the report."""
+        return {**asdict(self), "ok": self.ok}
+
+    def line(self) -> str:
+        """Return the row for people."""
+        bound = "" if self.bound is None else f" (bound {self.bound:g})"
+        mark = "" if self.ok else "  BROKEN"
+        return f"{self.name}: {self.value:.4g} {self.unit}{bound}{mark}"
--- /dev/null
+++ b/godwitrudder/connection/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one connection: callers, peers, runners."""
--- /dev/null
+++ b/godwitrudder/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/godwitrudder/messages.py
@@ -0,0 +1,31 @@
+"""Every sentence that a caller or operator reads, in one place."""
+
+from __future__ import annotations
+
+from typing import Final
+
+TEXT_BY_REASON: Final[dict[str, str]] = {
+    "bad_request": "The request is malformed: {problem}.",
+    "invalid_api_key": "The API key is not known.",
+    "model_not_found": "The model {model!r} does not exist or is not allowed.",
+    "not_found": "Nothing is served at {path!r}.",
+    "request_too_large": "The {part} exceeds the limit of {limit} {unit}.",
+    "insufficient_quota": (
+        "The prepaid budget {budget!r} cannot cover {needed} tokens;"
+        " {left} are left."
+    ),
+    "budget_unreachable": "No grant on budget {budget!r} could be drawn in time.",
+    "log_unreachable": "The call needs the log, which is unreachable.",
+    "overloaded": "The target {target!r} has too much queued work.",
+    "deadline_exceeded": "The request was not started before its deadline.",
+    "no_runner": "The target {target!r} has no usable runner.",
+    "draining": "This process is shutting down.",
+    "caller_gone": "The caller closed the connection.",
+    "runner_failed": "The runner did not finish: {problem}.",
+    "already_claimed": (
+        "The call {request!r} was claimed elsewhere; its outcome is unknown here."
+    ),
+    "idempotency_key_reused": (
+        "The idempotency key was used before with another request."
+    ),
+}
--- /dev/null
+++ b/godwitrudder/platform/hosts.py
@@ -0,0 +1,71 @@
+"""The platform's host list: who is live and who is leaving, with a lag."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from typing import Final, Literal
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+from godwitrudder import codec
+from godwitrudder.sections import Address
+
+TIMEOUT_SECONDS: Final = 3.0
+
+
+class HostEntry(msgspec.Struct, frozen=True, kw_only=True):
+    """One host.
+
+    Attributes
+    ----------
+    id : str
+        Identifier of the host.
+    role : str
+        ``router`` for a daemon of the fleet, ``runner`` for a target's host.
+    target : str
+        Target that a runner serves.
+    address : str
+        ``ip:port`` of a runner's service, or of a daemon's peer link.
+    state : str
+        ``live`` or ``leaving``.
+    """
+
+    id: str
+    role: Literal["router", "runner"]
+    address: str
+    failure_domain: str
+    target: str = ""
+    state: Literal["live", "leaving"] = "live"
+
+
+class HostList(ABC):
+    """The list of hosts."""
+
+    @abstractmethod
+    def fetch(self) -> list[HostEntry] | codec.Malformed:
+        """Return the hosts, or why they could not be had."""
+
+
+class HttpHostList(HostList):
+    """The host list over HTTP."""
+
+    def __init__(self, address: Address) -> None:
+        self._client = HTTPClient(
+            address.ip,
+            address.port,
+            connection_timeout=TIMEOUT_SECONDS,
+            network_timeout=TIMEOUT_SECONDS,
+        )
+
+    def fetch(self) -> list[HostEntry] | codec.Malformed:
+        """Return the hosts, or why they could not be had."""
+        try:
+            data = bytes(self._client.get("/hosts").read())
+        except Exception as error:  # the client raises many unrelated types
+            return codec.Malformed(f"{type(error).__name__}: {error}")
+        return codec.decode(data, list[HostEntry])
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
--- /dev/null
+++ b/godwitrudder/process/__init__.py
@@ -0,0 +1,1 @@
+"""What lives as long as the daemon: settings, tasks, metrics."""
--- /dev/null
+++ b/godwitrudder/process/daemon.py
@@ -0,0 +1,137 @@
+"""The daemon: owns every task of one process and stops them in order."""
+
+from __future__ import annotations
+
+import logging
+from contextlib import ExitStack
+from random import Random
+from types import TracebackType
+from typing import Final, Self
+from uuid import uuid4
+
+import gevent
+from gevent.pywsgi import WSGIServer
+
+from godwitrudder.clock import HybridClock, SystemClock
+from godwitrudder.connection.caller import CallerApplication
+from godwitrudder.platform.hosts import HttpHostList
+from godwitrudder.platform.log import HttpLog
+from godwitrudder.process.budgets import BudgetDesk
+from godwitrudder.process.claims import ClaimDesk
+from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.ledger import Ledger
+from godwitrudder.process.members import Members
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.router import Router
+from godwitrudder.process.settings import Settings
+from godwitrudder.process.timeline import Timeline
+from godwitrudder.version import records
+from godwitrudder.version.document import Document
+
+DRAIN_STEP_SECONDS: Final = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class Daemon:
+    """One process of the fleet, as a context manager.
+
+    Parameters
+    ----------
+    settings : Settings
+        Who it is and where it listens.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.incarnation = f"{settings.host}/{uuid4().hex[:12]}"
+        self.clock = SystemClock()
+        self.random = Random()
+        self.metrics = Metrics()
+        self.timeline = Timeline(settings.host, HybridClock(self.clock))
+        self.draining = False
+        self._stack = ExitStack()
+        self._build()
+
+    def _build(self) -> None:
+        settings = self.settings
+        self.log = HttpLog(settings.log)
+        self.configuration = Configuration(self.log, self.metrics)
+        self.members = Members(HttpHostList(settings.hosts))
+        self.ledger = Ledger(
+            self.log,
+            self.incarnation,
+            settings.ledger_partitions,
+            self.metrics,
+            self.random,
+        )
+        self.budgets = BudgetDesk(
+            self.ledger, self.incarnation, self.clock, self.metrics
+        )
+        self.router = Router(
+            self.configuration,
+            self.members,
+            self.budgets,
+            ClaimDesk(self.ledger, self.incarnation),
+            self.timeline,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.failure_domain,
+        )
+        self.configuration.listen(self._pay_in)
+        application = CallerApplication(
+            self.router,
+            lambda: self.configuration.document,
+            lambda: not self.draining,
+            self.metrics.render,
+        )
+        address = (settings.caller.ip, settings.caller.port)
+        self._callers = WSGIServer(address, application, log=None, error_log=logger)
+
+    def __enter__(self) -> Self:
+        """Start all tasks; the callers' port opens once a document is in force."""
+        self._stack.callback(self.log.close)
+        self._stack.enter_context(self.ledger)
+        self._stack.enter_context(self.members)
+        self._stack.enter_context(self.configuration)
+        self.configuration.loaded.wait()
+        self._callers.start()
+        self._stack.callback(self._callers.stop, 0)
+        logger.info("%s serves callers on %s", self.incarnation, self.settings.caller)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop all tasks at once; ``drain`` comes first for a graceful stop."""
+        self._stack.close()
+
+    def drain(self) -> int:
+        """Finish what is in flight, give grants back, settle bills.
+
+        Returns
+        -------
+        int
+            Requests that were still in flight at the deadline.
+        """
+        self.draining = True
+        deadline = self.clock.now() + self.settings.drain_seconds
+        while self.router.in_flight and self.clock.now() < deadline:
+            gevent.sleep(DRAIN_STEP_SECONDS)
+        self.budgets.return_idle()
+        while not self.ledger.settled() and self.clock.now() < deadline:
+            gevent.sleep(DRAIN_STEP_SECONDS)
+        return self.router.in_flight
+
+    def _pay_in(self, document: Document) -> None:
+        """Record what the document pays; a repeated record is void."""
+        version = document.version_by_section.get("budgets", -1)
+        for name, budget in document.budgets_by_id.items():
+            state = self.ledger.budget(name)
+            if state is None or state.config_offset < version:
+                entry = records.Base(name, budget.paid_tokens, version)
+                self.ledger.submit(name, entry)
--- /dev/null
+++ b/godwitrudder/process/metrics.py
@@ -0,0 +1,43 @@
+"""Counters of one daemon; label sets stay bounded at 5,000 workspaces."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of its own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "requests", "Requests by outcome.", ["target", "outcome"]
+        )
+        self.tokens_billed = self._counter("tokens_billed", "Tokens billed.", [])
+        self.overspend = self._counter(
+            "overspend_tokens", "Tokens served beyond a paid budget.", []
+        )
+        self.false_refusals = self._counter(
+            "false_refusals", "Refusals for budget though budget remained.", []
+        )
+        self.violations = self._counter(
+            "invariant_violations", "Broken invariants.", ["invariant"]
+        )
+        self.appends = self._counter("log_appends", "Appends to the log.", ["result"])
+        self.void_records = self._counter(
+            "void_records", "Records of this daemon that the fold voided.", ["reason"]
+        )
+        self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
+        self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
+        self.config_version = Gauge(
+            "godwitrudder_config_version",
+            "Offset of the configuration in force.",
+            registry=self.registry,
+        )
+
+    def _counter(self, name: str, text: str, labels: list[str]) -> Counter:
+        return Counter(f"godwitrudder_{name}", text, labels, registry=self.registry)
+
+    def render(self) -> bytes:
+        """Return the text exposition."""
+        return generate_latest(self.registry)
--- /dev/null
+++ b/godwitrudder/request/__init__.py
@@ -0,0 +1,1 @@
+"""What lives for one request: admission, turn, runner choice, outcome."""
--- /dev/null
+++ b/godwitrudder/request/outcome.py
@@ -0,0 +1,97 @@
+"""How a request ends: a value that says whether it ran.
+
+Callers act on three words.  ``not_run`` is only said when no byte went to a
+runner and none will; ``ran`` when the runner took the request; ``unknown`` when
+nobody can tell.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from godwitrudder import messages
+
+
+class Ran(enum.StrEnum):
+    """Whether a request ran, as told to the caller."""
+
+    NOT_RUN = "not_run"
+    RAN = "ran"
+    UNKNOWN = "unknown"
+
+
+class Reason(enum.StrEnum):
+    """Stable codes of everything but a completed request."""
+
+    BAD_REQUEST = "bad_request"
+    UNKNOWN_KEY = "invalid_api_key"
+    UNKNOWN_MODEL = "model_not_found"
+    UNKNOWN_PATH = "not_found"
+    TOO_LARGE = "request_too_large"
+    BUDGET_EXHAUSTED = "insufficient_quota"
+    BUDGET_UNREACHABLE = "budget_unreachable"
+    LOG_UNREACHABLE = "log_unreachable"
+    OVERLOADED = "overloaded"
+    DEADLINE = "deadline_exceeded"
+    NO_RUNNER = "no_runner"
+    DRAINING = "draining"
+    CALLER_GONE = "caller_gone"
+    RUNNER_FAILED = "runner_failed"
+    ALREADY_CLAIMED = "already_claimed"
+    KEY_REUSED = "idempotency_key_reused"
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The request did not run and never will.
+
+    Attributes
+    ----------
+    reason : Reason
+        Stable code.
+    detail : str
+        One sentence for the caller.
+    retry_after : float or None
+        Seconds after which a retry may help.
+    """
+
+    reason: Reason
+    detail: str
+    retry_after: float | None = None
+    ran: Ran = Ran.NOT_RUN
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """The request ran, or may have run, and gave no whole answer."""
+
+    reason: Reason
+    detail: str
+    ran: Ran
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Completed:
+    """The whole answer was delivered.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens billed, prompt and answer.
+    """
+
+    tokens: int
+    ran: Ran = Ran.RAN
+
+
+Outcome = Refused | Failed | Completed
+
+
+def refuse(
+    reason: Reason, retry_after: float | None = None, **fields: object
+) -> Refused:
+    """Build a refusal with its text from ``messages``."""
+    text = messages.TEXT_BY_REASON[reason].format(**fields)
+    return Refused(reason, text, retry_after)
--- /dev/null
+++ b/godwitrudder/version/__init__.py
@@ -0,0 +1,1 @@
+"""What an offset of the log defines: records, folds, configuration."""
