Link the daemons, and add the scaffolding for decision benches

Cause: witnesses, call-back and deltas of service need messages between daemons; decision modules need a virtual clock to be measured on.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import os
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -14,7 +15,7 @@
 from godwitrudder import codec
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
-from godwitrudder.process.settings import Settings, load
+from godwitrudder.process.settings import Settings, load_text
 from godwitrudder.sections import Address, Problem
 from godwitrudder.version.document import SECTIONS, STREAM, Edit
 from standins.engine import Engine
@@ -23,7 +24,9 @@
 
 EXAMPLES: Final = Path(__file__).parent.parent / "examples"
 DOMAINS: Final = ("magong", "budai", "anping", "donggang")
-PLATFORM: Final = Address("127.0.0.1", 8090)
+# A loopback number of one's own lets several runs share a machine.
+IP: Final = os.environ.get("GODWITRUDDER_IP", "127.0.0.1")
+PLATFORM: Final = Address(IP, 8090)
 
 
 class Fleet:
@@ -36,14 +39,12 @@
     """
 
     def __init__(self, daemons: int = 3, engines: int = 3, services: int = 2) -> None:
-        self.engines = [
-            Engine(Address("127.0.0.1", 8200 + number)) for number in range(engines)
-        ]
+        self.engines = [Engine(Address(IP, 8200 + number)) for number in range(engines)]
         self.services = [
-            Service(Address("127.0.0.1", 8300 + number)) for number in range(services)
+            Service(Address(IP, 8300 + number)) for number in range(services)
         ]
-        self.platform = Platform(PLATFORM, self._hosts())
         self.daemons = [Daemon(settings(number + 1)) for number in range(daemons)]
+        self.platform = Platform(PLATFORM, self._hosts())
         self._stack = ExitStack()
 
     def __enter__(self) -> Self:
@@ -68,7 +69,15 @@
         self._stack.close()
 
     def _hosts(self) -> list[HostEntry]:
-        hosts = []
+        hosts = [
+            HostEntry(
+                id=daemon.settings.host,
+                role="router",
+                address=str(daemon.settings.peer),
+                failure_domain=daemon.settings.failure_domain,
+            )
+            for daemon in self.daemons
+        ]
         for number, engine in enumerate(self.engines):
             hosts.append(_entry("engine", number, "rudder-llm", engine.address))
         for number, service in enumerate(self.services):
@@ -87,8 +96,10 @@
 
 
 def settings(number: int) -> Settings:
-    """Return the settings of an example daemon, counted from one."""
-    loaded = load(EXAMPLES / "penghu" / f"router-{number}.json5")
+    """Return the settings of an example daemon, counted from one, on ``IP``."""
+    path = EXAMPLES / "penghu" / f"router-{number}.json5"
+    text = path.read_text(encoding="utf-8").replace("127.0.0.1", IP)
+    loaded = load_text(str(path), text)
     if isinstance(loaded, Problem):
         raise ValueError(str(loaded))
     return loaded
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,171 @@
+"""Scaffolding for tests and benches: a virtual clock, a message list, a log.
+
+Decision modules are driven directly; between them messages travel with a seeded
+delay and loss, and any pair can be cut.  Hosts, networks and engines are not
+modelled beyond that.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from random import Random
+from typing import Final
+
+from godwitrudder.clock import VirtualClock
+from godwitrudder.platform.log import LogRecord, LogUnavailable
+
+LOG_SECONDS: Final = 0.005
+ANSWER_TIMEOUT_SECONDS: Final = 5.0
+
+Action = Callable[[], None]
+
+
+class World:
+    """Actions in the order of a virtual clock.
+
+    Parameters
+    ----------
+    seed : int
+        Of every random choice in the run.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self.clock = VirtualClock()
+        self.random = Random(seed)
+        self._actions: list[tuple[float, int, Action]] = []
+        self._sequence = 0
+
+    def after(self, seconds: float, action: Action) -> None:
+        """Run ``action`` in ``seconds``."""
+        self._sequence += 1
+        when = self.clock.now() + seconds
+        heapq.heappush(self._actions, (when, self._sequence, action))
+
+    def every(self, seconds: float, action: Action) -> None:
+        """Run ``action`` again and again, first after one period."""
+
+        def again() -> None:
+            action()
+            self.after(seconds, again)
+
+        self.after(seconds, again)
+
+    def run(self, until: float) -> None:
+        """Run the actions up to the virtual second ``until``."""
+        while self._actions and self._actions[0][0] <= until:
+            when, _, action = heapq.heappop(self._actions)
+            self.clock.seconds = when
+            action()
+        self.clock.seconds = until
+
+
+class Network:
+    """Messages between named nodes, with delay, loss and cuts per pair.
+
+    Parameters
+    ----------
+    delay : float
+        One way, in seconds; each message takes up to half more.
+    loss : float
+        Share of the messages that are lost.
+    """
+
+    def __init__(self, world: World, delay: float = 0.0005, loss: float = 0.0) -> None:
+        self._world = world
+        self.delay = delay
+        self.loss = loss
+        self.sent = 0
+        self._cut: set[tuple[str, str]] = set()
+
+    def send(self, source: str, target: str, deliver: Action) -> None:
+        """Deliver later, unless lost or cut on the way."""
+        self.sent += 1
+        if self._world.random.random() < self.loss:
+            return
+        seconds = self.delay * self._world.random.uniform(1.0, 1.5)
+
+        def arrive() -> None:
+            if self.connected(source, target):
+                deliver()
+
+        self._world.after(seconds, arrive)
+
+    def connected(self, source: str, target: str) -> bool:
+        """Whether messages get from one node to the other."""
+        return (source, target) not in self._cut
+
+    def cut(self, left: Iterable[str], right: Iterable[str]) -> None:
+        """Cut every pair of the two sides, both ways."""
+        rights = list(right)
+        for source in left:
+            self._cut.update((source, target) for target in rights)
+            self._cut.update((target, source) for target in rights)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self._cut.clear()
+
+
+class SimulatedLog:
+    """An append-only log on the virtual clock.
+
+    Attributes
+    ----------
+    down : bool
+        Appends and reads fail while set.
+    lost_answers : float
+        Share of the appends that take effect and answer nothing.
+    """
+
+    NODE: Final = "log"
+
+    def __init__(self, world: World, network: Network) -> None:
+        self._world = world
+        self._network = network
+        self.records_by_stream: dict[str, list[LogRecord]] = defaultdict(list)
+        self.down = False
+        self.lost_answers = 0.0
+        self.appends = 0
+
+    def append(
+        self,
+        writer: str,
+        stream: str,
+        data: bytes,
+        answered: Callable[[int | LogUnavailable], None],
+    ) -> None:
+        """Append, and answer after a while; a lost answer is a timeout."""
+        if not self._reachable(writer):
+            self._unavailable(answered)
+            return
+
+        def arrive() -> None:
+            records = self.records_by_stream[stream]
+            offset = len(records)
+            records.append(LogRecord(offset, self._world.clock.now(), data))
+            self.appends += 1
+            if self._world.random.random() < self.lost_answers:
+                self._unavailable(answered)
+                return
+            self._world.after(self._seconds(), lambda: answered(offset))
+
+        self._world.after(self._seconds(), arrive)
+
+    def read(self, reader: str, stream: str, offset: int) -> list[LogRecord]:
+        """Return what a reader sees now; nothing while it is cut off."""
+        if not self._reachable(reader):
+            return []
+        return self.records_by_stream[stream][offset:]
+
+    def _reachable(self, node: str) -> bool:
+        return not self.down and self._network.connected(node, self.NODE)
+
+    def _unavailable(self, answered: Callable[[int | LogUnavailable], None]) -> None:
+        self._world.after(
+            ANSWER_TIMEOUT_SECONDS, lambda: answered(LogUnavailable("timeout"))
+        )
+
+    def _seconds(self) -> float:
+        return LOG_SECONDS * self._world.random.uniform(0.5, 1.5)
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -14,6 +14,7 @@
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
+from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
 from godwitrudder.platform.hosts import HttpHostList
 from godwitrudder.platform.log import HttpLog
 from godwitrudder.process.budgets import BudgetDesk
@@ -48,7 +49,8 @@
         self.clock = SystemClock()
         self.random = Random()
         self.metrics = Metrics()
-        self.timeline = Timeline(settings.host, HybridClock(self.clock))
+        self.hybrid = HybridClock(self.clock)
+        self.timeline = Timeline(settings.host, self.hybrid)
         self.draining = False
         self._stack = ExitStack()
         self._build()
@@ -58,6 +60,14 @@
         self.log = HttpLog(settings.log)
         self.configuration = Configuration(self.log, self.metrics)
         self.members = Members(HttpHostList(settings.hosts))
+        self.handlers = Handlers(self.hybrid, self.metrics)
+        self.peers = PeerLinks(
+            self.incarnation,
+            settings.peer_key,
+            self.handlers,
+            self.members.peer_address,
+        )
+        self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
             self.incarnation,
@@ -92,6 +102,8 @@
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
+        self._stack.enter_context(self.peers)
+        self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
         self._stack.enter_context(self.configuration)
--- a/godwitrudder/process/members.py
+++ b/godwitrudder/process/members.py
@@ -11,7 +11,7 @@
 from godwitrudder.codec import Malformed
 from godwitrudder.platform.hosts import HostEntry, HostList
 from godwitrudder.request.choice import Runner
-from godwitrudder.sections import Problem, parse_address
+from godwitrudder.sections import Address, Problem, parse_address
 
 REFRESH_SECONDS: Final = 1.0
 
@@ -44,6 +44,14 @@
         """Return the runners of a target."""
         return [r for r in self.runners_by_id.values() if r.target == target]
 
+    def peer_address(self, host: str) -> Address | None:
+        """Return where a daemon takes links, or None for an unknown host."""
+        entry = self.routers_by_id.get(host)
+        if entry is None:
+            return None
+        address = parse_address("host list", host, entry.address)
+        return None if isinstance(address, Problem) else address
+
     def _refresh_all(self) -> None:
         while True:
             entries = self._hosts.fetch()
--- a/godwitrudder/process/settings.py
+++ b/godwitrudder/process/settings.py
@@ -87,10 +87,15 @@
         text = path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         return Problem(str(path), "", f"expected a readable UTF-8 file: {error}")
-    model = parse(str(path), text, SettingsModel)
+    return load_text(str(path), text)
+
+
+def load_text(place: str, text: str) -> Settings | Problem:
+    """Validate the text of a settings file; ``place`` names it in problems."""
+    model = parse(place, text, SettingsModel)
     if isinstance(model, Problem):
         return model
-    return check(str(path), model)
+    return check(place, model)
 
 
 def check(place: str, model: SettingsModel) -> Settings | Problem:
