Make the fold right after closings and bounded by the log's time

The fold granted to closed incarnations on other budgets, let bills of one pot eat the isolated share, scanned every budget at a closing, shared operation ids between record types and took a forgotten record as new. Now: three amounts per holding, holdings indexed by incarnation, a witness set with an epoch per incarnation, hand-overs, batches that carry the log time their writer saw (void as stale once the memory no longer reaches that far), claims and answers bounded.

--- a/godwitrudder/process/claims.py
+++ b/godwitrudder/process/claims.py
@@ -39,15 +39,15 @@
         run: Callable[[], ServiceAnswer | Refused | Failed],
     ) -> ServiceAnswer | Refused | Failed:
         """Claim the request and run it, or answer what became of it."""
-        state = self._ledger.fold_of(request).claims_by_request.get(request)
+        state = self._ledger.fold_of(request).claim_of(request)
         if state is not None:
             return self._stored(request, fingerprint, state)
         won = self._claim(request, fingerprint)
         if won is None:
             return refuse(Reason.LOG_UNREACHABLE, 5.0)
         if not won:
-            state = self._ledger.fold_of(request).claims_by_request[request]
-            return self._stored(request, fingerprint, state)
+            first = self._ledger.fold_of(request).claim_of(request)
+            return self._stored(request, fingerprint, first or ClaimState("", ""))
         return self._run(request, run)
 
     def _claim(self, request: str, fingerprint: str) -> bool | None:
@@ -81,7 +81,7 @@
     ) -> ServiceAnswer | Refused | Failed:
         from godwitrudder.process.router import ServiceAnswer
 
-        if state.fingerprint != fingerprint:
+        if state.fingerprint and state.fingerprint != fingerprint:
             return refuse(Reason.KEY_REUSED)
         if state.result is None:
             text = refuse(Reason.ALREADY_CLAIMED, request=request).detail
--- /dev/null
+++ b/godwitrudder/version/claims.py
@@ -0,0 +1,86 @@
+"""Claims of non-idempotent calls: the first in the log runs, once.
+
+Claim and answer are kept for the replay window, the bare fact of the claim for
+longer.  Answers are bounded in size and in sum; the oldest go first.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Final
+
+from godwitrudder.version import records
+from godwitrudder.version.accounts import Applied, ClaimState, Effect, Void, Voided
+from godwitrudder.version.replay import REPLAY_WINDOW_SECONDS, ReplayIndex, key_of
+
+CLAIM_WINDOW_SECONDS: Final = 21_600.0
+MAX_RESULT_BYTES: Final = 16_384
+MAX_RESULTS_BYTES: Final = 2_097_152
+MAX_CLAIMS: Final = 20_000
+
+
+class ClaimFold:
+    """Claims of one partition."""
+
+    def __init__(self) -> None:
+        self.claims_by_request: dict[str, ClaimState] = {}
+        self.claimed_at: deque[tuple[float, str]] = deque()
+        self.answered: deque[str] = deque()
+        self.result_bytes = 0
+        self.known = ReplayIndex(CLAIM_WINDOW_SECONDS)
+
+    def get(self, request: str) -> ClaimState | None:
+        """Return what is known of a claim; None where there is none."""
+        state = self.claims_by_request.get(request)
+        if state is None and key_of("claim", request) in self.known:
+            return ClaimState("", "")
+        return state
+
+    def claim(self, time: float, entry: records.Claim) -> Effect:
+        """Give the right to run to the first claim of a request."""
+        key = key_of("claim", entry.request)
+        if key in self.known:
+            return Voided(entry, Void.LATER_CLAIM)
+        self.known.add(key, time)
+        state = ClaimState(entry.incarnation, entry.fingerprint)
+        self.claims_by_request[entry.request] = state
+        self.claimed_at.append((time, entry.request))
+        if len(self.claimed_at) > MAX_CLAIMS:
+            self._drop_oldest()
+        return Applied(entry, 0)
+
+    def result(self, entry: records.Result) -> Effect:
+        """Store the first outcome of a claimed call."""
+        claim = self.claims_by_request.get(entry.request)
+        if claim is None:
+            return Voided(entry, Void.NOT_HELD)
+        if claim.result is not None:
+            return Voided(entry, Void.REPEATED)
+        if len(entry.body) > MAX_RESULT_BYTES:
+            return Voided(entry, Void.TOO_LARGE)
+        claim.result = entry
+        self.answered.append(entry.request)
+        self.result_bytes += len(entry.body)
+        self._bound_results()
+        return Applied(entry, 0)
+
+    def forget(self, now: float) -> None:
+        """Drop what is older than its window."""
+        self.known.forget(now)
+        before = now - REPLAY_WINDOW_SECONDS
+        while self.claimed_at and self.claimed_at[0][0] < before:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, request = self.claimed_at.popleft()
+        claim = self.claims_by_request.pop(request)
+        if claim.result is not None:
+            self.result_bytes -= len(claim.result.body)
+
+    def _bound_results(self) -> None:
+        while self.result_bytes > MAX_RESULTS_BYTES or len(self.answered) > MAX_CLAIMS:
+            request = self.answered.popleft()
+            claim = self.claims_by_request.get(request)
+            if claim is not None and claim.result is not None:
+                self.result_bytes -= len(claim.result.body)
+                claim.result = None
