--- a/bench/demo.py
+++ b/bench/demo.py
@@ -16,10 +16,9 @@
 from gevent.pool import Pool  # noqa: E402
 
 from bench.fleet import Fleet, post  # noqa: E402
-from godwitrudder.platform.log import LogRecord  # noqa: E402
 from godwitrudder.process.ledger import stream_of  # noqa: E402
 from godwitrudder.version.fold import LedgerFold  # noqa: E402
-from standins.engine import answer_length, word  # noqa: E402
+from standins.batch import answer_length, word  # noqa: E402
 
 BUDGETS: Final = ("registry", "patrol", "harbour")
 MAX_TOKENS: Final = 64
@@ -149,9 +148,7 @@
 def _refold(fleet: Fleet, partition: int) -> LedgerFold:
     """Fold a partition anew from the log's own records."""
     fold = LedgerFold()
-    records: list[LogRecord] = fleet.platform.streams_by_name[
-        stream_of(partition)
-    ].records
+    records = fleet.platform.streams_by_name[stream_of(partition)].records
     for record in records:
         fold.apply(record.offset, record.time, record.data)
     return fold
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,16 +8,15 @@
 from pathlib import Path
 from types import TracebackType
 from typing import Any, Final, Self
-from uuid import uuid4
 
 from geventhttpclient import HTTPClient
 
-from godwitrudder import codec
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
 from godwitrudder.process.settings import Settings, load_text
 from godwitrudder.sections import Address, Problem
-from godwitrudder.version.document import SECTIONS, STREAM, Edit
+from godwitrudder.version.document import SECTIONS
+from standins.document import publish
 from standins.engine import Engine
 from standins.platform import Platform
 from standins.service import Service
@@ -51,10 +50,8 @@
         """Start the stand-ins, publish the document, start the daemons."""
         for server in [self.platform, *self.engines, *self.services]:
             self._stack.enter_context(server)
-        for section in SECTIONS:
-            text = (EXAMPLES / "penghu" / f"{section}.json5").read_text()
-            edit = Edit(uuid4().hex, section, -1, text, "demo")
-            self.platform.streams_by_name[STREAM].append(codec.encode(edit))
+        files = {section: f"{section}.json5" for section in SECTIONS}
+        publish(self.platform, EXAMPLES / "penghu", files)
         for daemon in self.daemons:
             self._stack.enter_context(daemon)
         return self
--- a/standins/http.py
+++ b/standins/http.py
@@ -1,17 +1,21 @@
-"""A WSGI server over a table of routes, shared by all stand-ins."""
+"""A WSGI server with fault switches, shared by all stand-ins."""
 
 from __future__ import annotations
 
+import json
 from abc import ABC, abstractmethod
 from collections.abc import Iterable
 from dataclasses import dataclass
+from random import Random
 from types import TracebackType
 from typing import Any, Self
 from urllib.parse import parse_qs
 
+import gevent
 from gevent.pywsgi import WSGIServer
 
 from godwitrudder.sections import Address
+from standins.faults import Faults
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,14 +38,26 @@
     content_type: str = "application/cbor"
 
 
+def json_response(body: Any, status: int = 200) -> Response:
+    """Return an answer in JSON."""
+    return Response(status, [json.dumps(body).encode()], "application/json")
+
+
 class StandIn(ABC):
-    """A server on one address, as a context manager."""
+    """A server on one address, as a context manager.
 
-    def __init__(self, address: Address) -> None:
+    Parameters
+    ----------
+    address : Address
+        Where it listens.
+    seed : int
+        Of its faults.
+    """
+
+    def __init__(self, address: Address, seed: int = 0) -> None:
         self.address = address
-        self._server = WSGIServer(
-            (address.ip, address.port), self._application, log=None, error_log=None
-        )
+        self.faults = Faults(Random(seed))
+        self._server = self._new_server()
 
     def __enter__(self) -> Self:
         """Start to listen."""
@@ -55,20 +71,51 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop at once; open requests are cut."""
+        self.die()
+
+    def die(self) -> None:
+        """Stop to listen and reset every open connection."""
         self._server.stop(timeout=0)
 
+    def revive(self) -> None:
+        """Listen again after ``die``."""
+        self._server = self._new_server()
+        self._server.start()
+
     @abstractmethod
     def answer(self, request: Request) -> Response:
         """Answer one request."""
 
+    def _new_server(self) -> WSGIServer:
+        listener = (self.address.ip, self.address.port)
+        return WSGIServer(listener, self._application, log=None, error_log=None)
+
     def _application(self, environ: dict[str, Any], start: Any) -> Iterable[bytes]:
-        response = self.answer(read_request(environ))
-        start(
-            f"{response.status} .",
-            [("Content-Type", response.content_type)],
-        )
+        response = self._faulty(read_request(environ))
+        headers = [("Content-Type", response.content_type)]
+        start(f"{response.status} {response.status}", headers)
         return response.chunks
 
+    def _faulty(self, request: Request) -> Response:
+        """Answer with the faults that are switched on."""
+        if request.path == "/faults":
+            return self._set_faults(request)
+        self.faults.hold()
+        gevent.sleep(self.faults.switches.delay_seconds)
+        if self.faults.switches.down:
+            return json_response({"error": "down"}, 503)
+        return self.answer(request)
+
+    def _set_faults(self, request: Request) -> Response:
+        try:
+            changes = json.loads(request.body)
+        except ValueError as error:
+            return json_response({"error": f"expected JSON: {error}"}, 400)
+        problem = self.faults.set(changes)
+        if problem:
+            return json_response({"error": problem}, 400)
+        return json_response({})
+
 
 def read_request(environ: dict[str, Any]) -> Request:
     """Read a request from its WSGI environment."""
