Drive the fold with duplicates, reordering, crashes and closings

A state machine of honest holders, their witnesses and a log in any order of writers. It found that a witness which writes a hand-over again long after it was applied and forgotten moves the tokens twice; a witness follows the partition and drops what it read, and records.py says so.

--- a/godwitrudder/version/records.py
+++ b/godwitrudder/version/records.py
@@ -7,7 +7,10 @@
 A batch says which log time its writer had seen.  The fold forgets operation ids
 that are older than the replay window and voids as ``stale`` every batch that saw
 less than what was forgotten, so a late copy of a record never counts as new.
-A writer that reads ``stale`` for its own record writes it again.
+A writer that reads ``stale`` for its own record writes it again.  Who writes the
+record of somebody else's operation (a bill or a hand-over for a dead holder)
+follows the partition from the time it learnt the id, and does not write what it
+read already.
 
 Records of a budget go to the partition of the budget; a ``Closing`` and a
 ``Witnesses`` go to every partition in which the incarnation holds tokens.
--- /dev/null
+++ b/tests/test_fold_machine.py
@@ -0,0 +1,314 @@
+"""The fold under loss, duplication, reordering, crashes and closings.
+
+Honest holders spend what they read back, under a witness that fences.  Whatever
+the order of the log, nothing that was spent is free again, and each finished
+request is billed once.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from godwitrudder.codec import Malformed
+from godwitrudder.version import records
+from godwitrudder.version.fold import Applied, Effect, LedgerFold, Void, Voided
+from godwitrudder.version.records import Entry
+
+WITNESS = "w{}"
+HOLDERS = ("a", "b", "c")
+BUDGETS = ("x", "y")
+holders = st.sampled_from(HOLDERS)
+budgets = st.sampled_from(BUDGETS)
+amounts = st.integers(1, 60)
+shares = st.integers(1, 100)
+
+
+@dataclass
+class Request:
+    """A dispatch and what it used once it ended."""
+
+    holder: str
+    budget: str
+    tokens: int
+    isolated: bool
+    used: int | None = None
+
+
+@dataclass
+class Node:
+    """A holder with its wallet, or the witness of a holder."""
+
+    queue: list[tuple[float, Entry]] = field(default_factory=list)
+    pending: set[Entry] = field(default_factory=set)
+    wallet: dict[tuple[str, bool], int] = field(default_factory=dict)
+    crashed: bool = False
+    fenced: bool = False
+
+
+class FoldMachine(RuleBasedStateMachine):
+    """Holders, one witness each, and a log in any order of writers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fold = LedgerFold()
+        self.nodes = {
+            name: Node() for name in (*HOLDERS, *map(WITNESS.format, HOLDERS))
+        }
+        self.sent: list[bytes] = []
+        self.requests: dict[str, Request] = {}
+        self.handed: dict[str, records.Handover] = {}
+        self.billed: set[str] = set()
+        self.offset = 0
+        self.count = 0
+        self.held_up = False
+        self.time = 1000.0
+
+    @initialize()
+    def start(self) -> None:
+        """Pay, and give every holder a grant."""
+        for budget in BUDGETS:
+            self.pay(budget, 200)
+            for holder in HOLDERS:
+                self.draw(holder, budget, 50, 10)
+
+    @rule(budget=budgets, tokens=st.integers(0, 200))
+    def pay(self, budget: str, tokens: int) -> None:
+        """Raise or lower what the document pays."""
+        self.submit("a", records.Base(budget, tokens, self.number()))
+
+    @rule(holder=holders, budget=budgets, tokens=amounts, isolated=st.integers(0, 20))
+    def draw(self, holder: str, budget: str, tokens: int, isolated: int) -> None:
+        """Ask for a grant."""
+        witnesses = (WITNESS.format(holder),)
+        op = str(self.number())
+        grant = records.Grant(op, budget, holder, tokens, isolated, witnesses)
+        self.submit(holder, grant)
+
+    @rule(holder=holders, budget=budgets, share=shares, isolated=st.booleans())
+    def dispatch(self, holder: str, budget: str, share: int, isolated: bool) -> None:
+        """Reserve and run, unless fenced; the isolated share needs no witness."""
+        tokens = self.take(holder, budget, share, isolated)
+        if tokens:
+            request = Request(holder, budget, tokens, isolated)
+            self.requests[str(self.number())] = request
+
+    @precondition(lambda self: self.requests)
+    @rule(data=st.data(), share=st.integers(0, 100))
+    def finish(self, data: st.DataObject, share: int) -> None:
+        """End a request and bill it."""
+        name = data.draw(st.sampled_from(sorted(self.requests)))
+        request = self.requests[name]
+        if request.used is None and not self.nodes[request.holder].crashed:
+            self.end(request.holder, name, request.tokens * share // 100)
+
+    @rule(holder=holders, budget=budgets, share=shares, isolated=st.booleans())
+    def give_back(self, holder: str, budget: str, share: int, isolated: bool) -> None:
+        """Deduct and return."""
+        tokens = self.take(holder, budget, share, isolated)
+        if tokens:
+            part = tokens if isolated else 0
+            op = str(self.number())
+            self.submit(holder, records.Return(op, budget, holder, tokens, part))
+
+    @rule(donor=holders, receiver=holders, budget=budgets, share=shares)
+    def hand_over(self, donor: str, receiver: str, budget: str, share: int) -> None:
+        """Deduct at the donor, credit at the receiver, both log it."""
+        node = self.nodes[receiver]
+        if donor == receiver or node.crashed or node.fenced:
+            return
+        tokens = self.take(donor, budget, share, False)
+        if tokens:
+            op = f"m{self.number()}"
+            entry = records.Handover(op, budget, donor, receiver, tokens)
+            self.handed[op] = entry
+            self.submit(receiver, entry)
+            self.submit(donor, entry)
+            self.credit(receiver, budget, tokens, False)
+
+    @rule(holder=holders)
+    def crash(self, holder: str) -> None:
+        """Stop a holder for good; what it queued first may still land."""
+        self.nodes[holder].crashed = True
+        del self.nodes[holder].queue[1:]
+
+    @rule(holder=holders)
+    def close(self, holder: str) -> None:
+        """Fence at the witness and write the closing."""
+        node = self.nodes[holder]
+        if not node.fenced:
+            node.fenced = True
+            for entry in self.handed.values():
+                if entry.receiver == holder:
+                    self.submit(WITNESS.format(holder), entry)
+            intents = tuple(self.intents(holder))
+            op = str(self.number())
+            closing = records.Closing(op, holder, WITNESS.format(holder), intents)
+            self.submit(WITNESS.format(holder), closing)
+
+    @rule()
+    def hold_up(self) -> None:
+        """The log is slow for a while: records wait, writers overtake."""
+        self.held_up = True
+
+    @precondition(lambda self: self.held_up)
+    @rule(names=st.permutations([*HOLDERS, *map(WITNESS.format, HOLDERS)]))
+    def catch_up(self, names: list[str]) -> None:
+        """Waiting records reach the log, writer by writer."""
+        self.held_up = False
+        for name in names:
+            self.land_all(name)
+
+    @precondition(lambda self: self.sent)
+    @rule(data=st.data())
+    def repeat(self, data: st.DataObject) -> None:
+        """An append whose answer was lost stands twice."""
+        self.append(data.draw(st.sampled_from(self.sent)))
+
+    @rule(seconds=st.floats(1, 9000))
+    def wait(self, seconds: float) -> None:
+        """The log's time goes on."""
+        self.time += seconds
+
+    @invariant()
+    def nothing_spent_is_free(self) -> None:
+        """Spent tokens are billed or open, and both are paid."""
+        for name, budget in self.fold.budgets_by_id.items():
+            holdings = budget.holdings_by_incarnation.values()
+            assert budget.open == sum(holding.remaining for holding in holdings)
+            assert 0 <= budget.billed + budget.open <= budget.paid
+            assert self.spent(name) <= budget.billed + budget.open
+
+    def teardown(self) -> None:
+        """All ends: each request is billed once."""
+        for name, request in list(self.requests.items()):
+            node = self.nodes[request.holder]
+            if request.used is None and not node.crashed:
+                self.end(request.holder, name, request.tokens)
+        self.catch_up(list(self.nodes))
+        for name in BUDGETS:
+            budget = self.fold.budgets_by_id.get(name)
+            done = [r.used or 0 for r in self.requests.values() if r.budget == name]
+            lost = [r for r in self.requests.values() if self.nodes[r.holder].crashed]
+            if budget is not None and not lost:
+                assert budget.billed == sum(done)
+
+    def number(self) -> int:
+        """Return a new number."""
+        self.count += 1
+        return self.count
+
+    def intents(self, holder: str) -> list[records.Intent]:
+        """Return what the holder's witness acknowledged and saw no bill of."""
+        found = []
+        for name, request in self.requests.items():
+            if request.holder != holder or request.isolated:
+                continue
+            if name not in self.billed:
+                found.append(records.Intent(name, request.budget, request.tokens))
+        for op, entry in self.handed.items():
+            if entry.donor == holder:
+                found.append(records.Intent(op, entry.budget, entry.tokens))
+        return found
+
+    def spent(self, budget: str) -> int:
+        """Return the tokens that requests used or may still use."""
+        mine = [r for r in self.requests.values() if r.budget == budget]
+        return sum(r.tokens if r.used is None else r.used for r in mine)
+
+    def take(self, holder: str, budget: str, share: int, isolated: bool) -> int:
+        """Deduct a share, in percent, of the wallet where the holder may."""
+        node = self.nodes[holder]
+        if node.crashed or (node.fenced and not isolated):
+            return 0
+        tokens = node.wallet.get((budget, isolated), 0) * share // 100
+        node.wallet[budget, isolated] = node.wallet.get((budget, isolated), 0) - tokens
+        return tokens
+
+    def credit(self, holder: str, budget: str, tokens: int, isolated: bool) -> None:
+        """Add to a wallet."""
+        wallet = self.nodes[holder].wallet
+        wallet[budget, isolated] = wallet.get((budget, isolated), 0) + tokens
+
+    def end(self, holder: str, name: str, used: int) -> None:
+        """Bill a request."""
+        request = self.requests[name]
+        request.used = used
+        self.credit(holder, request.budget, request.tokens - used, request.isolated)
+        bill = records.Bill(name, request.budget, holder, used, request.isolated)
+        self.submit(holder, bill)
+
+    def submit(self, writer: str, entry: Entry) -> None:
+        """Queue a record under the log time that the writer has seen."""
+        node = self.nodes[writer]
+        if not node.crashed:
+            node.pending.add(entry)
+            node.queue.append((self.fold.time, entry))
+            if not self.held_up:
+                self.land_all(writer)
+
+    def land_all(self, writer: str) -> None:
+        """Append what a writer has queued."""
+        while self.nodes[writer].queue:
+            self.land_next(writer)
+
+    def land_next(self, writer: str) -> None:
+        """Append the first record of a queue."""
+        seen, entry = self.nodes[writer].queue.pop(0)
+        data = records.encode_batch(writer, [entry], seen)
+        self.sent.append(data)
+        self.append(data)
+
+    def append(self, data: bytes) -> None:
+        """Append, and let every writer read what it did."""
+        effects = self.fold.apply(self.offset, self.time, data)
+        self.offset += 1
+        for effect in effects:
+            assert not effect.violation
+            self.witness_reads(effect)
+            for node in self.nodes.values():
+                self.hear(node, effect)
+
+    def witness_reads(self, effect: Effect) -> None:
+        """A witness forgets what the log settled."""
+        entry = effect.entry
+        if isinstance(effect, Voided) and effect.reason is Void.STALE:
+            return
+        if isinstance(entry, records.Bill):
+            self.billed.add(entry.request)
+        if isinstance(entry, records.Handover):
+            self.handed.pop(entry.op, None)
+
+    def hear(self, node: Node, effect: Effect) -> None:
+        """Write a stale record again; credit a grant."""
+        entry = effect.entry
+        if isinstance(entry, Malformed) or entry not in node.pending:
+            return
+        if isinstance(effect, Voided) and effect.reason is Void.STALE:
+            if not node.crashed:
+                node.queue.insert(0, (self.fold.time, entry))
+            return
+        node.pending.discard(entry)
+        if isinstance(effect, Applied) and isinstance(entry, records.Grant):
+            holding = self.fold.budgets_by_id[entry.budget]
+            share = holding.holdings_by_incarnation[entry.incarnation]
+            assert share.remaining >= effect.tokens
+            isolated = min(entry.isolated, effect.tokens)
+            name = entry.incarnation
+            self.credit(name, entry.budget, effect.tokens - isolated, False)
+            self.credit(name, entry.budget, isolated, True)
+
+
+TestFold = FoldMachine.TestCase
+TestFold.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=60, deadline=None
+)
