--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -17,7 +17,8 @@
 from godwitrudder.process.daemon import Daemon
 from godwitrudder.process.settings import Settings, load_text
 from godwitrudder.sections import Address, Problem
-from godwitrudder.version.document import SECTIONS, STREAM, Edit
+from godwitrudder.version.document import SECTIONS
+from godwitrudder.version.edits import STREAM, Change, Edit
 from standins.engine import Engine
 from standins.platform import Platform
 from standins.service import Service
@@ -51,10 +52,12 @@
         """Start the stand-ins, publish the document, start the daemons."""
         for server in [self.platform, *self.engines, *self.services]:
             self._stack.enter_context(server)
-        for section in SECTIONS:
-            text = (EXAMPLES / "penghu" / f"{section}.json5").read_text()
-            edit = Edit(uuid4().hex, section, -1, text, "demo")
-            self.platform.streams_by_name[STREAM].append(codec.encode(edit))
+        changes = tuple(
+            Change(name, -1, (EXAMPLES / "penghu" / f"{name}.json5").read_text())
+            for name in SECTIONS
+        )
+        edit = Edit(uuid4().hex, "demo", changes)
+        self.platform.streams_by_name[STREAM].append(codec.encode(edit))
         for daemon in self.daemons:
             self._stack.enter_context(daemon)
         return self
--- /dev/null
+++ b/bench/measure_config.py
@@ -0,0 +1,284 @@
+"""Configuration: accept to in force, racing edits, start, memory.
+
+The tasks of nine daemons run over a log and peers that are plain calls with a
+delay, so the figures leave sockets out and keep every timer of the tasks.
+"""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import gc  # noqa: E402
+import json  # noqa: E402
+import statistics  # noqa: E402
+import time  # noqa: E402
+import tracemalloc  # noqa: E402
+from collections.abc import Callable, Iterator  # noqa: E402
+from contextlib import ExitStack  # noqa: E402
+from random import Random  # noqa: E402
+from typing import Any, Final  # noqa: E402
+
+import gevent  # noqa: E402
+from gevent.event import Event  # noqa: E402
+
+from bench.fleet import PLATFORM, settings  # noqa: E402
+from bench.report import Row  # noqa: E402
+from godwitrudder import codec  # noqa: E402
+from godwitrudder.clock import HybridClock, SystemClock  # noqa: E402
+from godwitrudder.connection.frames import Message  # noqa: E402
+from godwitrudder.connection.peer import (  # noqa: E402
+    Handlers,
+    PeerLinks,
+    Unreachable,
+)
+from godwitrudder.platform.log import (  # noqa: E402
+    Log,
+    LogPage,
+    LogRecord,
+    LogUnavailable,
+)
+from godwitrudder.process.configuration import Configuration  # noqa: E402
+from godwitrudder.process.daemon import Daemon  # noqa: E402
+from godwitrudder.process.metrics import Metrics  # noqa: E402
+from godwitrudder.process.spread import Spread  # noqa: E402
+from godwitrudder.version.document import Document, build  # noqa: E402
+from godwitrudder.version.edits import STREAM, Change, Edit  # noqa: E402
+from godwitrudder.version.revisions import (  # noqa: E402
+    Accepted,
+    ConfigFold,
+)
+from standins.platform import Platform  # noqa: E402
+
+DAEMONS: Final = 9
+EDITS: Final = 12
+EDIT_GAP_SECONDS: Final = 0.7
+IN_FORCE_SECONDS: Final = 7.0
+PEER_SECONDS: Final = 0.001
+RACES: Final = 1000
+BUDGETS: Final = 10_000
+WORKSPACES: Final = 5_000
+MILLION: Final = 1_000_000
+
+
+def rows() -> Iterator[Row]:
+    """Yield the rows of the report."""
+    yield from _in_force("log healthy", 0.005, set())
+    yield from _in_force("log answers in 2 s", 2.0, set())
+    yield from _in_force("one cut off", 0.005, {"router-9"})
+    yield from _races()
+    yield from _start()
+    yield from _memory()
+
+
+class MemoryLog(Log):
+    """One stream in memory; each call takes ``seconds``."""
+
+    def __init__(self, seconds: float) -> None:
+        self.seconds = seconds
+        self.records: list[LogRecord] = []
+        self._grown = Event()
+
+    def append(self, stream: str, data: bytes) -> int | LogUnavailable:
+        """Append one record and return its offset."""
+        offset = len(self.records)
+        self.records.append(LogRecord(offset, time.time(), data))
+        self._grown.set()
+        self._grown = Event()
+        return offset
+
+    def read(
+        self, stream: str, offset: int, wait: float = 0.0
+    ) -> LogPage | LogUnavailable:
+        """Read from ``offset`` on."""
+        gevent.sleep(self.seconds)
+        if offset >= len(self.records):
+            self._grown.wait(wait)
+        return LogPage(0, len(self.records), tuple(self.records[offset:]))
+
+
+class CutLog(Log):
+    """A log out of reach."""
+
+    def append(self, stream: str, data: bytes) -> int | LogUnavailable:
+        """Answer nothing."""
+        return LogUnavailable("cut")
+
+    def read(
+        self, stream: str, offset: int, wait: float = 0.0
+    ) -> LogPage | LogUnavailable:
+        """Answer nothing."""
+        return LogUnavailable("cut")
+
+
+class DirectLinks(PeerLinks):
+    """Peers reached by calling their handlers after a delay."""
+
+    def __init__(self, handlers_by_host: dict[str, Handlers]) -> None:
+        self._handlers_by_host = handlers_by_host
+
+    def ask(
+        self, host: str, message: Message, timeout: float
+    ) -> Message | None | Unreachable:
+        """Ask a host."""
+        gevent.sleep(2 * PEER_SECONDS)
+        return self._handlers_by_host[host].handle(message)
+
+    def tell(self, host: str, message: Message) -> bool:
+        """Tell a host."""
+        gevent.spawn_later(PEER_SECONDS, self._handlers_by_host[host].handle, message)
+        return True
+
+
+def _in_force(name: str, log_seconds: float, cut: set[str]) -> Iterator[Row]:
+    """Publish edits and watch when each daemon has them in force."""
+    hosts = [f"router-{number + 1}" for number in range(DAEMONS)]
+    log, clock, random = MemoryLog(log_seconds), SystemClock(), Random(7)
+    handlers_by_host: dict[str, Handlers] = {}
+    seconds: list[float] = []
+    published_at: dict[int, float] = {}
+    pending: set[tuple[str, int]] = set()
+
+    def watch(host: str) -> Callable[[Document], None]:
+        last = [-1]
+
+        def see(document: Document) -> None:
+            for offset in range(last[0] + 1, document.version + 1):
+                seconds.append(time.monotonic() - published_at[offset])
+                pending.discard((host, offset))
+            last[0] = document.version
+
+        return see
+
+    with ExitStack() as stack:
+        for host in hosts:
+            metrics = Metrics()
+            handlers = Handlers(HybridClock(clock), metrics)
+            handlers_by_host[host] = handlers
+            own: Log = CutLog() if host in cut else log
+            configuration = Configuration(own, metrics, clock, random, 86400.0)
+            configuration.listen(watch(host))
+            links = DirectLinks(handlers_by_host)
+            stack.enter_context(
+                Spread(host, configuration, links, handlers, lambda: hosts, random)
+            )
+            stack.enter_context(configuration)
+        for number in range(EDITS):
+            gevent.sleep(EDIT_GAP_SECONDS)
+            text = json.dumps({"b": {"paid_tokens": number}})
+            edit = Edit(f"op-{number}", "bench", (Change("budgets", number - 1, text),))
+            published_at[number] = time.monotonic()
+            pending.update((host, number) for host in hosts)
+            log.append(STREAM, codec.encode(edit))
+        end = time.monotonic() + IN_FORCE_SECONDS
+        while pending and time.monotonic() < end:
+            gevent.sleep(0.05)
+    p50 = statistics.median(seconds)
+    yield Row(f"config in force on 9 daemons, {name}, p50", p50, "s", IN_FORCE_SECONDS)
+    yield Row(
+        f"config in force on 9 daemons, {name}, max",
+        max(seconds),
+        "s",
+        IN_FORCE_SECONDS,
+    )
+    yield Row(f"config not in force after 7 s, {name}", len(pending), "", 0)
+
+
+def _races() -> Iterator[Row]:
+    """Let two to four editors race, with lost answers, a thousand times."""
+    random, fold, number = Random(11), ConfigFold(), 0
+    log: list[bytes] = []
+    lost = silent = 0
+    for race in range(RACES):
+        made_on = fold.version_of("budgets")
+        edits = []
+        for _ in range(random.randint(2, 4)):
+            number += 1
+            text = json.dumps({"b": {"paid_tokens": number}})
+            edits.append(
+                Edit(f"op-{number}", "bench", (Change("budgets", made_on, text),))
+            )
+        # A lost answer makes the editor append the same operation again.
+        sent = edits + [edit for edit in edits if random.random() < 0.3]
+        random.shuffle(sent)
+        winners = []
+        for edit in sent:
+            log.append(codec.encode(edit))
+            for result in fold.apply(len(log) - 1, 0.0, log[-1]):
+                winners += [edit] if isinstance(result, Accepted) else []
+        silent += sum(edit.op not in fold.verdicts_by_op for edit in edits)
+        won = winners[0].changes[0].text if len(winners) == 1 else ""
+        lost += fold.document.text_by_section["budgets"] != won
+    yield Row("config accepted edits lost or reverted, 1000 races", lost, "", 0)
+    yield Row("config racing edits without a verdict", silent, "", 0)
+    yield Row("config folds that differ after 1000 races", _differ(log, fold), "", 0)
+
+
+def _differ(log: list[bytes], fold: ConfigFold) -> int:
+    """Fold again, whole and from a snapshot midway."""
+    whole, late = ConfigFold(), ConfigFold()
+    for offset, data in enumerate(log):
+        if offset == len(log) // 2:
+            late.restore(whole.snapshot())
+        whole.apply(offset, 0.0, data)
+        if late.next_offset:
+            late.apply(offset, 0.0, data)
+    digests = {fold.digest(), whole.digest(), late.digest()}
+    return len(digests) - 1
+
+
+def _start() -> Iterator[Row]:
+    """Start one daemon on a document of ten thousand budgets."""
+    with Platform(PLATFORM, []) as platform:
+        edit = Edit("op", "bench", (Change("budgets", -1, _budgets(BUDGETS)),))
+        platform.streams_by_name[STREAM].append(codec.encode(edit))
+        start = time.monotonic()
+        with Daemon(settings(1)):
+            seconds = time.monotonic() - start
+    yield Row("daemon start to ready with 10,000 budgets", seconds, "s")
+
+
+def _budgets(count: int) -> str:
+    return json.dumps(
+        {f"budget-{number:06d}": {"paid_tokens": 20_000} for number in range(count)}
+    )
+
+
+def _workspaces(count: int) -> str:
+    entries: dict[str, Any] = {}
+    for number in range(count):
+        key = {"sha256": f"{number:064x}", "budget": f"budget-{number:06d}"}
+        entries[f"workspace-{number:04d}"] = {"keys": [key], "targets": ["model"]}
+    return json.dumps(entries)
+
+
+def _memory() -> Iterator[Row]:
+    """Weigh the parsed document and its text, per budget and workspace."""
+    targets = '{"model": {"kind": "engine"}}'
+    base = {"targets": targets, "budgets": _budgets(BUDGETS)}
+    budgets = _weigh({"budgets": _budgets(BUDGETS)}) / BUDGETS
+    both = _weigh({**base, "workspaces": _workspaces(WORKSPACES)})
+    workspaces = (both - _weigh(base)) / WORKSPACES
+    yield Row("config memory per budget", budgets, "bytes")
+    yield Row("config memory per workspace", workspaces, "bytes")
+    whole = (460_000 * budgets + 5_000 * workspaces) / MILLION
+    yield Row("config memory at 460,000 budgets in one daemon", whole, "MB", 64.0)
+    start = time.process_time()
+    fold = ConfigFold()
+    edit = Edit("op", "bench", (Change("budgets", -1, _budgets(BUDGETS)),))
+    fold.apply(0, 0.0, codec.encode(edit))
+    spent = (time.process_time() - start) / BUDGETS * MILLION
+    yield Row("config processor time of an edit per budget", spent, "us")
+
+
+def _weigh(texts: dict[str, str]) -> float:
+    """Return the bytes that a document of these texts holds."""
+    gc.collect()
+    tracemalloc.start()
+    copies = {name: text + " " for name, text in texts.items()}
+    document = build(0, dict.fromkeys(texts, 0), copies)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert isinstance(document, Document)
+    return held
--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -1,9 +1,14 @@
-"""The configuration task: follows the log and keeps the document in force."""
+"""The configuration task: follows the log and keeps the document in force.
+
+The task also writes a snapshot before the newest one ages out of the log.  Any
+daemon may; two at once do no harm.
+"""
 
 from __future__ import annotations
 
 import logging
 from collections.abc import Callable
+from random import Random
 from types import TracebackType
 from typing import Final, Self
 
@@ -11,25 +16,63 @@
 from gevent import Greenlet
 from gevent.event import Event
 
+from godwitrudder import codec
+from godwitrudder.clock import Clock
 from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
 from godwitrudder.process.metrics import Metrics
-from godwitrudder.version.document import STREAM, Accepted, ConfigFold, Document
+from godwitrudder.version.document import Document
+from godwitrudder.version.edits import STREAM
+from godwitrudder.version.revisions import (
+    Accepted,
+    ConfigFold,
+    Rejected,
+    Restored,
+    Result,
+)
 
 RETRY_SECONDS: Final = 0.5
+SNAPSHOT_SHARE: Final = 0.25
+CHECK_SHARE: Final = 0.02
+MAX_CHECK_SECONDS: Final = 600.0
 
 logger = logging.getLogger(__name__)
 
 
 class Configuration:
-    """The document in force in this daemon."""
-
-    def __init__(self, log: Log, metrics: Metrics) -> None:
+    """The document in force in this daemon.
+
+    Parameters
+    ----------
+    retention_seconds : float
+        How long the log keeps a record.
+
+    Attributes
+    ----------
+    loaded : Event
+        Set once the document is as new as the log, or as the peers'.
+    in_force_seconds : float
+        From the log's time of the newest accepted record to its being in force.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        metrics: Metrics,
+        clock: Clock,
+        random: Random,
+        retention_seconds: float,
+    ) -> None:
         self._log = log
         self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._retention_seconds = retention_seconds
         self.fold = ConfigFold()
         self.loaded = Event()
+        self.in_force_seconds = 0.0
         self._listeners: list[Callable[[Document], None]] = []
-        self._task: Greenlet | None = None
+        self._advance_listeners: list[Callable[[list[Result]], None]] = []
+        self._tasks: list[Greenlet] = []
 
     @property
     def document(self) -> Document:
@@ -40,9 +83,13 @@
         """Call ``listener`` with each new document."""
         self._listeners.append(listener)
 
+    def advanced(self, listener: Callable[[list[Result]], None]) -> None:
+        """Call ``listener`` with the results of each step of the fold."""
+        self._advance_listeners.append(listener)
+
     def __enter__(self) -> Self:
-        """Start to follow the log."""
-        self._task = gevent.spawn(self._follow)
+        """Start to follow the log and to write snapshots."""
+        self._tasks = [gevent.spawn(self._follow), gevent.spawn(self._keep_snapshot)]
         return self
 
     def __exit__(
@@ -52,29 +99,91 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.kill()
+        gevent.killall(self._tasks)
+
+    def took(self, results: list[Result], source: str) -> None:
+        """Put the results of the fold into force; ``source`` is log or peer."""
+        if not results:
+            return
+        for result in results:
+            self._count(result, source)
+        if any(not isinstance(result, Rejected) for result in results):
+            self._in_force(source)
+        for listener in self._advance_listeners:
+            listener(results)
+
+    def load_from_peers(self) -> None:
+        """Count as loaded though the log says nothing."""
+        if not self.loaded.is_set() and self.document.version >= 0:
+            logger.warning("log unreachable: configuration loaded from peers")
+            self.loaded.set()
 
     def _follow(self) -> None:
         while True:
-            page = self._log.read(STREAM, self.fold.next_offset, POLL_SECONDS)
+            page = self._log.read(STREAM, self.fold.read_offset, POLL_SECONDS)
             if isinstance(page, LogUnavailable):
                 gevent.sleep(RETRY_SECONDS)
                 continue
             self._apply(page)
-            if self.fold.next_offset >= page.next and page.next > 0:
+            if self._up_to(page):
                 self.loaded.set()
 
     def _apply(self, page: LogPage) -> None:
+        diverged = self.fold.diverged
+        results: list[Result] = []
         for record in page.records:
-            result = self.fold.apply(record.offset, record.data)
-            if isinstance(result, Accepted):
-                self._in_force(result)
-
-    def _in_force(self, result: Accepted) -> None:
-        logger.info(
-            "section %s version %d in force", result.edit.section, result.offset
-        )
-        self._metrics.config_version.set(result.offset)
+            results.extend(self.fold.apply(record.offset, record.time, record.data))
+        self.took(results, "log")
+        if self.fold.diverged > diverged:
+            self._metrics.violations.labels("config_diverged").inc()
+
+    def _up_to(self, page: LogPage) -> bool:
+        whole = not self.fold.seeking and self.fold.next_offset >= page.first
+        return whole and self.fold.next_offset >= page.next > 0
+
+    def _count(self, result: Result, source: str) -> None:
+        if isinstance(result, Restored):
+            self._metrics.config_records.labels("restored", source).inc()
+        elif isinstance(result, Rejected):
+            self._metrics.config_records.labels("rejected", source).inc()
+            logger.info("configuration record rejected: %s", result.problem)
+        else:
+            self._accepted(result, source)
+
+    def _accepted(self, result: Accepted, source: str) -> None:
+        verdict = result.verdict
+        self.in_force_seconds = max(0.0, self._clock.wall() - verdict.time)
+        self._metrics.config_records.labels("accepted", source).inc()
+        if self.loaded.is_set():
+            self._metrics.config_in_force.observe(self.in_force_seconds)
+
+    def _in_force(self, source: str) -> None:
+        version = self.document.version
+        logger.info("configuration version %d in force, from %s", version, source)
+        self._metrics.config_version.set(version)
         for listener in self._listeners:
             listener(self.document)
+
+    def _keep_snapshot(self) -> None:
+        period = min(self._retention_seconds * CHECK_SHARE, MAX_CHECK_SECONDS)
+        while True:
+            gevent.sleep(period * self._random.uniform(0.5, 1.5))
+            if self.snapshot_due():
+                self._write_snapshot()
+
+    def snapshot_due(self) -> bool:
+        """Whether the newest snapshot in the log is getting old."""
+        since = self.fold.snapshot_time
+        if since is None or self.document.version < 0 or self.fold.seeking:
+            return False
+        age = self._clock.wall() - since
+        return age > self._retention_seconds * SNAPSHOT_SHARE
+
+    def _write_snapshot(self) -> None:
+        """Append the parts; a failed one leaves the snapshot due."""
+        for part in self.fold.snapshot():
+            answer = self._log.append(STREAM, codec.encode(part))
+            if isinstance(answer, LogUnavailable):
+                logger.warning("configuration snapshot not written: %s", answer.reason)
+                return
+        self._metrics.config_snapshots.inc()
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -25,6 +25,7 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.router import Router
 from godwitrudder.process.settings import Settings
+from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.version import records
 from godwitrudder.version.document import Document
@@ -58,7 +59,13 @@
     def _build(self) -> None:
         settings = self.settings
         self.log = HttpLog(settings.log)
-        self.configuration = Configuration(self.log, self.metrics)
+        self.configuration = Configuration(
+            self.log,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.log_retention_seconds,
+        )
         self.members = Members(HttpHostList(settings.hosts))
         self.handlers = Handlers(self.hybrid, self.metrics)
         self.peers = PeerLinks(
@@ -67,6 +74,14 @@
             self.handlers,
             self.members.peer_address,
         )
+        self._spread = Spread(
+            settings.host,
+            self.configuration,
+            self.peers,
+            self.handlers,
+            lambda: list(self.members.routers_by_id),
+            self.random,
+        )
         self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
@@ -107,6 +122,7 @@
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
         self._stack.enter_context(self.configuration)
+        self._stack.enter_context(self._spread)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -2,7 +2,17 @@
 
 from __future__ import annotations
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+from typing import Final
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+IN_FORCE_BUCKETS_SECONDS: Final = (0.05, 0.2, 0.5, 1.0, 2.0, 4.0, 7.0, 15.0, 60.0)
 
 
 class Metrics:
@@ -29,6 +39,20 @@
         )
         self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
         self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
+        self.config_records = self._counter(
+            "config_records",
+            "Configuration records by result and source.",
+            ["result", "source"],
+        )
+        self.config_snapshots = self._counter(
+            "config_snapshots", "Configuration snapshots written.", []
+        )
+        self.config_in_force = Histogram(
+            "godwitrudder_config_in_force_seconds",
+            "From the log's time of an accepted record to its being in force.",
+            buckets=IN_FORCE_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
         self.config_version = Gauge(
             "godwitrudder_config_version",
             "Offset of the configuration in force.",
--- a/godwitrudder/process/settings.py
+++ b/godwitrudder/process/settings.py
@@ -8,10 +8,25 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import Final
 
 import msgspec
 
-from godwitrudder.sections import Address, Problem, parse, parse_address
+from godwitrudder.sections import (
+    Address,
+    Problem,
+    is_sha256,
+    parse,
+    parse_address,
+)
+from godwitrudder.version.document import SECTIONS
+
+MIN_RETENTION_SECONDS: Final = 1.0
+MAX_DRAIN_SECONDS: Final = 3600.0
+MIN_SECRET_CHARACTERS: Final = 16
+LOG_LEVELS: Final = ("DEBUG", "INFO", "WARNING", "ERROR")
+ADMIN: Final = "admin"
+TEAMS: Final = (*SECTIONS, ADMIN)
 
 
 class PlatformModel(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
@@ -34,11 +49,14 @@
     peer_key : str
         Secret that the daemons of the fleet share.
     operator_keys_by_team : dict
-        SHA-256 of each team's key, in hex.
+        SHA-256 of each team's key, in hex.  A team is named like the section
+        that it owns; ``admin`` owns all.
     drain_seconds : float
         Longest wait for requests in flight at a graceful stop.
     ledger_partitions : int
         Number of ledger partitions of the fleet.
+    log_retention_seconds : float
+        How long the platform's log keeps a record.
     """
 
     host: str
@@ -52,6 +70,7 @@
     operator_keys_by_team: dict[str, str] = {}
     drain_seconds: float = 30.0
     ledger_partitions: int = 4
+    log_retention_seconds: float = 86400.0
     log_level: str = "INFO"
 
 
@@ -72,6 +91,7 @@
     operator_keys_by_team: dict[str, str]
     drain_seconds: float
     ledger_partitions: int
+    log_retention_seconds: float
     log_level: str
 
 
@@ -129,12 +149,32 @@
 
 
 def _amounts(place: str, model: SettingsModel) -> Problem | None:
-    if model.drain_seconds <= 0:
-        return Problem(place, "drain_seconds", "expected seconds above 0")
+    if not 0 < model.drain_seconds <= MAX_DRAIN_SECONDS:
+        expected = f"expected seconds above 0, up to {MAX_DRAIN_SECONDS:g}"
+        return Problem(place, "drain_seconds", expected)
+    if model.log_retention_seconds < MIN_RETENTION_SECONDS:
+        expected = f"expected at least {MIN_RETENTION_SECONDS:g} seconds"
+        return Problem(place, "log_retention_seconds", expected)
     if model.ledger_partitions < 1:
         return Problem(place, "ledger_partitions", "expected a count of at least 1")
-    if len(model.peer_key) < 16:
-        return Problem(place, "peer_key", "expected at least 16 characters")
+    if len(model.peer_key) < MIN_SECRET_CHARACTERS:
+        expected = f"expected at least {MIN_SECRET_CHARACTERS} characters"
+        return Problem(place, "peer_key", expected)
+    if model.log_level not in LOG_LEVELS:
+        expected = f"expected one of {', '.join(LOG_LEVELS)}"
+        return Problem(place, "log_level", expected)
+    return _operator_keys(place, model)
+
+
+def _operator_keys(place: str, model: SettingsModel) -> Problem | None:
+    for team, digest in model.operator_keys_by_team.items():
+        path = f"operator_keys_by_team.{team}"
+        if team not in TEAMS:
+            expected = f"expected a team of {', '.join(TEAMS)}"
+            return Problem(place, path, expected)
+        if not is_sha256(digest):
+            expected = "expected a SHA-256 as 64 lower-case hex digits"
+            return Problem(place, path, expected)
     return None
 
 
@@ -153,5 +193,6 @@
         operator_keys_by_team=model.operator_keys_by_team,
         drain_seconds=model.drain_seconds,
         ledger_partitions=model.ledger_partitions,
+        log_retention_seconds=model.log_retention_seconds,
         log_level=model.log_level,
     )
--- a/godwitrudder/sections.py
+++ b/godwitrudder/sections.py
@@ -17,6 +17,10 @@
 T = TypeVar("T")
 
 MAX_PORT: Final = 65535
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+_KEY = re.compile(
+    r"Object (?P<kind>missing required|contains unknown) field `(?P<key>.*)`"
+)
 _PATH = re.compile(r"^(?P<problem>.*?)(?: - at `\$(?P<path>.*)`)?$", re.DOTALL)
 
 
@@ -74,11 +78,18 @@
 
 
 def _problem(place: str, text: str) -> Problem:
+    """Turn a message of the validator into path and expectation."""
     match = _PATH.match(text)
     if match is None:
         return Problem(place, "", text)
     path = (match["path"] or "").lstrip(".")
-    return Problem(place, path, match["problem"])
+    known = _KEY.fullmatch(match["problem"])
+    if known is None:
+        expected = match["problem"].replace("Expected", "expected", 1)
+        return Problem(place, path, expected)
+    key = f"{path}.{known['key']}".lstrip(".")
+    expected = "this key" if known["kind"] == "missing required" else "a known key"
+    return Problem(place, key, f"expected {expected}")
 
 
 def parse_address(place: str, path: str, text: str) -> Address | Problem:
@@ -91,3 +102,8 @@
     if not colon or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
         return Problem(place, path, f"expected a port 1 to {MAX_PORT} in {text!r}")
     return Address(ip.strip("[]"), int(port))
+
+
+def is_sha256(text: str) -> bool:
+    """Whether a text is a SHA-256 in lower-case hex."""
+    return _SHA256.fullmatch(text) is not None
--- a/godwitrudder/version/document.py
+++ b/godwitrudder/version/document.py
@@ -1,23 +1,22 @@
 """The configuration document: four sections, each with its own version.
 
-An edit names the section version that it was made on.  The log's order settles
-races: an edit made on a version that is no longer current is void, whoever
-reads it.  A section's version is the log offset of the edit that made it.
+A ``Document`` is built from the texts of all sections at once, so that what one
+section says of another is checked whenever either changes.  The same texts give
+the same document, or the same problem, in every process.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
-from typing import Any, Final, Literal
+from dataclasses import dataclass, field, replace
+from typing import Any, Final, Literal, cast
 
 import msgspec
 import pyjson5
 
-from godwitrudder import codec
 from godwitrudder.sections import Problem, validate
 
-STREAM: Final = "config"
 SECTIONS: Final = ("budgets", "workspaces", "targets", "turns")
+MAX_DEPTH: Final = 16
 
 
 class BudgetModel(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
@@ -26,7 +25,8 @@
     Attributes
     ----------
     paid_tokens : int
-        Tokens paid in by the document; top-ups come on top.
+        Tokens paid in by the document; top-ups come on top.  The ledger keeps
+        the former amount in force where the new one is below what is granted.
     endurance : float
         0 strands least when a router is lost, 1 lasts longest in a partition.
     """
@@ -102,35 +102,26 @@
 
 
 MODEL_BY_SECTION: Final[dict[str, Any]] = {
-    "budgets": dict[str, BudgetModel],
-    "workspaces": dict[str, WorkspaceModel],
-    "targets": dict[str, TargetModel],
-    "turns": dict[str, TurnModel],
+    "budgets": BudgetModel,
+    "workspaces": WorkspaceModel,
+    "targets": TargetModel,
+    "turns": TurnModel,
 }
 
 
-class Edit(msgspec.Struct, frozen=True, array_like=True, tag="edit"):
-    """A new text of one section, as a record of the log.
+class DrainKey(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """What gets no new work.
 
     Attributes
     ----------
-    op : str
-        Operation id; a repeated one is void.
-    section : str
-        One of ``SECTIONS``.
-    made_on : int
-        Version of the section that the edit was made on; -1 for none.
-    text : str
-        Commented JSON.
-    author : str
-        The operators' team.
+    kind : str
+        A whole target, one runner, or all runners of a failure domain.
+    id : str
+        Identifier of it.
     """
 
-    op: str
-    section: str
-    made_on: int
-    text: str
-    author: str
+    kind: Literal["target", "runner", "failure_domain"]
+    id: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,7 +134,17 @@
 
 @dataclass(slots=True)
 class Document:
-    """The configuration in force, one immutable value per version."""
+    """The configuration in force, one immutable value per version.
+
+    Attributes
+    ----------
+    version : int
+        Log offset of the record that made it; -1 for the empty document.
+    version_by_section, text_by_section : dict
+        As published, comments included.
+    drains : frozenset of DrainKey
+        What operators took out of service.
+    """
 
     version: int = -1
     version_by_section: dict[str, int] = field(default_factory=dict)
@@ -153,109 +154,51 @@
     targets_by_id: dict[str, TargetModel] = field(default_factory=dict)
     turns_by_target: dict[str, TurnModel] = field(default_factory=dict)
     access_by_key_hash: dict[str, Access] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class Accepted:
-    """The edit is in force from ``offset`` on."""
-
-    edit: Edit
-    offset: int
-
-
-@dataclass(frozen=True, slots=True)
-class Rejected:
-    """The edit is void.
-
-    Attributes
-    ----------
-    current : int
-        Version of the section that stands.
-    """
-
-    edit: Edit | None
-    offset: int
-    problem: Problem
-    current: int = -1
-
-
-class ConfigFold:
-    """The document after the records up to ``next_offset``."""
-
-    def __init__(self) -> None:
-        self.next_offset = 0
-        self.document = Document()
-        self.results_by_op: dict[str, Accepted | Rejected] = {}
-
-    def apply(self, offset: int, data: bytes) -> Accepted | Rejected | None:
-        """Apply one record; None for one that was applied before."""
-        if offset < self.next_offset:
-            return None
-        self.next_offset = offset + 1
-        edit = codec.decode(data, Edit)
-        if isinstance(edit, codec.Malformed):
-            return Rejected(None, offset, Problem(STREAM, "", edit.reason))
-        if edit.op in self.results_by_op:
-            return None
-        result = self._judge(offset, edit)
-        self.results_by_op[edit.op] = result
-        return result
-
-    def _judge(self, offset: int, edit: Edit) -> Accepted | Rejected:
-        current = self.document.version_by_section.get(edit.section, -1)
-        if edit.made_on != current:
-            expected = f"made on version {edit.made_on}, version {current} stands"
-            problem = Problem(edit.section, "", expected)
-            return Rejected(edit, offset, problem, current)
-        document = with_section(self.document, offset, edit.section, edit.text)
-        if isinstance(document, Problem):
-            return Rejected(edit, offset, document, current)
-        self.document = document
-        return Accepted(edit, offset)
-
-
-def with_section(
-    document: Document, offset: int, section: str, text: str
-) -> Document | Problem:
-    """Return the document with one section replaced, or what is wrong."""
-    if section not in SECTIONS:
-        return Problem(section, "", f"expected a section of {', '.join(SECTIONS)}")
-    texts = {**document.text_by_section, section: text}
-    versions = {**document.version_by_section, section: offset}
-    return build(offset, versions, texts)
+    drains: frozenset[DrainKey] = frozenset()
+
+    def drained(self, kind: str, identifier: str) -> bool:
+        """Whether an operator took it out of service."""
+        return DrainKey(cast(Any, kind), identifier) in self.drains
+
+
+def parse_section(section: str, text: str) -> dict[str, Any] | Problem:
+    """Parse the commented JSON of one section against its model."""
+    try:
+        plain = pyjson5.decode(text, maxdepth=MAX_DEPTH)
+    except pyjson5.Json5Exception as error:
+        return Problem(section, "", f"expected commented JSON: {error}")
+    if not isinstance(plain, dict):
+        return Problem(section, "", "expected an object with a key per identifier")
+    entries: dict[str, Any] = {}
+    for name, entry in plain.items():
+        value = validate(section, entry, MODEL_BY_SECTION[section])
+        if isinstance(value, Problem):
+            return replace(value, path=f"{name}.{value.path}".rstrip("."))
+        entries[name] = value
+    return entries
 
 
 def build(
-    version: int, versions: dict[str, int], texts: dict[str, str]
+    version: int,
+    version_by_section: dict[str, int],
+    text_by_section: dict[str, str],
+    drains: frozenset[DrainKey] = frozenset(),
 ) -> Document | Problem:
-    """Parse and cross-check the texts of all sections."""
-    parsed: dict[str, Any] = {name: {} for name in SECTIONS}
-    for name, text in texts.items():
-        try:
-            plain = pyjson5.decode(text)
-        except pyjson5.Json5Exception as error:
-            return Problem(name, "", f"expected commented JSON: {error}")
-        value = validate(name, plain, MODEL_BY_SECTION[name])
+    """Parse the texts of all sections; ``checks.problems`` checks the result."""
+    document = Document(version, version_by_section, text_by_section, drains=drains)
+    parsed: dict[str, dict[str, Any]] = {name: {} for name in SECTIONS}
+    for name, text in text_by_section.items():
+        value = parse_section(name, text)
         if isinstance(value, Problem):
             return value
         parsed[name] = value
-    document = Document(
-        version,
-        versions,
-        texts,
-        parsed["budgets"],
-        parsed["workspaces"],
-        parsed["targets"],
-        parsed["turns"],
-    )
-    return _check(document) or document
-
-
-def _check(document: Document) -> Problem | None:
-    for name, budget in document.budgets_by_id.items():
-        if budget.paid_tokens < 0:
-            return Problem("budgets", f"{name}.paid_tokens", "expected 0 or more")
-    for name, workspace in document.workspaces_by_id.items():
-        for key in workspace.keys:
-            document.access_by_key_hash[key.sha256] = Access(name, key.budget)
-    return None
+    document.budgets_by_id = parsed["budgets"]
+    document.workspaces_by_id = parsed["workspaces"]
+    document.targets_by_id = parsed["targets"]
+    document.turns_by_target = parsed["turns"]
+    document.access_by_key_hash = {
+        key.sha256: Access(name, key.budget)
+        for name, workspace in document.workspaces_by_id.items()
+        for key in workspace.keys
+    }
+    return document
