--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,134 @@
+"""The stand-ins do what the platform and the targets are said to do."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterator
+from typing import Any
+
+import gevent
+import pytest
+
+from godwitrudder import codec
+from godwitrudder.platform.hosts import HostEntry
+from godwitrudder.platform.log import LogPage
+from godwitrudder.sections import Address
+from standins.batch import answer_length, word
+from standins.engine import Engine
+from standins.http import Request
+from standins.platform import Platform
+
+ADDRESS = Address("127.0.0.1", 8999)
+HOST = HostEntry(id="a", role="router", address="127.0.0.1:1", failure_domain="d")
+PROMPT = "which boat owns tag TW-0417 " * 8
+
+
+def ask(method: str, path: str, body: bytes = b"", **headers: str) -> Request:
+    """Build a request; the query stands in the path."""
+    path, _, query = path.partition("?")
+    pairs = dict(pair.split("=") for pair in query.split("&") if pair)
+    named = {name.replace("_", "-"): value for name, value in headers.items()}
+    return Request(method, path, pairs, named, body)
+
+
+def read(platform: Platform, path: str) -> LogPage:
+    """Read a page of the log."""
+    data = b"".join(platform.answer(ask("GET", path)).chunks)
+    page = codec.decode(data, LogPage)
+    assert isinstance(page, LogPage)
+    return page
+
+
+def test_the_log_keeps_offsets_when_records_age_out() -> None:
+    """Offsets go on counting and ``first`` moves."""
+    platform = Platform(ADDRESS, [], retention_seconds=0.0)
+    for _ in range(3):
+        platform.answer(ask("POST", "/streams/s", b"x"))
+    page = read(platform, "/streams/s?from=0")
+    assert (page.first, page.next, page.records) == (3, 3, ())
+
+
+def test_an_append_with_a_lost_answer_took_effect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The caller gets an error and the record stands."""
+    monkeypatch.setattr("standins.platform.ANSWER_LOST_SECONDS", 0.0)
+    platform = Platform(ADDRESS, [])
+    platform.faults.set({"lost_answers": 1.0})
+    assert platform.answer(ask("POST", "/streams/s", b"x")).status == 503
+    assert read(platform, "/streams/s?from=0").next == 1
+
+
+@pytest.mark.parametrize(("lag", "shown"), [(0.0, 0), (3600.0, 1)])
+def test_the_host_list_lags(lag: float, shown: int) -> None:
+    """A host that left is shown until the lag has passed."""
+    platform = Platform(ADDRESS, [HOST])
+    platform.faults.set({"lag_seconds": lag})
+    platform.set_hosts([])
+    assert len(platform.hosts) == shown
+
+
+def test_an_unknown_switch_is_refused() -> None:
+    """The error names the switch and nothing changes."""
+    platform = Platform(ADDRESS, [])
+    assert "downn" in platform.faults.set({"downn": True})
+    assert not platform.faults.switches.down
+
+
+@pytest.fixture(name="engine")
+def make_engine() -> Iterator[Engine]:
+    """Yield an engine without a port that makes tokens at once."""
+    engine = Engine(ADDRESS, token_seconds=0.0, slots=1)
+    task = gevent.spawn(engine.batch.run)
+    yield engine
+    task.kill()
+
+
+def start(engine: Engine, attempt: str, **fields: Any) -> list[str]:
+    """Start an attempt and return its events."""
+    body = {"messages": [{"content": PROMPT}], "max_tokens": 20, **fields}
+    request = ask(
+        "POST",
+        "/v1/chat/completions",
+        json.dumps(body).encode(),
+        x_request_id=attempt,
+    )
+    chunks = engine.answer(request).chunks
+    return [chunk.decode() for chunk in chunks if b"content" in chunk]
+
+
+def test_a_resumed_stream_goes_on_after_the_last_index(engine: Engine) -> None:
+    """Nothing is doubled and nothing is missing."""
+    whole = start(engine, "a")
+    request = ask("GET", "/v1/streams/a", last_event_id="4")
+    rest = [c.decode() for c in engine.answer(request).chunks if b"content" in c]
+    assert whole[5:] == rest
+    assert len(whole) == answer_length(PROMPT, 20)
+    assert word(PROMPT, 0) in whole[0]
+
+
+def test_another_engine_continues_from_an_index(engine: Engine) -> None:
+    """The text after a start index is the same as in the whole answer."""
+    assert start(engine, "b", start_index=3) == start(engine, "c")[3:]
+
+
+def test_cache_events_come_late_and_with_gaps(engine: Engine) -> None:
+    """A second prompt of the same prefix hits; events obey lag and gaps."""
+    engine.faults.set({"lag_seconds": 3600.0})
+    assert engine.cache.take(PROMPT) == 0.0
+    assert engine.cache.take(PROMPT) == 1.0
+    assert engine.cache.events(0)["events"] == []
+    engine.faults.set({"lag_seconds": 0.0, "event_gaps": 1.0})
+    shown = engine.cache.events(0)["events"]
+    engine.cache.take("another " * 20)
+    assert engine.cache.events(0)["events"] == shown != []
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+def test_an_old_fencing_number(checks: bool, status: int, engine: Engine) -> None:
+    """Some engines refuse it, others do not look."""
+    engine.checks_fence = checks
+    order = {"action": "load", "model": "m", "fence": 7}
+    engine.answer(ask("POST", "/orders", json.dumps(order).encode()))
+    older = json.dumps({**order, "fence": 6}).encode()
+    assert engine.answer(ask("POST", "/orders", older)).status == status
