Give operators a port and a command line

The document could only be changed by writing to the log by hand, and nobody was told what became of an edit.

Each daemon now serves operators on its own port, one bearer key per team; a change is checked, appended, and read back under its operation id before it is called accepted, so a lost answer is retried once-only. godwitctl has config get, diff, edit, apply, history and status, budget show and topup, workspace show, target list, drain and undrain, fleet status. A lost race shows both versions. A budget cut below what is billed and granted is rejected with the least amount that can stand.

--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,7 +9,14 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
-from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.connection.queries import (
+    ConfigAnswer,
+    ConfigAsk,
+    ConfigHave,
+    Status,
+    StatusAsk,
+)
+from godwitrudder.process.timeline import Events, EventsAsk
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -18,7 +25,16 @@
     incarnation: str
 
 
-Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer
+Message = (
+    Ping
+    | ConfigHave
+    | ConfigAsk
+    | ConfigAnswer
+    | StatusAsk
+    | Status
+    | EventsAsk
+    | Events
+)
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/connection/queries.py
+++ b/godwitrudder/connection/queries.py
@@ -43,3 +43,33 @@
     next_offset: int
     records: tuple[LogRecord, ...] = ()
     parts: tuple[SnapshotPart, ...] = ()
+
+
+class StatusAsk(msgspec.Struct, frozen=True, array_like=True, tag="status_ask"):
+    """Asks a daemon how it is."""
+
+
+class Status(msgspec.Struct, frozen=True, array_like=True, tag="status"):
+    """How a daemon is.
+
+    Attributes
+    ----------
+    config_version, next_offset : int
+        Version of the document in force, and offset applied up to.
+    in_force_seconds : float
+        From the log's time of the newest accepted record to its being in force.
+    uptime_seconds : float
+        Since the daemon started.
+    in_flight : int
+        Requests under way.
+    """
+
+    host: str
+    incarnation: str
+    failure_domain: str
+    config_version: int
+    next_offset: int
+    in_force_seconds: float
+    uptime_seconds: float
+    in_flight: int
+    draining: bool
--- /dev/null
+++ b/godwitrudder/ctl/main.py
@@ -0,0 +1,33 @@
+"""``godwitctl``: the operators' command line."""
+
+from __future__ import annotations
+
+import sys
+from importlib import metadata
+from typing import Final
+
+from cleo.application import Application
+from cleo.commands.completions_command import CompletionsCommand
+
+from godwitrudder.ctl import config, daily
+from godwitrudder.ctl.command import FleetCommand
+
+COMMANDS: Final[tuple[type[FleetCommand], ...]] = (*config.COMMANDS, *daily.COMMANDS)
+
+
+def application() -> Application:
+    """Return the application with all commands."""
+    program = Application("godwitctl", metadata.version("godwitrudder"))
+    program.add(CompletionsCommand())
+    for command in COMMANDS:
+        program.add(command())
+    return program
+
+
+def main() -> int:
+    """Run the command line; the exit codes are those of ``Exit``."""
+    return application().run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/godwitrudder/process/console.py
@@ -0,0 +1,217 @@
+"""The console: answers what operators ask, over all daemons of the fleet."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Final, TypeVar
+
+import msgspec
+from gevent.pool import Pool
+
+from godwitrudder.connection.frames import Message
+from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.connection.queries import Status, StatusAsk
+from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.ledger import Ledger
+from godwitrudder.process.members import Members
+from godwitrudder.process.timeline import Events, EventsAsk, Timeline
+from godwitrudder.request.choice import Runner
+from godwitrudder.version.document import TurnModel
+from godwitrudder.views import (
+    BudgetView,
+    ConfigView,
+    DaemonView,
+    EventsBody,
+    EventsView,
+    HistoryView,
+    RunnerView,
+    SectionView,
+    StatusView,
+    TargetsView,
+    TargetView,
+    VerdictView,
+    WorkspaceView,
+)
+
+ANSWER_SECONDS: Final = 2.0
+ASKED_AT_ONCE: Final = 32
+BELOW_COMMITTED: Final = (
+    "the document pays in less than is billed and granted, or has just changed;"
+    " the former amount is in force"
+)
+
+T = TypeVar("T", bound=Message)
+
+
+class Console:
+    """Reads of the operators' port.
+
+    Parameters
+    ----------
+    own : callable
+        Returns the status of this daemon.
+    """
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        ledger: Ledger,
+        members: Members,
+        peers: PeerLinks,
+        handlers: Handlers,
+        timeline: Timeline,
+        own: Callable[[], Status],
+    ) -> None:
+        self._configuration = configuration
+        self._ledger = ledger
+        self._members = members
+        self._peers = peers
+        self._timeline = timeline
+        self._own = own
+        handlers.register(StatusAsk, lambda ask: own())
+        handlers.register(EventsAsk, timeline.page)
+
+    def config(self) -> ConfigView:
+        """Return the document in force."""
+        document = self._configuration.document
+        names = document.text_by_section
+        return ConfigView(
+            version=document.version,
+            sections={name: self.section(name) for name in names},
+        )
+
+    def section(self, name: str) -> SectionView:
+        """Return a section as it stands."""
+        fold = self._configuration.fold
+        version = fold.version_of(name)
+        author = next(
+            (v.author for v in fold.verdicts_by_op.values() if v.offset == version), ""
+        )
+        text = fold.document.text_by_section.get(name, "")
+        return SectionView(version=version, text=text, author=author)
+
+    def history(self) -> HistoryView:
+        """Return the newest verdicts."""
+        verdicts = self._configuration.fold.verdicts_by_op.values()
+        views = [VerdictView(**msgspec.structs.asdict(verdict)) for verdict in verdicts]
+        return HistoryView(verdicts=views)
+
+    def status(self) -> StatusView:
+        """Ask every daemon how it is."""
+        answers, missing = self._ask_all(lambda host: StatusAsk(), Status)
+        daemons = [
+            DaemonView(**msgspec.structs.asdict(status))
+            for status in [self._own(), *answers]
+        ]
+        daemons.sort(key=lambda view: view.host)
+        return StatusView(daemons=daemons, missing=missing)
+
+    def events(self, body: EventsBody) -> EventsView:
+        """Ask every daemon for a page of its events."""
+
+        def ask(host: str) -> EventsAsk:
+            after = body.after_by_process.get(host, -1)
+            return EventsAsk(after, body.request, body.workspace)
+
+        answers, missing = self._ask_all(ask, Events)
+        own = self._timeline.page(ask(self._timeline.process))
+        return EventsView(pages=[own, *answers], missing=missing)
+
+    def budget(self, name: str) -> BudgetView | None:
+        """Return a budget, or None where neither document nor ledger has it."""
+        model = self._configuration.document.budgets_by_id.get(name)
+        state = self._ledger.budget(name)
+        if model is None and state is None:
+            return None
+        tokens = -1 if model is None else model.paid_tokens
+        if state is None:
+            return BudgetView(
+                id=name,
+                document_tokens=tokens,
+                base_tokens=0,
+                topped_up=0,
+                billed=0,
+                open=0,
+                free=0,
+                note="not known to this daemon's ledger",
+            )
+        differs = model is not None and state.base != tokens
+        return BudgetView(
+            id=name,
+            document_tokens=tokens,
+            base_tokens=state.base,
+            topped_up=state.topped_up,
+            billed=state.billed,
+            open=state.open,
+            free=state.free,
+            note=BELOW_COMMITTED if differs else "",
+        )
+
+    def workspace(self, name: str) -> WorkspaceView | None:
+        """Return a workspace, or None where the document has none."""
+        document = self._configuration.document
+        model = document.workspaces_by_id.get(name)
+        if model is None:
+            return None
+        budgets = dict.fromkeys(key.budget for key in model.keys)
+        views = [self.budget(budget) for budget in budgets]
+        weights_by_target: dict[str, float] = {}
+        for target in model.targets:
+            turns = document.turns_by_target.get(target, TurnModel())
+            weights_by_target[target] = turns.weights_by_workspace.get(name, 1.0)
+        return WorkspaceView(
+            id=name,
+            keys=len(model.keys),
+            targets=list(model.targets),
+            budgets=[view for view in views if view is not None],
+            weights_by_target=weights_by_target,
+        )
+
+    def targets(self) -> TargetsView:
+        """Return all targets and their runners."""
+        document = self._configuration.document
+        views = [
+            TargetView(
+                id=name,
+                kind=model.kind,
+                slots_per_runner=model.slots_per_runner,
+                drained=document.drained("target", name),
+                runners=[*map(self._runner, self._members.runners_of(name))],
+            )
+            for name, model in document.targets_by_id.items()
+        ]
+        drains = [f"{key.kind} {key.id}" for key in sorted(document.drains)]
+        return TargetsView(targets=views, drains=drains)
+
+    def _runner(self, runner: Runner) -> RunnerView:
+        drained = self._configuration.document.drained
+        out = drained("runner", runner.id)
+        out = out or drained("failure_domain", runner.failure_domain)
+        state = "leaving" if runner.leaving else "drained" if out else "live"
+        return RunnerView(
+            id=runner.id,
+            address=str(runner.address),
+            failure_domain=runner.failure_domain,
+            state=state,
+        )
+
+    def _ask_all(
+        self, ask: Callable[[str], Message], kind: type[T]
+    ) -> tuple[list[T], list[str]]:
+        """Ask all other daemons at once; return answers and silent hosts."""
+        hosts = sorted(self._others())
+        pool = Pool(ASKED_AT_ONCE)
+        answers = pool.map(
+            lambda host: self._peers.ask(host, ask(host), ANSWER_SECONDS), hosts
+        )
+        given = [answer for answer in answers if isinstance(answer, kind)]
+        missing = [
+            host
+            for host, answer in zip(hosts, answers, strict=True)
+            if not isinstance(answer, kind)
+        ]
+        return given, missing
+
+    def _others(self) -> Iterator[str]:
+        own = self._timeline.process
+        return (host for host in self._members.routers_by_id if host != own)
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -15,14 +15,18 @@
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
+from godwitrudder.connection.queries import Status
 from godwitrudder.platform.hosts import HttpHostList
 from godwitrudder.platform.log import HttpLog
 from godwitrudder.process.budgets import BudgetDesk
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.console import Console
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.router import Router
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
@@ -51,7 +55,8 @@
         self.random = Random()
         self.metrics = Metrics()
         self.hybrid = HybridClock(self.clock)
-        self.timeline = Timeline(settings.host, self.hybrid)
+        self.timeline = Timeline(settings.host, self.hybrid, self.incarnation)
+        self.started_at = self.clock.now()
         self.draining = False
         self._stack = ExitStack()
         self._build()
@@ -113,6 +118,42 @@
         )
         address = (settings.caller.ip, settings.caller.port)
         self._callers = WSGIServer(address, application, log=None, error_log=logger)
+        self._operators = self._operator_server()
+
+    def _operator_server(self) -> WSGIServer:
+        settings = self.settings
+        console = Console(
+            self.configuration,
+            self.ledger,
+            self.members,
+            self.peers,
+            self.handlers,
+            self.timeline,
+            self.status,
+        )
+        publisher = Publisher(
+            self.log, self.configuration, self.ledger, console, self.clock
+        )
+        application = OperatorApplication(
+            settings.operator_keys_by_team, console, publisher
+        )
+        address = (settings.operator.ip, settings.operator.port)
+        return WSGIServer(address, application, log=None, error_log=logger)
+
+    def status(self) -> Status:
+        """Return how this daemon is."""
+        configuration = self.configuration
+        return Status(
+            self.settings.host,
+            self.incarnation,
+            self.settings.failure_domain,
+            configuration.document.version,
+            configuration.fold.next_offset,
+            round(configuration.in_force_seconds, 3),
+            round(self.clock.now() - self.started_at, 3),
+            self.router.in_flight,
+            self.draining,
+        )
 
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
@@ -123,6 +164,8 @@
         self._stack.enter_context(self.members)
         self._stack.enter_context(self.configuration)
         self._stack.enter_context(self._spread)
+        self._operators.start()
+        self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
--- a/godwitrudder/process/timeline.py
+++ b/godwitrudder/process/timeline.py
@@ -1,12 +1,15 @@
-"""The time line: a bounded ring of typed events per process.
+"""The time line: a bounded ring of typed events per process, and their merge.
 
-Events carry hybrid logical clock stamps, so that the rings of all processes
-merge in causal order.
+Events carry hybrid logical clock stamps.  A stamp is above every stamp that its
+process has seen, so sorting by stamp puts each cause before its effects though
+the wall clocks of the hosts differ.
 """
 
 from __future__ import annotations
 
+import heapq
 from collections import deque
+from collections.abc import Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -14,9 +17,10 @@
 from godwitrudder.clock import HybridClock, Stamp
 
 RING_EVENTS: Final = 10_000
+PAGE_EVENTS: Final = 2_000
 
 
-class TimelineEvent(msgspec.Struct, frozen=True, array_like=True):
+class TimelineEvent(msgspec.Struct, frozen=True, array_like=True, gc=False):
     """One thing that happened in one process.
 
     Attributes
@@ -33,6 +37,8 @@
         What it concerns; empty where nothing.
     detail : str
         Further words, never a key or a prompt.
+    message : str
+        The same for the sending and the receipt of a message; else empty.
     """
 
     stamp: Stamp
@@ -42,29 +48,105 @@
     request: str = ""
     workspace: str = ""
     detail: str = ""
+    message: str = ""
+
+
+class EventsAsk(msgspec.Struct, frozen=True, array_like=True, tag="events_ask"):
+    """Asks for the events above a number, filtered where a filter is not empty."""
+
+    after: int = -1
+    request: str = ""
+    workspace: str = ""
+
+
+class Events(msgspec.Struct, frozen=True, array_like=True, tag="events"):
+    """A page of one process's events.
+
+    Attributes
+    ----------
+    lost : int
+        Events above the number asked for that the ring has dropped.
+    last : int
+        Number to ask from next; it counts filtered events too.
+    more : bool
+        Whether the ring holds further ones.
+    """
+
+    process: str
+    incarnation: str
+    lost: int
+    last: int
+    more: bool
+    events: tuple[TimelineEvent, ...]
 
 
 class Timeline:
     """The ring of one process."""
 
-    def __init__(self, process: str, clock: HybridClock) -> None:
+    def __init__(self, process: str, clock: HybridClock, incarnation: str = "") -> None:
         self.process = process
+        self.incarnation = incarnation
         self.clock = clock
         self.events: deque[TimelineEvent] = deque(maxlen=RING_EVENTS)
         self._number = 0
 
     def note(
-        self, kind: str, request: str = "", workspace: str = "", detail: str = ""
+        self,
+        kind: str,
+        request: str = "",
+        workspace: str = "",
+        detail: str = "",
+        message: str = "",
+        stamp: Stamp | None = None,
     ) -> None:
-        """Add an event."""
+        """Add an event; ``stamp`` is given for one that has just been ticked."""
         event = TimelineEvent(
-            self.clock.tick(),
+            stamp or self.clock.tick(),
             self.process,
             self._number,
             kind,
             request,
             workspace,
             detail,
+            message,
         )
         self._number += 1
         self.events.append(event)
+
+    def page(self, ask: EventsAsk) -> Events:
+        """Return the first events above a number that pass the filters."""
+        oldest = self.events[0].number if self.events else self._number
+        found: list[TimelineEvent] = []
+        last, more = max(ask.after, oldest - 1), False
+        for event in self.events:
+            if event.number <= ask.after:
+                continue
+            if len(found) == PAGE_EVENTS:
+                more = True
+                break
+            last = event.number
+            if _passes(event, ask):
+                found.append(event)
+        lost = max(0, oldest - 1 - ask.after)
+        return Events(self.process, self.incarnation, lost, last, more, tuple(found))
+
+
+def _passes(event: TimelineEvent, ask: EventsAsk) -> bool:
+    if ask.request and event.request != ask.request:
+        return False
+    return not ask.workspace or event.workspace == ask.workspace
+
+
+def merge(pages: Iterable[Iterable[TimelineEvent]]) -> Iterator[TimelineEvent]:
+    """Yield the events of several processes, causes before effects.
+
+    Parameters
+    ----------
+    pages : iterable of iterable of TimelineEvent
+        One per process, each in the order of its ring.
+    """
+    return heapq.merge(*pages, key=_order)
+
+
+def _order(event: TimelineEvent) -> tuple[int, int, str, int]:
+    return event.stamp.millis, event.stamp.count, event.process, event.number
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,147 @@
+"""Operators' commands against a running fleet, as their users type them."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import gevent
+import pytest
+from cleo.testers.application_tester import ApplicationTester
+
+from bench.fleet import EXAMPLES, IP, Fleet
+from godwitrudder.ctl.command import Exit
+from godwitrudder.ctl.main import application
+
+Run = Callable[..., tuple[int, str]]
+
+
+@pytest.fixture(scope="module")
+def fleet() -> Iterator[Fleet]:
+    """Run two daemons, one engine, no service."""
+    with Fleet(2, 1, 0) as running:
+        yield running
+
+
+@pytest.fixture
+def run(fleet: Fleet, tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Run:
+    """Return a runner of commands with the key of a team."""
+    settings = tmp_path / "ctl.json5"
+    text = (EXAMPLES / "penghu" / "ctl.json5").read_text()
+    settings.write_text(text.replace("127.0.0.1", IP))
+    monkeypatch.setenv("GODWITCTL_SETTINGS", str(settings))
+
+    def run_one(line: str, team: str = "admin") -> tuple[int, str]:
+        monkeypatch.setenv("GODWITCTL_KEY", f"penghu-{team}-team-key")
+        tester = ApplicationTester(application())
+        code = tester.execute(line)
+        return code, tester.io.fetch_output() + tester.io.fetch_error()
+
+    return run_one
+
+
+def shown(run: Run, line: str) -> Any:
+    """Return what a command prints for scripts."""
+    code, text = run(f"{line} --json")
+    assert code == Exit.DONE, text
+    return json.loads(text)
+
+
+def test_racing_edits(run: Run, tmp_path: Path) -> None:
+    """One of two edits is in force, comments kept; the loser sees both."""
+    first, second = tmp_path / "first", tmp_path / "second"
+    for path in (first, second):
+        assert run(f"config edit budgets {path}")[0] == Exit.DONE
+        path.write_text(path.read_text().replace("20000", f"3000{len(path.name)}"))
+    assert "+" in run(f"config diff {first}")[1]
+    code, text = run(f"config apply {first}", "budgets")
+    assert code == Exit.DONE, text
+    code, text = run(f"config apply {second}", "budgets")
+    assert code == Exit.REJECTED
+    assert "was made on version 0" in text and "by budgets stands" in text
+    assert "30006" in text
+    text = run("config get budgets")[1]
+    assert "// A small harbour" in text and "30005" in text
+    assert "edit of budgets" in run("config history")[1]
+
+
+def test_an_edit_whose_answer_was_lost_is_sent_again(run: Run, tmp_path: Path) -> None:
+    """The same operation id gives the same answer and one version."""
+    path = tmp_path / "turns"
+    run(f"config edit turns {path}")
+    answers = [shown(run, f"config apply --op same {path}") for _ in range(2)]
+    assert answers[0] == answers[1]
+
+
+@pytest.mark.parametrize(
+    ("section", "old", "new", "expected"),
+    [
+        ("budgets", '"endurance": 0.8', '"endurance": 8', "registry.endurance"),
+        ("budgets", '"registry"', '"other"', "registry.keys[0].budget"),
+        ("turns", '"unit": "tokens"', '"unit": "hours"', "rudder-llm.unit"),
+    ],
+)
+def test_a_bad_edit_is_not_published(
+    run: Run, tmp_path: Path, section: str, old: str, new: str, expected: str
+) -> None:
+    """The error names section and key path; no record goes to the log."""
+    path = tmp_path / "file"
+    run(f"config edit {section} {path}")
+    path.write_text(path.read_text().replace(old, new))
+    history = shown(run, "config history")
+    code, text = run(f"config apply {path}")
+    assert code == Exit.REJECTED and expected in text
+    assert shown(run, "config history") == history
+
+
+def test_no_team_changes_the_section_of_another(run: Run, tmp_path: Path) -> None:
+    """A key opens its own section; an unknown key opens nothing."""
+    path = tmp_path / "file"
+    run(f"config edit targets {path}")
+    assert run(f"config apply {path}", "budgets")[0] == Exit.DENIED
+    assert run("target drain rudder-llm", "budgets")[0] == Exit.DENIED
+    assert run("config status", "nobody")[0] == Exit.DENIED
+
+
+def test_a_top_up_counts_once(run: Run) -> None:
+    """The same operation id pays in once."""
+    before = shown(run, "budget show patrol")["topped_up"]
+    for _ in range(2):
+        code, text = run("budget topup patrol 500 paid --op top-1", "budgets")
+        assert code == Exit.DONE, text
+    assert shown(run, "budget show patrol")["topped_up"] == before + 500
+    assert run("budget topup patrol -5 paid")[0] != Exit.DONE
+    assert run("budget topup nobody 5 paid")[0] == Exit.REJECTED
+
+
+def test_a_budget_is_not_cut_below_what_is_billed(
+    fleet: Fleet, run: Run, tmp_path: Path
+) -> None:
+    """The error names the least amount that can stand."""
+    ledger = fleet.daemons[0].ledger
+    with fleet.daemons[0].budgets.spend("r", "harbour", 40, 1e12) as spend:
+        spend.tokens = 40  # type: ignore[union-attr]
+    while ledger.budget("harbour").billed < 40:  # type: ignore[union-attr]
+        gevent.sleep(0.01)
+    path = tmp_path / "file"
+    run(f"config edit budgets {path}")
+    path.write_text(path.read_text().replace('"paid_tokens": 300', '"paid_tokens": 3'))
+    code, text = run(f"config apply {path}")
+    assert code == Exit.REJECTED
+    assert "harbour.paid_tokens: expected at least" in text
+
+
+def test_everybody_answers(run: Run) -> None:
+    """Status, targets and workspaces of the whole fleet."""
+    hosts = [status["host"] for status in shown(run, "fleet status")["daemons"]]
+    assert hosts == ["router-1", "router-2"]
+    while run("config status")[0] != Exit.DONE:
+        gevent.sleep(0.05)
+    assert "engine-0" in run("target list")[1]
+    assert shown(run, "workspace show patrol")["targets"] == [
+        "rudder-llm",
+        "registry-app",
+    ]
+    assert run("workspace show nobody")[0] == Exit.REJECTED
