Open peer links per host, with back-off and bounded queues

One lock over all hosts let a dead host's handshake block every other link, and a peer that stopped reading blocked its senders. Each host has its own lock and back-off now, frames leave through a bounded queue, links unused for five heartbeats close, and hosts that the list doesn't name are refused. Members counts a router as reachable until a question fails, probes three quiet ones a second, and drops those that left the list.

--- /dev/null
+++ b/godwitrudder/connection/link.py
@@ -0,0 +1,225 @@
+"""One link between two daemons: a websocket on a gevent socket, CBOR frames.
+
+Frames leave through a bounded queue with a greenlet of its own, so that a peer
+that stopped reading holds up nobody: a full queue drops the frame and says so.
+A link that brought nothing for ``SILENCE_SECONDS`` is closed.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from collections.abc import Callable
+from typing import Any, Final, TypeVar
+
+import gevent
+from gevent import Greenlet, socket
+from gevent.event import AsyncResult, Event
+from websockets.frames import Opcode
+from websockets.protocol import Protocol, State
+
+from godwitrudder import codec
+from godwitrudder.clock import HybridClock
+from godwitrudder.connection.frames import Frame, Message, Ping
+from godwitrudder.process.metrics import Metrics
+
+SILENCE_SECONDS: Final = 3.0
+READ_BYTES: Final = 65536
+OUTGOING_MOST_BYTES: Final = 1_000_000
+
+T = TypeVar("T")
+Handler = Callable[[Any], Message | None]
+logger = logging.getLogger(__name__)
+
+
+class Unreachable:
+    """No answer came in time; the question may have been handled."""
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+
+
+class Handlers:
+    """What a daemon does with each type of message.
+
+    Attributes
+    ----------
+    heard, lost : callable
+        Take the host of a peer that sent something, or that did not answer.
+    """
+
+    def __init__(self, clock: HybridClock, metrics: Metrics) -> None:
+        self.clock = clock
+        self.metrics = metrics
+        self.heard: Callable[[str], None] = lambda host: None
+        self.lost: Callable[[str], None] = lambda host: None
+        self._handler_by_type: dict[type, Handler] = {Ping: lambda ping: ping}
+
+    def register(self, kind: type[T], handler: Callable[[T], Message | None]) -> None:
+        """Handle messages of ``kind``; the result is the answer."""
+        self._handler_by_type[kind] = handler
+
+    def handle(self, message: Message) -> Message | None:
+        """Handle one message."""
+        return self._handler_by_type[type(message)](message)
+
+
+class Link:
+    """One open websocket; reads and writes in greenlets of its own.
+
+    Parameters
+    ----------
+    host : str
+        Of the peer.
+
+    Attributes
+    ----------
+    used : bool
+        Whether anything but heartbeats went out since it was last cleared.
+    """
+
+    def __init__(
+        self,
+        sock: socket.socket,
+        protocol: Protocol,
+        handlers: Handlers,
+        host: str = "",
+    ) -> None:
+        self._sock = sock
+        self._protocol = protocol
+        self._handlers = handlers
+        self._host = host
+        self.used = True
+        self._number = 0
+        self._outgoing: deque[bytes] = deque()
+        self._outgoing_bytes = 0
+        self._outgoing_ready = Event()
+        self._writer: Greenlet = gevent.spawn(self._write_all)
+        self._waiting_by_number: dict[int, AsyncResult[Message | None]] = {}
+        sock.settimeout(SILENCE_SECONDS)
+
+    @property
+    def open(self) -> bool:
+        """Whether frames can be sent."""
+        return self._protocol.state is State.OPEN
+
+    def ask(self, message: Message, timeout: float) -> Message | None | Unreachable:
+        """Send a question and wait up to ``timeout`` seconds for its answer."""
+        self._number += 1
+        number = self._number
+        result: AsyncResult[Message | None] = AsyncResult()
+        self._waiting_by_number[number] = result
+        try:
+            self._send(Frame(number, False, self._handlers.clock.tick(), message))
+            answer: Message | None = result.get(timeout=timeout)
+            return answer
+        except (OSError, gevent.Timeout) as error:
+            return Unreachable(f"{type(error).__name__}: {error}")
+        finally:
+            del self._waiting_by_number[number]
+
+    def tell(self, message: Message) -> bool:
+        """Send a message that has no answer; False where the link is dead."""
+        try:
+            self._send(Frame(0, False, self._handlers.clock.tick(), message))
+        except OSError:
+            return False
+        return True
+
+    def read_all(self) -> None:
+        """Read until the link closes or falls silent."""
+        try:
+            while self._read_once():
+                pass
+        except OSError as error:
+            if self.open:
+                logger.debug("link lost: %s", error)
+                self._handlers.lost(self._host)
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Close the socket and fail the questions under way."""
+        self._protocol.state = State.CLOSED
+        self._outgoing_ready.set()
+        self._sock.close()
+        for result in list(self._waiting_by_number.values()):
+            if not result.ready():
+                result.set_exception(ConnectionError("link closed"))
+
+    def _read_once(self) -> bool:
+        data = self._sock.recv(READ_BYTES)
+        if not data:
+            return False
+        self._handlers.heard(self._host)
+        self._protocol.receive_data(data)
+        self.flush()
+        return all(self._take(event) for event in self._protocol.events_received())
+
+    def _take(self, event: Any) -> bool:
+        """Handle one websocket frame; a malformed one closes the link."""
+        if getattr(event, "opcode", None) is not Opcode.BINARY:
+            return True
+        frame: Frame | codec.Malformed = codec.decode(event.data, Frame)
+        if isinstance(frame, codec.Malformed):
+            self._handlers.metrics.bad_frames.inc()
+            return False
+        self._handlers.clock.observe(frame.stamp)
+        if frame.answer:
+            self._answered(frame)
+        else:
+            gevent.spawn(self._handle, frame)
+        return True
+
+    def _answered(self, frame: Frame) -> None:
+        result = self._waiting_by_number.get(frame.number)
+        if result is not None:
+            result.set(frame.body)
+
+    def _handle(self, frame: Frame) -> None:
+        if frame.body is None:
+            return
+        answer = self._handlers.handle(frame.body)
+        if not frame.number:
+            return
+        try:
+            stamp = self._handlers.clock.tick()
+            self._send(Frame(frame.number, True, stamp, answer))
+        except OSError:
+            logger.debug("answer lost: link closed")
+
+    def _send(self, frame: Frame) -> None:
+        if not self.open:
+            raise ConnectionError("link closed")
+        if self._outgoing_bytes > OUTGOING_MOST_BYTES:
+            self._handlers.metrics.lost_frames.inc()
+            raise ConnectionError("outgoing queue full")
+        if not isinstance(frame.body, Ping):
+            self.used = True
+        self._protocol.send_binary(codec.encode(frame))
+        self.flush()
+
+    def flush(self) -> None:
+        """Queue what the protocol has to send."""
+        for data in self._protocol.data_to_send():
+            self._outgoing.append(data)
+            self._outgoing_bytes += len(data)
+        self._outgoing_ready.set()
+
+    def _write_all(self) -> None:
+        """Write what is queued until the link closes."""
+        try:
+            while self.open:
+                self._outgoing_ready.wait()
+                self._outgoing_ready.clear()
+                self._write()
+        except OSError as error:
+            logger.debug("link lost: %s", error)
+            self.close()
+
+    def _write(self) -> None:
+        while self._outgoing:
+            data = b"".join(self._outgoing)
+            self._outgoing.clear()
+            self._sock.sendall(data)
+            self._outgoing_bytes -= len(data)
--- a/godwitrudder/connection/peer.py
+++ b/godwitrudder/connection/peer.py
@@ -1,192 +1,72 @@
-"""Links between daemons: websockets on gevent sockets, CBOR frames.
+"""Links between daemons: who accepts them, and who opens them.
 
 A link is found dead by silence: a heartbeat goes out every second, and a link
 that brought nothing for three is closed and replaced by a new one.  Every
-question has a timeout; no answer is a value, ``Unreachable``.
+question has a timeout; no answer is a value, ``Unreachable``.  Each host has its
+own way with its own back-off, so that a dead one delays nobody else's.
 """
 
 from __future__ import annotations
 
 import hmac
-import logging
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
 from types import TracebackType
-from typing import Any, Final, Self, TypeVar
+from typing import Final, Self
 
 import gevent
-from gevent import Greenlet, socket
-from gevent.event import AsyncResult
+from gevent import socket
 from gevent.lock import RLock
+from gevent.pool import Group
 from gevent.server import StreamServer
 from websockets.client import ClientProtocol
-from websockets.frames import Opcode
 from websockets.http11 import Request, Response
-from websockets.protocol import Protocol, State
+from websockets.protocol import State
 from websockets.server import ServerProtocol
 from websockets.uri import parse_uri
 
-from godwitrudder import codec
-from godwitrudder.clock import HybridClock
-from godwitrudder.connection.frames import Frame, Message, Ping
-from godwitrudder.process.metrics import Metrics
+from godwitrudder.clock import Clock
+from godwitrudder.connection.frames import Message, Ping
+from godwitrudder.connection.link import (
+    READ_BYTES,
+    SILENCE_SECONDS,
+    Handlers,
+    Link,
+    Unreachable,
+)
 from godwitrudder.sections import Address
 
+__all__ = ["Handlers", "Link", "PeerLinks", "PeerServer", "Unreachable"]
+
 CONNECT_SECONDS: Final = 1.0
 HEARTBEAT_SECONDS: Final = 1.0
-SILENCE_SECONDS: Final = 3.0
+UNUSED_MOST_HEARTBEATS: Final = 5
+RETRY_LEAST_SECONDS: Final = 0.1
+RETRY_MOST_SECONDS: Final = 2.0
 MAX_FRAME_BYTES: Final = 1_000_000
-READ_BYTES: Final = 65536
-
-T = TypeVar("T")
-Handler = Callable[[Any], Message | None]
-logger = logging.getLogger(__name__)
-
-
-class Unreachable:
-    """No answer came in time; the question may have been handled."""
-
-    def __init__(self, reason: str) -> None:
-        self.reason = reason
-
-
-class Handlers:
-    """What a daemon does with each type of message."""
+HOST_HEADER: Final = "X-Host"
 
-    def __init__(self, clock: HybridClock, metrics: Metrics) -> None:
-        self.clock = clock
-        self.metrics = metrics
-        self._handler_by_type: dict[type, Handler] = {Ping: lambda ping: ping}
-
-    def register(self, kind: type[T], handler: Callable[[T], Message | None]) -> None:
-        """Handle messages of ``kind``; the result is the answer."""
-        self._handler_by_type[kind] = handler
-
-    def handle(self, message: Message) -> Message | None:
-        """Handle one message."""
-        return self._handler_by_type[type(message)](message)
 
+class PeerServer:
+    """Accepts links from other daemons of the fleet.
 
-class Link:
-    """One open websocket; reads in its own greenlet."""
+    Parameters
+    ----------
+    known : callable
+        Whether a host belongs to the fleet; others are refused.
+    """
 
     def __init__(
-        self, sock: socket.socket, protocol: Protocol, handlers: Handlers
+        self,
+        address: Address,
+        key: str,
+        handlers: Handlers,
+        known: Callable[[str], bool],
     ) -> None:
-        self._sock = sock
-        self._protocol = protocol
-        self._handlers = handlers
-        self._writing = RLock()
-        self._number = 0
-        self._waiting_by_number: dict[int, AsyncResult[Message | None]] = {}
-        sock.settimeout(SILENCE_SECONDS)
-
-    @property
-    def open(self) -> bool:
-        """Whether frames can be sent."""
-        return self._protocol.state is State.OPEN
-
-    def ask(self, message: Message, timeout: float) -> Message | None | Unreachable:
-        """Send a question and wait up to ``timeout`` seconds for its answer."""
-        self._number += 1
-        number = self._number
-        result: AsyncResult[Message | None] = AsyncResult()
-        self._waiting_by_number[number] = result
-        try:
-            self._send(Frame(number, False, self._handlers.clock.tick(), message))
-            answer: Message | None = result.get(timeout=timeout)
-            return answer
-        except (OSError, gevent.Timeout) as error:
-            return Unreachable(f"{type(error).__name__}: {error}")
-        finally:
-            del self._waiting_by_number[number]
-
-    def tell(self, message: Message) -> bool:
-        """Send a message that has no answer; False where the link is dead."""
-        try:
-            self._send(Frame(0, False, self._handlers.clock.tick(), message))
-        except OSError:
-            return False
-        return True
-
-    def read_all(self) -> None:
-        """Read until the link closes or falls silent."""
-        try:
-            while self._read_once():
-                pass
-        except OSError as error:
-            logger.debug("link lost: %s", error)
-        finally:
-            self.close()
-
-    def close(self) -> None:
-        """Close the socket and fail the questions under way."""
-        self._protocol.state = State.CLOSED
-        self._sock.close()
-        for result in list(self._waiting_by_number.values()):
-            if not result.ready():
-                result.set_exception(ConnectionError("link closed"))
-
-    def _read_once(self) -> bool:
-        data = self._sock.recv(READ_BYTES)
-        if not data:
-            return False
-        self._protocol.receive_data(data)
-        self.flush()
-        return all(self._take(event) for event in self._protocol.events_received())
-
-    def _take(self, event: Any) -> bool:
-        """Handle one websocket frame; a malformed one closes the link."""
-        if getattr(event, "opcode", None) is not Opcode.BINARY:
-            return True
-        frame: Frame | codec.Malformed = codec.decode(event.data, Frame)
-        if isinstance(frame, codec.Malformed):
-            self._handlers.metrics.bad_frames.inc()
-            return False
-        self._handlers.clock.observe(frame.stamp)
-        if frame.answer:
-            self._answered(frame)
-        else:
-            gevent.spawn(self._handle, frame)
-        return True
-
-    def _answered(self, frame: Frame) -> None:
-        result = self._waiting_by_number.get(frame.number)
-        if result is not None:
-            result.set(frame.body)
-
-    def _handle(self, frame: Frame) -> None:
-        if frame.body is None:
-            return
-        answer = self._handlers.handle(frame.body)
-        if not frame.number:
-            return
-        try:
-            stamp = self._handlers.clock.tick()
-            self._send(Frame(frame.number, True, stamp, answer))
-        except OSError:
-            logger.debug("answer lost: link closed")
-
-    def _send(self, frame: Frame) -> None:
-        if not self.open:
-            raise ConnectionError("link closed")
-        with self._writing:
-            self._protocol.send_binary(codec.encode(frame))
-            self.flush()
-
-    def flush(self) -> None:
-        """Write what the protocol has to send."""
-        with self._writing:
-            for data in self._protocol.data_to_send():
-                if data:
-                    self._sock.sendall(data)
-
-
-class PeerServer:
-    """Accepts links from other daemons of the fleet."""
-
-    def __init__(self, address: Address, key: str, handlers: Handlers) -> None:
         self._key = key
         self._handlers = handlers
+        self._known = known
         self._server = StreamServer((address.ip, address.port), self._serve)
 
     def __enter__(self) -> Self:
@@ -207,14 +87,15 @@
         sock.settimeout(CONNECT_SECONDS)
         protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
         try:
-            accepted = self._handshake(sock, protocol)
+            host = self._handshake(sock, protocol)
         except OSError:
-            accepted = False
-        if accepted:
-            Link(sock, protocol, self._handlers).read_all()
+            host = None
+        if host is not None:
+            Link(sock, protocol, self._handlers, host).read_all()
         sock.close()
 
-    def _handshake(self, sock: socket.socket, protocol: ServerProtocol) -> bool:
+    def _handshake(self, sock: socket.socket, protocol: ServerProtocol) -> str | None:
+        """Return the host of the peer, None for one that was refused."""
         while True:
             data = sock.recv(READ_BYTES)
             protocol.receive_data(data)
@@ -222,31 +103,53 @@
                 if isinstance(event, Request):
                     return self._accept(sock, protocol, event)
             if not data:
-                return False
+                return None
 
     def _accept(
         self, sock: socket.socket, protocol: ServerProtocol, request: Request
-    ) -> bool:
-        shown = request.headers.get("Authorization", "")
-        known = hmac.compare_digest(shown, f"Bearer {self._key}")
-        if known:
-            response = protocol.accept(request)
-        else:
+    ) -> str | None:
+        shown = request.headers.get("Authorization", "").encode()
+        host = request.headers.get(HOST_HEADER, "")
+        if not hmac.compare_digest(shown, f"Bearer {self._key}".encode()):
             response = protocol.reject(401, "peer key not known\n")
-            self._handlers.metrics.bad_frames.inc()
+        elif not self._known(host):
+            response = protocol.reject(403, "host not in the host list\n")
+        else:
+            response = protocol.accept(request)
         protocol.send_response(response)
         for data in protocol.data_to_send():
             sock.sendall(data)
-        return known and protocol.state is State.OPEN
+        if protocol.state is State.OPEN:
+            return host
+        self._handlers.metrics.links.labels("refused").inc()
+        return None
+
+
+@dataclass(slots=True)
+class Way:
+    """The way to one host: its link, or when to try again.
+
+    Attributes
+    ----------
+    lock : RLock
+        Held while a link is opened; a dead host blocks nobody else.
+    failures : int
+        Attempts in a row that failed.
+    """
+
+    lock: RLock = field(default_factory=RLock)
+    link: Link | None = None
+    failures: int = 0
+    retry_at: float = 0.0
 
 
 class PeerLinks:
-    """Links to other daemons, opened at first use.
+    """Links to other daemons, opened at first use, closed when long unused.
 
     Parameters
     ----------
     incarnation : str
-        This process.
+        This process, ``host/random``.
     address_of : callable
         Returns the address of a host, or None.
     """
@@ -257,14 +160,17 @@
         key: str,
         handlers: Handlers,
         address_of: Callable[[str], Address | None],
+        clock: Clock,
+        random: Random,
     ) -> None:
         self._incarnation = incarnation
         self._key = key
         self._handlers = handlers
         self._address_of = address_of
-        self._links_by_host: dict[str, Link] = {}
-        self._tasks_by_host: dict[str, Greenlet] = {}
-        self._opening = RLock()
+        self._clock = clock
+        self._random = random
+        self._ways_by_host: dict[str, Way] = {}
+        self._tasks = Group()
 
     def __enter__(self) -> Self:
         """Nothing to start; links open at first use."""
@@ -277,9 +183,10 @@
         trace: TracebackType | None,
     ) -> None:
         """Close all links."""
-        gevent.killall(list(self._tasks_by_host.values()))
-        for link in self._links_by_host.values():
-            link.close()
+        self._tasks.kill()
+        for way in self._ways_by_host.values():
+            if way.link is not None:
+                way.link.close()
 
     def ask(
         self, host: str, message: Message, timeout: float
@@ -295,36 +202,67 @@
         link = self._link(host)
         return not isinstance(link, Unreachable) and link.tell(message)
 
-    def _link(self, host: str) -> Link | Unreachable:
-        with self._opening:
-            link = self._links_by_host.get(host)
-            if link is not None and link.open:
-                return link
-            return self._open(host)
+    def probe(self, host: str) -> bool:
+        """Ask a host for a sign of life."""
+        answer = self.ask(host, Ping(self._incarnation), CONNECT_SECONDS)
+        if not isinstance(answer, Ping):
+            self._handlers.lost(host)
+        return isinstance(answer, Ping)
 
-    def _open(self, host: str) -> Link | Unreachable:
+    def _link(self, host: str) -> Link | Unreachable:
+        way = self._ways_by_host.get(host)
+        if way is not None and way.link is not None and way.link.open:
+            return way.link
         address = self._address_of(host)
         if address is None:
+            self._ways_by_host.pop(host, None)
             return Unreachable(f"{host} is not in the host list")
+        if way is None:
+            way = self._ways_by_host[host] = Way()
+        with way.lock:
+            if way.link is not None and way.link.open:
+                return way.link
+            if self._clock.now() < way.retry_at:
+                return Unreachable(f"{host}: waits before the next attempt")
+            return self._open(host, way, address)
+
+    def _open(self, host: str, way: Way, address: Address) -> Link | Unreachable:
         try:
-            sock = socket.create_connection((address.ip, address.port), CONNECT_SECONDS)
-            link = self._handshake(sock, address)
+            way.link = self._connect(host, address)
         except OSError as error:
+            self._handlers.metrics.links.labels("failed").inc()
+            self._handlers.lost(host)
+            way.retry_at = self._clock.now() + self._pause(way.failures)
+            way.failures += 1
             return Unreachable(f"{host}: {error}")
-        self._links_by_host[host] = link
-        gevent.spawn(link.read_all)
-        task = self._tasks_by_host.pop(host, None)
-        if task is not None:
-            task.kill(block=False)
-        self._tasks_by_host[host] = gevent.spawn(self._heartbeat, link)
-        return link
-
-    def _handshake(self, sock: socket.socket, address: Address) -> Link:
+        self._handlers.metrics.links.labels("opened").inc()
+        self._handlers.heard(host)
+        way.failures = 0
+        self._tasks.spawn(way.link.read_all)
+        self._tasks.spawn(self._heartbeat, way.link)
+        return way.link
+
+    def _pause(self, failures: int) -> float:
+        """Return the seconds before the next attempt, with jitter."""
+        pause = min(RETRY_MOST_SECONDS, RETRY_LEAST_SECONDS * 2.0**failures)
+        return pause * self._random.uniform(0.5, 1.0)
+
+    def _connect(self, host: str, address: Address) -> Link:
+        sock = socket.create_connection((address.ip, address.port), CONNECT_SECONDS)
+        try:
+            protocol = self._handshake(sock, address)
+        except OSError:
+            sock.close()
+            raise
+        return Link(sock, protocol, self._handlers, host)
+
+    def _handshake(self, sock: socket.socket, address: Address) -> ClientProtocol:
         protocol = ClientProtocol(
             parse_uri(f"ws://{address}/peer"), max_size=MAX_FRAME_BYTES
         )
         request = protocol.connect()
         request.headers["Authorization"] = f"Bearer {self._key}"
+        request.headers[HOST_HEADER] = self._incarnation.partition("/")[0]
         protocol.send_request(request)
         for data in protocol.data_to_send():
             sock.sendall(data)
@@ -333,16 +271,24 @@
             protocol.receive_data(data)
             for event in protocol.events_received():
                 if isinstance(event, Response):
-                    return self._opened(sock, protocol)
+                    return _opened(protocol)
             if not data:
                 raise ConnectionError("closed during the handshake")
 
-    def _opened(self, sock: socket.socket, protocol: ClientProtocol) -> Link:
-        if protocol.handshake_exc is not None:
-            raise ConnectionError(str(protocol.handshake_exc))
-        return Link(sock, protocol, self._handlers)
-
     def _heartbeat(self, link: Link) -> None:
+        """Keep a link alive while it is used; close it after that."""
+        unused = 0
         while link.open:
+            unused = 0 if link.used else unused + 1
+            link.used = False
+            if unused > UNUSED_MOST_HEARTBEATS:
+                link.close()
+                return
             link.ask(Ping(self._incarnation), SILENCE_SECONDS)
             gevent.sleep(HEARTBEAT_SECONDS)
+
+
+def _opened(protocol: ClientProtocol) -> ClientProtocol:
+    if protocol.handshake_exc is not None:
+        raise ConnectionError(str(protocol.handshake_exc))
+    return protocol
--- a/godwitrudder/process/members.py
+++ b/godwitrudder/process/members.py
@@ -1,33 +1,52 @@
-"""The members task: who is live, from the platform's host list."""
+"""The members task: who is live, from the host list and from what peers send.
+
+No daemon is special: each keeps its own view, and a router that can't be reached
+from here counts as absent until it is heard again.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from random import Random
 from types import TracebackType
 from typing import Final, Self
 
 import gevent
-from gevent import Greenlet
+from gevent.pool import Group
 
+from godwitrudder.clock import Clock
 from godwitrudder.codec import Malformed
+from godwitrudder.connection.liveness import Liveness
 from godwitrudder.platform.hosts import HostEntry, HostList
 from godwitrudder.request.choice import Runner
 from godwitrudder.sections import Address, Problem, parse_address
 
 REFRESH_SECONDS: Final = 1.0
+PROBE_SECONDS: Final = 1.0
+PROBES_MOST: Final = 3
 
 
 class Members:
-    """Runners and routers, refreshed from the host list."""
+    """Runners and routers, refreshed from the host list and by heartbeats.
+
+    Parameters
+    ----------
+    host : str
+        This daemon's host.
+    """
 
-    def __init__(self, hosts: HostList) -> None:
+    def __init__(self, hosts: HostList, host: str, clock: Clock) -> None:
         self._hosts = hosts
+        self.host = host
+        self._clock = clock
         self.runners_by_id: dict[str, Runner] = {}
         self.routers_by_id: dict[str, HostEntry] = {}
-        self._task: Greenlet | None = None
+        self.liveness = Liveness(host)
+        self._tasks = Group()
 
     def __enter__(self) -> Self:
         """Start to refresh."""
-        self._task = gevent.spawn(self._refresh_all)
+        self._tasks.spawn(self._refresh_all)
         return self
 
     def __exit__(
@@ -37,8 +56,33 @@
         trace: TracebackType | None,
     ) -> None:
         """Stop."""
-        if self._task is not None:
-            self._task.kill()
+        self._tasks.kill()
+
+    def probe_with(self, probe: Callable[[str], object], random: Random) -> None:
+        """Start to ask quiet routers for a sign of life.
+
+        Parameters
+        ----------
+        probe : callable
+            Asks a host; its link reports to ``heard`` or ``lost``.
+        """
+        self._tasks.spawn(self._probe_all, probe, random)
+
+    def heard(self, host: str) -> None:
+        """Note traffic from a router."""
+        self.liveness.heard(host, self._clock.now())
+
+    def lost(self, host: str) -> None:
+        """Note that a router did not answer."""
+        self.liveness.failed(host, self._clock.now())
+
+    def reachable_routers(self) -> list[str]:
+        """Return the hosts of the reachable routers, this one included."""
+        return self.liveness.reachable()
+
+    def reachable_share(self) -> float:
+        """Return the reachable share of the fleet."""
+        return self.liveness.share(self._clock.now())
 
     def runners_of(self, target: str) -> list[Runner]:
         """Return the runners of a target."""
@@ -59,8 +103,22 @@
                 self._refresh(entries)
             gevent.sleep(REFRESH_SECONDS)
 
+    def _probe_all(self, probe: Callable[[str], object], random: Random) -> None:
+        while True:
+            gevent.sleep(PROBE_SECONDS)
+            now = self._clock.now()
+            for host in self.liveness.to_probe(now, PROBES_MOST, random):
+                self._tasks.spawn(probe, host)
+
     def _refresh(self, entries: list[HostEntry]) -> None:
         listed = {entry.id for entry in entries}
+        leaving_by_host = {
+            entry.id: entry.state == "leaving"
+            for entry in entries
+            if entry.role == "router"
+        }
+        for host in self.liveness.listed(leaving_by_host, self._clock.now()):
+            self.routers_by_id.pop(host, None)
         for entry in entries:
             if entry.role == "router":
                 self.routers_by_id[entry.id] = entry
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -29,6 +29,17 @@
         )
         self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
         self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
+        self.lost_frames = self._counter(
+            "peer_frames_lost", "Frames dropped, the outgoing queue being full.", []
+        )
+        self.links = self._counter("peer_links", "Links to peers.", ["result"])
+        self.share_reports = self._counter(
+            "share_reports", "Demand reports sent to aggregators.", []
+        )
+        self.ejections = self._counter(
+            "runner_ejections", "Runners taken out for a while.", ["target", "cause"]
+        )
+        self.polls = self._counter("runner_polls", "Polls of runners.", ["result"])
         self.config_version = Gauge(
             "godwitrudder_config_version",
             "Offset of the configuration in force.",
--- /dev/null
+++ b/tests/test_liveness.py
@@ -0,0 +1,62 @@
+"""Membership: come, go, pause, part, rejoin."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from godwitrudder.connection.liveness import Liveness
+
+ALL = {"a": False, "b": False, "c": False}
+
+# Each step: seconds, what happens, to which host.
+HISTORIES: list[tuple[str, list[tuple[float, str, str]], list[str]]] = [
+    ("all listed", [], ["a", "b", "c"]),
+    ("fails", [(1.0, "failed", "b")], ["a", "c"]),
+    ("fails and is heard", [(1.0, "failed", "b"), (2.0, "heard", "b")], [*"abc"]),
+    ("leaves, says the list", [(1.0, "leaving", "c")], ["a", "b"]),
+    ("unlisted for a moment", [(5.0, "unlisted", "c")], ["a", "b", "c"]),
+    (
+        "unlisted and silent",
+        [(0.0, "unlisted", "c"), (11.0, "unlisted", "c")],
+        ["a", "b"],
+    ),
+    (
+        "unlisted and heard",
+        [(9.0, "heard", "c"), (11.0, "unlisted", "c")],
+        ["a", "b", "c"],
+    ),
+    ("long unlisted", [(60.0, "heard", "c"), (61.0, "unlisted", "c")], ["a", "b"]),
+    ("a stranger", [(1.0, "heard", "x")], ["a", "b", "c"]),
+]
+
+
+@pytest.mark.parametrize(("name", "steps", "expected"), HISTORIES)
+def test_reachable(
+    name: str, steps: list[tuple[float, str, str]], expected: list[str]
+) -> None:
+    """The list says who belongs, traffic says who can be reached."""
+    liveness = Liveness("a")
+    liveness.listed(ALL, 0.0)
+    for now, what, host in steps:
+        if what == "heard":
+            liveness.heard(host, now)
+        elif what == "failed":
+            liveness.failed(host, now)
+        elif what == "leaving":
+            liveness.listed({**ALL, host: True}, now)
+        else:
+            liveness.listed({k: v for k, v in ALL.items() if k != host}, now)
+    assert liveness.reachable() == expected
+
+
+def test_a_part_knows_its_share() -> None:
+    """Each side of a partition takes its part of the runners' slots."""
+    liveness = Liveness("a")
+    liveness.listed(dict.fromkeys("abcd", False), 0.0)
+    liveness.heard("b", 1.0)
+    for host in "cd":
+        liveness.failed(host, 1.0)
+    assert liveness.share(2.0) == 0.5
+    assert set(liveness.to_probe(5.0, 3, Random(1))) == {"b", "c", "d"}
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,156 @@
+"""Links between daemons: silence, dead hosts, strangers, full queues."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Iterator
+from contextlib import ExitStack
+from random import Random
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from godwitrudder.clock import HybridClock, SystemClock
+from godwitrudder.connection import link, peer
+from godwitrudder.connection.frames import Ping
+from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer, Unreachable
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.sections import Address
+
+IP = os.environ.get("GODWITRUDDER_IP", "127.0.0.1")
+SERVER = Address(IP, 8701)
+PROXY = Address(IP, 8702)
+KEY = "key"
+
+
+class Proxy:
+    """Forwards connections until told to lose track of the open ones."""
+
+    def __init__(self) -> None:
+        self.lost: set[socket.socket] = set()
+        self.open: list[socket.socket] = []
+        self.server = StreamServer((PROXY.ip, PROXY.port), self._serve)
+
+    def lose_all(self) -> None:
+        """Stop forwarding on what is open, both ways, without a reset."""
+        self.lost.update(self.open)
+
+    def _serve(self, near: socket.socket, address: object) -> None:
+        far = socket.create_connection((SERVER.ip, SERVER.port))
+        self.open += [near, far]
+        gevent.joinall(
+            [gevent.spawn(self._pump, near, far), gevent.spawn(self._pump, far, near)]
+        )
+
+    def _pump(self, source: socket.socket, target: socket.socket) -> None:
+        try:
+            while data := source.recv(65536):
+                if source not in self.lost:
+                    target.sendall(data)
+        except OSError:
+            return
+
+
+def handlers() -> Handlers:
+    """Return handlers that answer pings."""
+    return Handlers(HybridClock(SystemClock()), Metrics())
+
+
+def links(
+    address: Address | None, key: str = KEY, host: str = "near", seed: int = 1
+) -> PeerLinks:
+    """Return links from ``near`` to any host at ``address``."""
+    return PeerLinks(
+        f"{host}/1", key, handlers(), lambda _: address, SystemClock(), Random(seed)
+    )
+
+
+@pytest.fixture
+def stack() -> Iterator[ExitStack]:
+    """Yield a stack with a peer server in it."""
+    with ExitStack() as stack:
+        known = {"near"}
+        server = PeerServer(SERVER, KEY, handlers(), lambda host: host in known)
+        stack.enter_context(server)
+        yield stack
+
+
+def test_a_silent_link_is_replaced(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Both directions stop, nothing is reset: a new link takes over."""
+    monkeypatch.setattr(link, "SILENCE_SECONDS", 0.2)
+    monkeypatch.setattr(peer, "HEARTBEAT_SECONDS", 0.05)
+    proxy = Proxy()
+    proxy.server.start()
+    stack.callback(proxy.server.stop, 0)
+    near = stack.enter_context(links(PROXY))
+    assert near.probe("far")
+    proxy.lose_all()
+    assert not near.probe("far")
+    assert near.probe("far")
+
+
+def test_a_dead_host_delays_no_other(stack: ExitStack) -> None:
+    """While one host's handshake hangs, another is asked and answers."""
+    hung = Event()
+
+    def swallow(sock: socket.socket, address: object) -> None:
+        hung.set()
+        sock.recv(65536)
+        gevent.sleep(60.0)
+
+    silent = StreamServer((PROXY.ip, PROXY.port), swallow)
+    silent.start()
+    stack.callback(silent.stop, 0)
+    near = stack.enter_context(
+        PeerLinks(
+            "near/1",
+            KEY,
+            handlers(),
+            {"dead": PROXY, "far": SERVER}.get,
+            SystemClock(),
+            Random(1),
+        )
+    )
+    dead = gevent.spawn(near.probe, "dead")
+    hung.wait()
+    assert near.probe("far")
+    assert not dead.ready()
+    dead.kill()
+
+
+STRANGERS = [("wrong key", "other", "near"), ("unknown host", KEY, "stranger")]
+
+
+@pytest.mark.parametrize(("name", "key", "host"), STRANGERS)
+def test_strangers_are_refused(
+    stack: ExitStack, name: str, key: str, host: str
+) -> None:
+    """Only hosts of the list with the fleet's key get a link."""
+    near = stack.enter_context(links(SERVER, key, host))
+    assert isinstance(near.ask("far", Ping("x"), 1.0), Unreachable)
+
+
+def test_an_unlisted_host_is_not_asked(stack: ExitStack) -> None:
+    """No link is opened to a host that the list doesn't name."""
+    near = stack.enter_context(links(None))
+    assert isinstance(near.ask("far", Ping("x"), 1.0), Unreachable)
+
+
+def test_a_peer_that_stops_reading_holds_up_nobody(
+    stack: ExitStack, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The outgoing queue is bounded; what doesn't fit is refused at once."""
+    monkeypatch.setattr(link, "OUTGOING_MOST_BYTES", 100_000)
+    proxy = Proxy()
+    proxy.server.start()
+    stack.callback(proxy.server.stop, 0)
+    near = stack.enter_context(links(PROXY))
+    assert near.probe("far")
+    monkeypatch.setattr(socket.socket, "sendall", lambda *_: gevent.sleep(60.0))
+    sent = [near.tell("far", Ping("x" * 10_000)) for _ in range(100)]
+    assert sent[0] and not sent[-1]
