Share a target's slots over the fleet by workspace

Every router counted all slots of a target as its own, so a workspace's turns grew with the routers that it entered by. An aggregator per target fills the slots max-min over workspaces and splits them as the demand entered. A waiter that is killed, expires or starts at that moment gives its place or slot back exactly once.

--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -1,70 +1,213 @@
-"""The turn desk: one queue per target, as many turns as the runners have slots."""
+"""The turn desk: one gate per target, its slots agreed with the other routers.
+
+A gate hands out turns to waiting greenlets.  A task per gate tells the target's
+aggregator what changed in the demand here and takes the gate's slots from the
+answer; this daemon may be the aggregator of a target itself.
+"""
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from contextlib import contextmanager
+from types import TracebackType
+from typing import Final, Self
 
-from gevent.event import Event
+import gevent
+from gevent.pool import Group
 
 from godwitrudder.clock import Clock
-from godwitrudder.request.outcome import Reason, Refused, refuse
-from godwitrudder.request.turn import TurnQueue
-from godwitrudder.version.document import TurnModel
+from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.connection.shares import Flight, Need, ShareAnswer, ShareReport
+from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.gate import Service, TurnGate
+from godwitrudder.process.members import Members
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.request.share import (
+    STALE_PERIODS,
+    ShareBook,
+    aggregator,
+    period_seconds,
+)
+
+ASK_SECONDS: Final = 1.0
+
+
+class Reports:
+    """What one gate has told its aggregator."""
+
+    def __init__(self, gate: TurnGate, router: str) -> None:
+        self._gate = gate
+        self._router = router
+        self._number = 0
+        self._told_by_workspace: dict[str, int] = {}
+        self._told_by_runner: dict[str, int] = {}
+
+    @property
+    def idle(self) -> bool:
+        """Whether there is nothing to tell."""
+        gate = self._gate
+        return not (gate.running or len(gate.queue) or self._told_by_workspace)
+
+    def restart(self) -> None:
+        """Make the next report a whole one."""
+        self._number = 0
+        self._told_by_workspace = {}
+        self._told_by_runner = {}
+
+    def next(self, flights: dict[str, int], leaving: list[str]) -> ShareReport:
+        """Return the next report: what changed since the last one."""
+        needs = tuple(self._needs())
+        report = ShareReport(
+            self._gate.target,
+            self._router,
+            self._number,
+            needs,
+            tuple(self._flights(flights)),
+            tuple(leaving),
+        )
+        self._number += 1
+        return report
+
+    def _needs(self) -> Iterator[Need]:
+        gate = self._gate
+        backlogs = gate.queue.backlogs_by_workspace
+        demands = {name: one.demand for name, one in backlogs.items() if one.demand}
+        served = gate.service_by_workspace
+        gate.service_by_workspace = {}
+        for workspace in (
+            demands.keys() | self._told_by_workspace.keys() | served.keys()
+        ):
+            demand = demands.get(workspace, 0)
+            done = served.get(workspace)
+            if done is None and demand == self._told_by_workspace.get(workspace, 0):
+                continue
+            done = done or Service()
+            busy = round(done.busy_seconds, 2)
+            yield Need(workspace, demand, round(done.units), busy)
+        self._told_by_workspace = demands
+
+    def _flights(self, flights: dict[str, int]) -> Iterator[Flight]:
+        for runner in flights.keys() | self._told_by_runner.keys():
+            count = flights.get(runner, 0)
+            if count != self._told_by_runner.get(runner, 0):
+                yield Flight(runner, count)
+        self._told_by_runner = {name: count for name, count in flights.items() if count}
 
 
-class TurnGate:
-    """Hands out the turns of one target."""
+class TurnDesk:
+    """The gates of one daemon, and the books of the targets that it adds up.
 
-    def __init__(self, target: str, clock: Clock) -> None:
-        self.target = target
-        self.slots = 0
-        self.running = 0
+    Parameters
+    ----------
+    runners : RunnerDesk
+        Whose news of the runners rides on the reports.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        configuration: Configuration,
+        members: Members,
+        peers: PeerLinks,
+        handlers: Handlers,
+        metrics: Metrics,
+        clock: Clock,
+        runners: RunnerDesk,
+    ) -> None:
+        self._incarnation = incarnation
+        self._configuration = configuration
+        self._members = members
+        self._peers = peers
+        self._metrics = metrics
         self._clock = clock
-        self._queue = TurnQueue()
-        self._started_by_request: dict[str, Event] = {}
-
-    @contextmanager
-    def turn(
-        self, request: str, workspace: str, cost: float, rules: TurnModel
-    ) -> Iterator[Refused | None]:
-        """Wait for a turn; it ends with the block.
-
-        Yields
-        ------
-        Refused or None
-            None once the turn has come.
-        """
-        refused = self._wait(request, workspace, cost, rules)
-        if refused is not None:
-            yield refused
-            return
-        try:
-            yield None
-        finally:
-            self.running -= 1
-            self.start_next()
-
-    def start_next(self) -> None:
-        """Start queued requests while slots are free."""
-        while self.running < self.slots:
-            ticket = self._queue.pop()
-            if ticket is None:
-                return
-            self.running += 1
-            self._started_by_request.pop(ticket.request).set()
-
-    def _wait(
-        self, request: str, workspace: str, cost: float, rules: TurnModel
-    ) -> Refused | None:
-        if len(self._queue) >= rules.queue_limit:
-            return refuse(Reason.OVERLOADED, 1.0, target=self.target)
-        deadline = self._clock.now() + rules.deadline_seconds
-        weight = rules.weights_by_workspace.get(workspace, 1.0)
-        started = self._started_by_request[request] = Event()
-        self._queue.push(request, workspace, cost, weight, deadline)
-        self.start_next()
-        if started.wait(rules.deadline_seconds) or not self._queue.cancel(request):
-            return None
-        del self._started_by_request[request]
-        return refuse(Reason.DEADLINE, 1.0)
+        self._runners = runners
+        self._gates_by_target: dict[str, TurnGate] = {}
+        self._books_by_target: dict[str, ShareBook] = {}
+        self._tasks = Group()
+        handlers.register(ShareReport, self._take)
+
+    def __enter__(self) -> Self:
+        """Nothing to start; a gate's task starts with its first request."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop all tasks."""
+        self._tasks.kill()
+
+    def gate(self, target: str) -> TurnGate:
+        """Return the gate of a target."""
+        gate = self._gates_by_target.get(target)
+        if gate is None:
+            gate = self._gates_by_target[target] = TurnGate(target, self._clock)
+            self._tasks.spawn(self._share, gate)
+        if not gate.slots:
+            gate.set_slots(self._own_part(target))
+        return gate
+
+    def _slots(self, target: str) -> float:
+        """Return the slots that this side of the fleet may fill."""
+        model = self._configuration.document.targets_by_id.get(target)
+        if model is None:
+            return 0.0
+        runners = [r for r in self._members.runners_of(target) if not r.leaving]
+        return len(runners) * model.slots_per_runner * self._members.reachable_share()
+
+    def _own_part(self, target: str) -> float:
+        return self._slots(target) / len(self._members.reachable_routers())
+
+    def _share(self, gate: TurnGate) -> None:
+        """Report to the aggregator, again and again."""
+        reports = Reports(gate, self._incarnation)
+        heard_at = self._clock.now()
+        asked = ""
+        while True:
+            routers = self._members.reachable_routers()
+            period = period_seconds(len(routers))
+            gevent.sleep(period)
+            host = aggregator(gate.target, routers) or self._members.host
+            if host != asked:
+                reports.restart()
+                asked = host
+            if reports.idle:
+                heard_at = self._clock.now()
+                gate.take_shares(ShareAnswer(False, self._own_part(gate.target)))
+                continue
+            answer = self._ask(host, self._report(gate, reports))
+            if answer is not None and answer.whole:
+                reports.restart()
+                answer = self._ask(host, self._report(gate, reports))
+            if answer is not None and not answer.whole:
+                heard_at = self._clock.now()
+                gate.take_shares(answer)
+                self._runners.hear(answer.flights, answer.leaving)
+                continue
+            reports.restart()
+            if self._clock.now() - heard_at > STALE_PERIODS * period:
+                gate.take_shares(ShareAnswer(False, self._own_part(gate.target)))
+
+    def _report(self, gate: TurnGate, reports: Reports) -> ShareReport:
+        target = gate.target
+        return reports.next(
+            self._runners.flights(target), self._runners.leaving(target)
+        )
+
+    def _ask(self, host: str, report: ShareReport) -> ShareAnswer | None:
+        self._metrics.share_reports.inc()
+        if host == self._members.host:
+            return self._take(report)
+        answer = self._peers.ask(host, report, ASK_SECONDS)
+        return answer if isinstance(answer, ShareAnswer) else None
+
+    def _take(self, report: ShareReport) -> ShareAnswer:
+        """Take a report, as the aggregator of its target."""
+        book = self._books_by_target.setdefault(report.target, ShareBook())
+        rules = self._configuration.document.turns_by_target.get(report.target)
+        weights = {} if rules is None else rules.weights_by_workspace
+        slots = self._slots(report.target)
+        routers = len(self._members.reachable_routers())
+        return book.take(report, slots, weights, routers, self._clock.now())
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,116 @@
+"""The turn gate: no ending of a wait or of a turn loses or doubles a slot."""
+
+from __future__ import annotations
+
+import gevent
+import pytest
+from gevent import Greenlet
+from gevent.event import Event
+
+from godwitrudder.clock import SystemClock
+from godwitrudder.connection.shares import Held, ShareAnswer
+from godwitrudder.process.gate import Turn, TurnGate
+from godwitrudder.request.outcome import Reason, Refused
+from godwitrudder.version.document import TurnModel
+
+RULES = TurnModel(unit="requests", deadline_seconds=60.0)
+
+
+class Caller:
+    """A greenlet that takes a turn and holds it until told."""
+
+    def __init__(self, gate: TurnGate, name: str, rules: TurnModel = RULES) -> None:
+        self.done = Event()
+        self.got: Turn | Refused | None = None
+        self.task: Greenlet = gevent.spawn(self._run, gate, name, rules)
+        gevent.idle()
+
+    def _run(self, gate: TurnGate, name: str, rules: TurnModel) -> None:
+        with gate.turn(name, name[0], 1.0, rules) as self.got:
+            if isinstance(self.got, Turn):
+                self.done.wait()
+
+
+@pytest.fixture
+def gate() -> TurnGate:
+    """Return a gate with one slot, held by ``a1``."""
+    gate = TurnGate("t", SystemClock())
+    gate.slots = 1
+    return gate
+
+
+def test_a_killed_waiter_leaves_the_queue(gate: TurnGate) -> None:
+    """A caller that hangs up while it waits frees its place."""
+    first = Caller(gate, "a1")
+    waiter = Caller(gate, "a2")
+    waiter.task.kill()
+    assert len(gate.queue) == 0
+    first.done.set()
+    gevent.idle()
+    assert gate.running == 0
+
+
+def test_a_waiter_killed_as_its_turn_comes_gives_the_slot_back(gate: TurnGate) -> None:
+    """The slot goes on to the next, though the holder never ran."""
+    first = Caller(gate, "a1")
+    doomed = Caller(gate, "a2")
+    last = Caller(gate, "a3")
+    first.done.set()
+    first.task.join()
+    assert gate.running == 1
+    doomed.task.kill()
+    gevent.idle()
+    assert isinstance(last.got, Turn)
+    assert gate.running == 1
+
+
+def test_a_turn_that_comes_at_the_deadline_is_a_turn(gate: TurnGate) -> None:
+    """A request is refused only once it is out of the queue, never both."""
+    first = Caller(gate, "a1")
+    rules = TurnModel(unit="requests", deadline_seconds=0.01)
+    late = [Caller(gate, f"a{number}", rules) for number in range(2, 8)]
+    gevent.sleep(0.01)
+    first.done.set()
+    gevent.joinall([caller.task for caller in late], timeout=0.05)
+    turns = [caller for caller in late if isinstance(caller.got, Turn)]
+    assert gate.running == len([one for one in turns if not one.task.dead])
+    for caller in turns:
+        caller.done.set()
+    gevent.joinall([caller.task for caller in late])
+    assert gate.running == 0
+    assert len(gate.queue) == 0
+
+
+def test_an_expired_request_has_left_the_queue(gate: TurnGate) -> None:
+    """The refusal is spoken after the place was given up."""
+    Caller(gate, "a1")
+    rules = TurnModel(unit="requests", deadline_seconds=0.01)
+    with gate.turn("a2", "a", 1.0, rules) as got:
+        assert isinstance(got, Refused) and got.reason is Reason.DEADLINE
+        assert len(gate.queue) == 0
+
+
+def test_a_full_queue_refuses_at_once(gate: TurnGate) -> None:
+    """Overload is answered early, with a time to come back."""
+    rules = TurnModel(unit="requests", deadline_seconds=60.0, queue_limit=1)
+    Caller(gate, "a1", rules)
+    Caller(gate, "a2", rules)
+    with gate.turn("a3", "a", 1.0, rules) as got:
+        assert isinstance(got, Refused) and got.reason is Reason.OVERLOADED
+        assert got.retry_after is not None
+
+
+def test_short_work_passes_long_work(gate: TurnGate) -> None:
+    """A workspace with nothing running need not wait for another's plan to end."""
+    Caller(gate, "a1")
+    Caller(gate, "a2")
+    question = Caller(gate, "b1")
+    assert isinstance(question.got, Turn)
+
+
+def test_a_held_workspace_gets_a_higher_number(gate: TurnGate) -> None:
+    """The engine's priority is the demand in multiples of the share."""
+    gate.take_shares(ShareAnswer(False, 4.0, 2.0, (Held("a", 0.5, 6.0),)))
+    held, light = Caller(gate, "a1"), Caller(gate, "b1")
+    assert isinstance(held.got, Turn) and isinstance(light.got, Turn)
+    assert light.got.priority < held.got.priority == 6.0
--- /dev/null
+++ b/tests/test_share.py
@@ -0,0 +1,100 @@
+"""Shares of slots: max-min over workspaces, whatever the entry."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from godwitrudder.connection.shares import Flight, Need, ShareAnswer, ShareReport
+from godwitrudder.request.share import STALE_PERIODS, ShareBook, water_level
+
+SPLITS = [
+    ("room for all", {"r": {"a": 3}, "s": {"b": 3}}, 12.0, {"r": 6.0, "s": 6.0}),
+    ("one entry each", {"r": {"a": 90}, "s": {"b": 9}}, 12.0, {"r": 6.0, "s": 6.0}),
+    (
+        "one enters everywhere",
+        {"r": {"a": 50, "b": 20}, "s": {"a": 50}},
+        12.0,
+        {"r": 9.0, "s": 3.0},
+    ),
+    ("small demand first", {"r": {"a": 90}, "s": {"b": 2}}, 12.0, {"r": 10, "s": 2}),
+]
+
+
+def told(
+    book: ShareBook, router: str, needs: dict[str, int], now: float = 0.0
+) -> ShareAnswer:
+    """Send a whole report of 12 slots and two routers."""
+    rows = tuple(Need(workspace, demand) for workspace, demand in needs.items())
+    return book.take(ShareReport("t", router, 0, rows), 12.0, {}, 2, now)
+
+
+@pytest.mark.parametrize(("name", "needs_by_router", "slots", "expected"), SPLITS)
+def test_split(
+    name: str,
+    needs_by_router: dict[str, dict[str, int]],
+    slots: float,
+    expected: dict[str, float],
+) -> None:
+    """Each router gets the sum of what its workspaces get."""
+    book = ShareBook()
+    for now in (0.0, 1.0):
+        answers = {
+            router: told(book, router, needs, now)
+            for router, needs in needs_by_router.items()
+        }
+    for router, share in expected.items():
+        assert answers[router].slots == pytest.approx(share, abs=0.02)
+
+
+def test_a_router_that_fell_silent_holds_no_slots() -> None:
+    """Its demand ages out, and the others get its part."""
+    book = ShareBook()
+    told(book, "r", {"a": 90})
+    assert told(book, "s", {"b": 90}, 0.2).slots == pytest.approx(6.0)
+    assert told(book, "s", {"b": 90}, 1.0 + STALE_PERIODS).slots == pytest.approx(12.0)
+
+
+def test_a_missed_report_is_asked_for_whole() -> None:
+    """The book never builds on a gap."""
+    book = ShareBook()
+    told(book, "r", {"a": 1})
+    gap = ShareReport("t", "r", 2, (Need("a", 5),))
+    assert book.take(gap, 12.0, {}, 2, 0.1).whole
+
+
+def test_slow_units_get_more_slots() -> None:
+    """Equal requests, though one workspace's requests take longer."""
+    book = ShareBook()
+    needs = (Need("a", 90, 10, 10.0), Need("b", 90, 10, 30.0))
+    book.take(ShareReport("t", "r", 0, needs), 12.0, {}, 2, 0.0)
+    answer = book.take(ShareReport("t", "r", 1), 12.0, {}, 2, 1.0)
+    loads = {held.workspace: held.load for held in answer.held}
+    assert loads["a"] == pytest.approx(3 * loads["b"], rel=0.01)
+
+
+def test_others_work_is_told() -> None:
+    """A router hears the others' work, not its own, and who leaves."""
+    book = ShareBook()
+    flights = (Flight("e", 3),)
+    one = ShareReport("t", "r", 0, (Need("a", 1),), flights, ("e",))
+    book.take(one, 12.0, {}, 2, 0.0)
+    two = ShareReport("t", "s", 0, (Need("a", 1),), (Flight("e", 2),))
+    answer = book.take(two, 12.0, {}, 2, 0.1)
+    assert answer.flights == flights
+    assert answer.leaving == ("e",)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    st.lists(st.tuples(st.integers(1, 50), st.sampled_from([0.5, 1.0, 2.0]))),
+    st.integers(1, 60),
+)
+def test_the_level_fills_the_slots(
+    demands: list[tuple[int, float]], slots: int
+) -> None:
+    """All slots are used, or all demand is met; nothing is used twice."""
+    level = water_level(((float(d), w) for d, w in demands), slots)
+    used = sum(min(demand, level * weight) for demand, weight in demands)
+    assert used == pytest.approx(min(slots, sum(demand for demand, _ in demands)))
