Choose runners from aged news, prefixes and outliers

Wire turns, runners and links into the daemon. A 503 of an engine counts as not sent and takes the runner out, for the others too by the next report.

--- /dev/null
+++ b/godwitrudder/connection/probe.py
@@ -0,0 +1,108 @@
+"""Polls of a runner: its load, and what became of its prefix cache."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final, TypeVar
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+from godwitrudder.sections import Address
+
+TIMEOUT_SECONDS: Final = 1.0
+
+T = TypeVar("T")
+
+
+@dataclass(frozen=True, slots=True)
+class Unanswered:
+    """The poll failed.
+
+    Attributes
+    ----------
+    silent : bool
+        Whether nothing came back at all.
+    """
+
+    reason: str
+    silent: bool
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Requests in the batch and before it, as of a while ago."""
+
+    running: int
+    waiting: int
+
+
+class CacheEventModel(msgspec.Struct, frozen=True):
+    """A prefix, by its hash in hex, was stored or evicted."""
+
+    kind: str
+    prefix: str
+
+
+class CachePage(msgspec.Struct, frozen=True):
+    """Cache events up to number ``next``; some may be missing."""
+
+    next: int
+    events: tuple[CacheEventModel, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvents:
+    """Changes of a runner's prefix cache.
+
+    Attributes
+    ----------
+    changes : tuple of (bool, int)
+        Whether stored, and the name of the prefix.
+    size_bytes : int
+        Of the answer.
+    """
+
+    next: int
+    changes: tuple[tuple[bool, int], ...]
+    size_bytes: int
+
+
+def load(address: Address) -> Load | Unanswered:
+    """Return the load that a runner reports."""
+    answer = _get(address, "/load", Load)
+    return answer if isinstance(answer, Unanswered) else answer[0]
+
+
+def cache_events(address: Address, start: int) -> CacheEvents | Unanswered:
+    """Return a runner's cache events from number ``start`` on."""
+    answer = _get(address, f"/cache-events?from={start}", CachePage)
+    if isinstance(answer, Unanswered):
+        return answer
+    page, size = answer
+    try:
+        changes = tuple((e.kind == "stored", int(e.prefix, 16)) for e in page.events)
+    except ValueError as error:
+        return Unanswered(str(error), silent=False)
+    return CacheEvents(page.next, changes, size)
+
+
+def _get(address: Address, path: str, model: type[T]) -> tuple[T, int] | Unanswered:
+    client = HTTPClient(
+        address.ip,
+        address.port,
+        connection_timeout=TIMEOUT_SECONDS,
+        network_timeout=TIMEOUT_SECONDS,
+    )
+    try:
+        response = client.get(path)
+        data = bytes(response.read())
+    except Exception as error:  # the client raises many unrelated types
+        return Unanswered(f"{type(error).__name__}: {error}", silent=True)
+    finally:
+        client.close()
+    if response.status_code != 200:
+        return Unanswered(f"status {response.status_code}", silent=False)
+    try:
+        return msgspec.json.decode(data, type=model), len(data)
+    except msgspec.DecodeError as error:
+        return Unanswered(str(error), silent=False)
--- a/godwitrudder/connection/runner.py
+++ b/godwitrudder/connection/runner.py
@@ -42,11 +42,14 @@
     Attributes
     ----------
     sent : bool
-        Whether a byte may have reached the runner.
+        Whether the runner may have taken the request.
+    leaving : bool
+        The runner says that it takes no new work.
     """
 
     reason: str
     sent: bool
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,6 +92,9 @@
     try:
         headers = {"X-Request-Id": attempt, "Content-Type": "application/json"}
         response = client.request("POST", "/v1/chat/completions", body, headers)
+        if response.status_code == 503:
+            yield Broken("the runner is leaving", sent=False, leaving=True)
+            return
         if response.status_code != 200:
             yield Broken(f"status {response.status_code}", sent=True)
             return
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -24,8 +24,10 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.router import Router
+from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.timeline import Timeline
+from godwitrudder.process.turns import TurnDesk
 from godwitrudder.version import records
 from godwitrudder.version.document import Document
 
@@ -59,15 +61,24 @@
         settings = self.settings
         self.log = HttpLog(settings.log)
         self.configuration = Configuration(self.log, self.metrics)
-        self.members = Members(HttpHostList(settings.hosts))
+        self.members = Members(HttpHostList(settings.hosts), settings.host, self.clock)
         self.handlers = Handlers(self.hybrid, self.metrics)
+        self.handlers.heard = self.members.heard
+        self.handlers.lost = self.members.lost
         self.peers = PeerLinks(
             self.incarnation,
             settings.peer_key,
             self.handlers,
             self.members.peer_address,
+            self.clock,
+            self.random,
+        )
+        self._peer_server = PeerServer(
+            settings.peer,
+            settings.peer_key,
+            self.handlers,
+            lambda host: self.members.peer_address(host) is not None,
         )
-        self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
             self.incarnation,
@@ -78,16 +89,32 @@
         self.budgets = BudgetDesk(
             self.ledger, self.incarnation, self.clock, self.metrics
         )
-        self.router = Router(
+        self.runners = RunnerDesk(
+            self.members,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.failure_domain,
+        )
+        self.turns = TurnDesk(
+            self.incarnation,
             self.configuration,
             self.members,
+            self.peers,
+            self.handlers,
+            self.metrics,
+            self.clock,
+            self.runners,
+        )
+        self.router = Router(
+            self.configuration,
+            self.turns,
+            self.runners,
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
             self.timeline,
             self.metrics,
             self.clock,
-            self.random,
-            settings.failure_domain,
         )
         self.configuration.listen(self._pay_in)
         application = CallerApplication(
@@ -106,7 +133,10 @@
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
+        self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
+        self._stack.enter_context(self.runners)
+        self._stack.enter_context(self.turns)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
-from random import Random
+from dataclasses import dataclass, replace
 from typing import Final
 from uuid import uuid4
 
@@ -19,11 +18,11 @@
 from godwitrudder.process.budgets import BudgetDesk, Spend
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
-from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.timeline import Timeline
-from godwitrudder.process.turns import TurnGate
-from godwitrudder.request.choice import Runner, choose
+from godwitrudder.process.turns import TurnDesk
+from godwitrudder.request.choice import Runner
 from godwitrudder.request.outcome import (
     Completed,
     Failed,
@@ -93,25 +92,22 @@
     def __init__(
         self,
         configuration: Configuration,
-        members: Members,
+        turns: TurnDesk,
+        runners: RunnerDesk,
         budgets: BudgetDesk,
         claims: ClaimDesk,
         timeline: Timeline,
         metrics: Metrics,
         clock: Clock,
-        random: Random,
-        failure_domain: str,
     ) -> None:
         self._configuration = configuration
-        self._members = members
+        self._turns = turns
+        self._runners = runners
         self._budgets = budgets
         self._claims = claims
         self._timeline = timeline
         self._metrics = metrics
         self._clock = clock
-        self._random = random
-        self._failure_domain = failure_domain
-        self._gates_by_target: dict[str, TurnGate] = {}
         self.in_flight = 0
 
     def answer(self, call: Call) -> Iterator[Chunk | Usage | Outcome]:
@@ -152,10 +148,10 @@
     def _admitted(self, call: Call) -> Iterator[Chunk | Usage | Outcome]:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
-        gate = self._gate(call.target)
-        with gate.turn(call.request, call.workspace, call.bound, rules) as refused:
-            if refused is not None:
-                yield refused
+        gate = self._turns.gate(call.target)
+        with gate.turn(call.request, call.workspace, call.bound, rules) as turn:
+            if isinstance(turn, Refused):
+                yield turn
                 return
             with self._budgets.spend(
                 call.request, call.budget, call.bound, deadline
@@ -163,7 +159,11 @@
                 if isinstance(spend, Refused):
                     yield spend
                     return
-                yield from self._dispatch(call, spend)
+                prompt = replace(call.prompt, priority=turn.priority)
+                try:
+                    yield from self._dispatch(replace(call, prompt=prompt), spend)
+                finally:
+                    turn.used = spend.tokens
 
     def _dispatch(self, call: Call, spend: Spend) -> Iterator[Chunk | Usage | Outcome]:
         """Try runners in turn; each goes on where the last one ended."""
@@ -172,11 +172,14 @@
         excluded: set[str] = set()
         problem = ""
         for _ in range(ATTEMPTS_MOST):
-            runner = self._choose(call.target, excluded)
+            text = prompt_text(call.prompt)
+            runner = self._runners.choose(call.target, text, excluded)
             if runner is None:
                 break
             for event in self._attempt(call, runner, sent, spend):
                 if isinstance(event, Broken):
+                    if event.leaving:
+                        self._runners.left(runner)
                     problem = event.reason
                     started = started or event.sent
                     continue
@@ -196,8 +199,10 @@
     ) -> Iterator[Chunk | Usage | Completed | Broken]:
         attempt = uuid4().hex
         self._note("dispatch", call, f"{runner.id} from token {start}")
-        runner.in_flight += 1
+        self._runners.started(runner)
+        started_at = self._clock.now()
         ended = False
+        ok = True
         index = start
         try:
             for event in runner_link.stream(
@@ -206,6 +211,9 @@
                 if isinstance(event, Chunk):
                     if event.index != index:
                         continue
+                    if index == start:
+                        seconds = self._clock.now() - started_at
+                        self._runners.first_token(runner, seconds)
                     index += 1
                     spend.tokens = max(spend.tokens, call.prompt_bound + index)
                 elif isinstance(event, Usage):
@@ -216,9 +224,10 @@
                     return
                 else:
                     ended = not event.sent
+                    ok = event.leaving
                 yield event
         finally:
-            runner.in_flight -= 1
+            self._runners.ended(runner, ok)
             if not ended:
                 self._cancel(runner, attempt, spend)
 
@@ -233,10 +242,10 @@
     def _spend_on_service(self, call: ServiceCall) -> ServiceAnswer | Refused | Failed:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
-        gate = self._gate(call.target)
-        with gate.turn(call.request, call.workspace, 1.0, rules) as refused:
-            if refused is not None:
-                return refused
+        gate = self._turns.gate(call.target)
+        with gate.turn(call.request, call.workspace, 1.0, rules) as turn:
+            if isinstance(turn, Refused):
+                return turn
             with self._budgets.spend(
                 call.request, call.budget, call.rule.cost_tokens, deadline
             ) as spend:
@@ -247,15 +256,15 @@
     def _call_runner(
         self, call: ServiceCall, spend: Spend
     ) -> ServiceAnswer | Refused | Failed:
-        runner = self._choose(call.target, set())
+        runner = self._runners.choose(call.target, "", set())
         if runner is None:
             return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
         self._timeline.note("dispatch", call.request, call.workspace, runner.id)
-        runner.in_flight += 1
+        self._runners.started(runner)
         answer = runner_link.call(
             runner.address, call.method, call.path, call.body, call.request
         )
-        runner.in_flight -= 1
+        self._runners.ended(runner, not isinstance(answer, Broken))
         if isinstance(answer, Broken):
             if not answer.sent:
                 return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
@@ -264,19 +273,6 @@
         spend.tokens = call.rule.cost_tokens
         return ServiceAnswer(*answer, tokens=spend.tokens)
 
-    def _choose(self, target: str, excluded: set[str]) -> Runner | None:
-        runners = self._members.runners_of(target)
-        return choose(runners, self._failure_domain, excluded, self._random)
-
-    def _gate(self, target: str) -> TurnGate:
-        gate = self._gates_by_target.get(target)
-        if gate is None:
-            gate = self._gates_by_target[target] = TurnGate(target, self._clock)
-        model = self._configuration.document.targets_by_id[target]
-        runners = [r for r in self._members.runners_of(target) if not r.leaving]
-        gate.slots = len(runners) * model.slots_per_runner
-        return gate
-
     def _rules(self, target: str) -> TurnModel:
         turns = self._configuration.document.turns_by_target
         return turns.get(target, TurnModel())
@@ -290,3 +286,8 @@
         word = "completed" if isinstance(outcome, Completed) else str(outcome.reason)
         self._metrics.requests.labels(target, word).inc()
         self._timeline.note("outcome", request, workspace, f"{word} {outcome.ran}")
+
+
+def prompt_text(prompt: Prompt) -> str:
+    """Return the text by which engines cache a prompt."""
+    return "\n".join(message["content"] for message in prompt.messages)
--- /dev/null
+++ b/godwitrudder/process/runners.py
@@ -0,0 +1,217 @@
+"""The runner desk: keeps the news of all runners and chooses among them.
+
+Every router polling every runner each second would not scale.  A router polls
+``POLLS_PER_SECOND`` runners a second, the longest unpolled of the targets it uses
+first; at 350 routers and 630 runners a runner answers two polls a second.  Fresher
+news of the others' work rides on the answers of the targets' aggregators.  Cache
+events are followed within a byte budget.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable
+from random import Random
+from types import TracebackType
+from typing import Final, Self
+
+import gevent
+from gevent import Greenlet
+
+from godwitrudder.clock import Clock
+from godwitrudder.connection import probe
+from godwitrudder.connection.probe import CacheEvents, Unanswered
+from godwitrudder.connection.shares import Flight
+from godwitrudder.process.members import Members
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.choice import (
+    LEAVING_SECONDS,
+    NEVER,
+    Runner,
+    choose,
+    outliers,
+)
+from godwitrudder.request.prefix import PrefixIndex, prefix_names
+from godwitrudder.request.retry import RetryBudget
+
+POLLS_PER_SECOND: Final = 4
+EVENT_BYTES_PER_SECOND: Final = 3000.0
+EVENT_BYTES_MOST: Final = 12_000.0
+IDLE_SECONDS: Final = 60.0
+
+
+class RunnerDesk:
+    """Choice of runners for one daemon.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Of this daemon.
+    """
+
+    def __init__(
+        self,
+        members: Members,
+        metrics: Metrics,
+        clock: Clock,
+        random: Random,
+        failure_domain: str,
+    ) -> None:
+        self._members = members
+        self._metrics = metrics
+        self._clock = clock
+        self._random = random
+        self._failure_domain = failure_domain
+        self._prefixes = PrefixIndex()
+        self._used_at_by_target: dict[str, float] = {}
+        self._retries_by_target: dict[str, RetryBudget] = {}
+        self._polled_at_by_runner: dict[str, float] = {}
+        self._next_by_runner: dict[str, int] = {}
+        self._event_bytes = EVENT_BYTES_MOST
+        self._task: Greenlet | None = None
+
+    def __enter__(self) -> Self:
+        """Start to poll."""
+        self._task = gevent.spawn(self._poll_all)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def choose(
+        self, target: str, prompt_text: str, excluded: Collection[str]
+    ) -> Runner | None:
+        """Return the runner for a request, None where there is none left.
+
+        A choice with runners excluded is a retry, and needs one from the budget.
+        """
+        now = self._clock.now()
+        self._used_at_by_target[target] = now
+        budget = self._retries_by_target.setdefault(target, RetryBudget())
+        if excluded and not budget.take():
+            return None
+        if not excluded:
+            budget.request()
+        runners = self._members.runners_of(target)
+        self._eject(runners, now)
+        names = prefix_names(prompt_text)
+        ids = [runner.id for runner in runners if runner.usable(now)]
+        matches = self._prefixes.matches(names, ids, now)
+        chosen = choose(
+            runners, self._failure_domain, excluded, self._random, now, matches
+        )
+        if chosen is not None:
+            self._prefixes.stored(chosen.id, names, now)
+        return chosen
+
+    def started(self, runner: Runner) -> None:
+        """Note that a request goes to a runner."""
+        runner.started(self._clock.now())
+
+    def first_token(self, runner: Runner, seconds: float) -> None:
+        """Note the time to a first token."""
+        runner.first_token(seconds, self._clock.now())
+
+    def ended(self, runner: Runner, ok: bool) -> None:
+        """Note the end of a request; a caller that hangs up is no failure."""
+        if runner.ended(ok, self._clock.now()):
+            self._metrics.ejections.labels(runner.target, "failed").inc()
+
+    def left(self, runner: Runner) -> None:
+        """Note that a runner says it takes no new work."""
+        runner.left_until = self._clock.now() + LEAVING_SECONDS
+
+    def flights(self, target: str) -> dict[str, int]:
+        """Return this daemon's requests in flight by runner."""
+        runners = self._members.runners_of(target)
+        return {runner.id: runner.in_flight for runner in runners if runner.in_flight}
+
+    def leaving(self, target: str) -> list[str]:
+        """Return the runners of a target that said they leave."""
+        now = self._clock.now()
+        runners = self._members.runners_of(target)
+        return [runner.id for runner in runners if now < runner.left_until]
+
+    def hear(self, flights: Iterable[Flight], leaving: Iterable[str]) -> None:
+        """Take what the other routers know."""
+        now = self._clock.now()
+        for flight in flights:
+            runner = self._members.runners_by_id.get(flight.runner)
+            if runner is not None:
+                runner.told_load(flight.count, now)
+        for name in leaving:
+            runner = self._members.runners_by_id.get(name)
+            if runner is not None and now >= runner.left_until:
+                self.left(runner)
+
+    def _eject(self, runners: list[Runner], now: float) -> None:
+        for runner in outliers(runners, now):
+            runner.eject(now)
+            self._metrics.ejections.labels(runner.target, "slow").inc()
+
+    def _poll_all(self) -> None:
+        while True:
+            gevent.sleep(1.0 / POLLS_PER_SECOND)
+            earned = self._event_bytes + EVENT_BYTES_PER_SECOND / POLLS_PER_SECOND
+            self._event_bytes = min(EVENT_BYTES_MOST, earned)
+            runner = self._to_poll()
+            if runner is not None:
+                self._poll(runner)
+
+    def _to_poll(self) -> Runner | None:
+        """Return the longest unpolled runner of the engines in use."""
+        now = self._clock.now()
+        known = self._members.runners_by_id
+        for gone in self._polled_at_by_runner.keys() - known.keys():
+            del self._polled_at_by_runner[gone]
+            self._next_by_runner.pop(gone, None)
+        used = self._used_at_by_target
+        wanted = (
+            runner
+            for runner in known.values()
+            if used.get(runner.target, NEVER) > now - IDLE_SECONDS
+        )
+        return min(
+            wanted,
+            key=lambda runner: self._polled_at_by_runner.get(runner.id, NEVER),
+            default=None,
+        )
+
+    def _poll(self, runner: Runner) -> None:
+        self._polled_at_by_runner[runner.id] = self._clock.now()
+        own = runner.in_flight
+        load = probe.load(runner.address)
+        if isinstance(load, Unanswered):
+            self._metrics.polls.labels("failed").inc()
+            if load.silent:
+                self._missed(runner)
+            return
+        self._metrics.polls.labels("load").inc()
+        runner.told_load(load.running + load.waiting - own, self._clock.now())
+        if self._event_bytes > 0:
+            self._follow_events(runner)
+
+    def _missed(self, runner: Runner) -> None:
+        if runner.missed(self._clock.now()):
+            self._metrics.ejections.labels(runner.target, "silent").inc()
+
+    def _follow_events(self, runner: Runner) -> None:
+        start = self._next_by_runner.get(runner.id, 0)
+        events = probe.cache_events(runner.address, start)
+        if not isinstance(events, CacheEvents):
+            return
+        self._metrics.polls.labels("events").inc()
+        self._event_bytes -= events.size_bytes
+        self._next_by_runner[runner.id] = events.next
+        now = self._clock.now()
+        for stored, name in events.changes:
+            if stored:
+                self._prefixes.stored(runner.id, [name], now)
+            else:
+                self._prefixes.evicted(runner.id, name)
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,121 @@
+"""Runner choice: news that ages, outliers, probes, prefixes, retries."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from godwitrudder.request.choice import Runner, choose, outliers
+from godwitrudder.request.prefix import HOME_MATCH, PrefixIndex, prefix_names
+from godwitrudder.request.retry import RETRIES_MOST, RetryBudget
+from godwitrudder.sections import Address
+from standins.cache import prefixes
+
+
+def three() -> dict[str, Runner]:
+    """Return three idle runners."""
+    address = Address("127.0.0.1", 1)
+    return {name: Runner(name, "t", address, "home") for name in "abc"}
+
+
+def leave(runner: Runner) -> None:
+    """Say in the host list that it leaves."""
+    runner.leaving = True
+
+
+def tell(runner: Runner) -> None:
+    """Say itself that it leaves, with the list lagging."""
+    runner.left_until = 60.0
+
+
+def fail(runner: Runner) -> None:
+    """Fail twice in a row."""
+    for _ in range(2):
+        runner.started(0.0)
+        runner.ended(False, 0.0)
+
+
+def load(runner: Runner) -> None:
+    """Report much work, just now."""
+    runner.told_load(20, 1.0)
+
+
+@pytest.mark.parametrize("ill", [leave, tell, fail, load])
+def test_an_ill_runner_gets_no_new_work(ill: Callable[[Runner], None]) -> None:
+    """Whoever says so first, the others get the work."""
+    runners = three()
+    ill(runners["a"])
+    random = Random(1)
+    chosen: Counter[str] = Counter()
+    for _ in range(60):
+        runner = choose(runners.values(), "home", (), random, 1.0)
+        assert runner is not None
+        chosen[runner.id] += 1
+    assert set(chosen) == {"b", "c"}
+
+
+def test_an_ejected_runner_returns_by_one_probe_at_a_time() -> None:
+    """After its time it gets one request; its success brings it back."""
+    runner = three()["a"]
+    fail(runner)
+    assert not runner.usable(1.0)
+    assert runner.usable(3.0)
+    runner.started(3.0)
+    assert not runner.usable(3.1)
+    runner.first_token(0.1, 3.1)
+    runner.ended(True, 3.2)
+    runner.started(3.3)
+    assert runner.usable(3.4)
+
+
+def test_with_all_ejected_one_serves() -> None:
+    """An ejection is a guess and never empties a target."""
+    runners = three()
+    for runner in runners.values():
+        fail(runner)
+    assert choose(runners.values(), "home", (), Random(1), 0.1) is not None
+
+
+def test_a_runner_that_sends_nothing_is_an_outlier() -> None:
+    """A silent runner is found by its oldest unanswered request."""
+    runners = three()
+    for runner in runners.values():
+        for _ in range(3):
+            runner.started(0.0)
+            runner.first_token(0.1, 0.1)
+            runner.ended(True, 0.2)
+    runners["b"].started(1.0)
+    assert outliers(runners.values(), 1.1) == []
+    assert outliers(runners.values(), 2.0) == [runners["b"]]
+
+
+def test_names_agree_with_the_engines() -> None:
+    """A prefix has the same name in a router and in an event."""
+    prompt = "pot " * 100
+    assert prefix_names(prompt) == [int(name, 16) for name in prefixes(prompt)]
+
+
+def test_the_index_is_bounded_and_forgets() -> None:
+    """Old entries go first; an evicted one counts no more."""
+    index = PrefixIndex(entries_most=10)
+    names = prefix_names("pot " * 64)
+    index.stored("a", range(100, 110), 0.0)
+    index.stored("a", names[:3], 0.0)
+    assert len(index) == 10
+    assert index.matches(names, ["a", "b"], 0.0) == {"a": 3 / len(names)}
+    for name in names[:3]:
+        index.evicted("a", name)
+    assert list(index.matches(names, ["a", "b"], 0.0).values()) == [HOME_MATCH]
+
+
+def test_retries_are_a_share_of_the_requests() -> None:
+    """When all requests fail, the retries run out."""
+    budget = RetryBudget()
+    granted = 0
+    for _ in range(1000):
+        budget.request()
+        granted += budget.take()
+    assert granted <= RETRIES_MOST + 200
