--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
+from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
@@ -18,7 +19,7 @@
     incarnation: str
 
 
-Message = Ping | ShareReport | ShareAnswer
+Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer | ShareReport | ShareAnswer
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -26,6 +26,7 @@
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
+from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.version import records
@@ -60,7 +61,13 @@
     def _build(self) -> None:
         settings = self.settings
         self.log = HttpLog(settings.log)
-        self.configuration = Configuration(self.log, self.metrics)
+        self.configuration = Configuration(
+            self.log,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.log_retention_seconds,
+        )
         self.members = Members(HttpHostList(settings.hosts), settings.host, self.clock)
         self.handlers = Handlers(self.hybrid, self.metrics)
         self.handlers.heard = self.members.heard
@@ -79,6 +86,14 @@
             self.handlers,
             lambda host: self.members.peer_address(host) is not None,
         )
+        self._spread = Spread(
+            settings.host,
+            self.configuration,
+            self.peers,
+            self.handlers,
+            lambda: list(self.members.routers_by_id),
+            self.random,
+        )
         self.ledger = Ledger(
             self.log,
             self.incarnation,
@@ -137,6 +152,7 @@
         self._stack.enter_context(self.configuration)
         self._stack.enter_context(self.runners)
         self._stack.enter_context(self.turns)
+        self._stack.enter_context(self._spread)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
