Make the callers' interface whole, and run answers as exchanges

Cause: the interface read a body only with Content-Length, named no field, knew no timeouts and no hang-up, and a retry at the same router ran anew.

An answer now runs in its own greenlet and is read through an exchange: a repeated Idempotency-Key joins the run or the kept answer, and a caller that hangs up while queued or served frees its turn, its reservation and the engine's stream. Attempts are resumed at the next index on a new connection when one breaks or falls silent; "not run" is only said when no connection was open. Bodies, headers, idle and slow callers and connections are bounded.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -84,7 +84,7 @@
             continue
         event: dict[str, Any] = json.loads(line[6:])
         for choice in event["choices"]:
-            text += choice["delta"]["content"]
+            text += choice["delta"].get("content", "")
         tokens = event.get("usage", {}).get("total_tokens", tokens)
     return text, tokens
 
--- /dev/null
+++ b/godwitrudder/connection/body.py
@@ -0,0 +1,224 @@
+"""Bodies of callers' requests: bounded, validated, turned into data classes.
+
+Whatever a caller sends, the result is a value: the question, or a refusal that
+names the field at fault.  Fields that neither the engine nor the budget needs
+are ignored, as the ecosystem's clients send many.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+from typing import Any, Final
+
+import gevent
+import msgspec
+
+from godwitrudder.request.outcome import Reason, Refused, refuse, refuse_field
+from godwitrudder.version.document import TargetModel
+
+MAX_BODY_BYTES: Final = 1_000_000
+BODY_SECONDS: Final = 20.0
+MAX_KEY_CHARACTERS: Final = 255
+MESSAGE_OVERHEAD_TOKENS: Final = 8
+OPTIONS: Final = (
+    "temperature",
+    "top_p",
+    "seed",
+    "stop",
+    "presence_penalty",
+    "frequency_penalty",
+)
+
+_PLACE: Final = re.compile(r"^(?P<problem>.*) - at `\$\.?(?P<path>.*)`$", re.DOTALL)
+
+
+class PartModel(msgspec.Struct):
+    """One part of a message; only text is served."""
+
+    type: str
+    text: str = ""
+
+
+class MessageModel(msgspec.Struct):
+    """One message of a chat."""
+
+    role: str
+    content: str | list[PartModel] | None = None
+
+
+class StreamOptions(msgspec.Struct):
+    """Options of a stream."""
+
+    include_usage: bool | None = False
+
+
+class QuestionModel(msgspec.Struct, kw_only=True):
+    """What both kinds of request have in common."""
+
+    model: str
+    max_tokens: int | None = None
+    n: int | None = 1
+    stream: bool | None = False
+    stream_options: StreamOptions | None = None
+    temperature: float | None = None
+    top_p: float | None = None
+    seed: int | None = None
+    stop: str | list[str] | None = None
+    presence_penalty: float | None = None
+    frequency_penalty: float | None = None
+
+
+class ChatModel(QuestionModel, kw_only=True):
+    """Body of ``POST /v1/chat/completions``."""
+
+    messages: list[MessageModel]
+    max_completion_tokens: int | None = None
+
+
+class CompletionModel(QuestionModel, kw_only=True):
+    """Body of ``POST /v1/completions``."""
+
+    prompt: str | list[str]
+
+
+@dataclass(frozen=True, slots=True)
+class Question:
+    """A validated request, before its target is known.
+
+    Attributes
+    ----------
+    max_tokens : int or None
+        As asked for; None leaves it to the target.
+    prompt_bytes : int
+        Size of all messages, in bytes of UTF-8.
+    """
+
+    model: str
+    messages: tuple[dict[str, str], ...]
+    max_tokens: int | None
+    stream: bool
+    wants_usage: bool
+    options: dict[str, object]
+    prompt_bytes: int
+
+    @property
+    def prompt_bound(self) -> int:
+        """Upper bound of the prompt, in tokens: one a byte, and the frame."""
+        return self.prompt_bytes + MESSAGE_OVERHEAD_TOKENS * len(self.messages)
+
+
+def read_body(environ: dict[str, Any]) -> bytes | Refused:
+    """Read a body, with or without ``Content-Length``, within size and time."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    if length > MAX_BODY_BYTES:
+        return _too_large()
+    source = environ["wsgi.input"]
+    with gevent.Timeout(BODY_SECONDS, False):
+        body = bytes(source.read(MAX_BODY_BYTES + 1))
+        return _too_large() if len(body) > MAX_BODY_BYTES else body
+    return refuse(Reason.TOO_SLOW, 1.0, seconds=BODY_SECONDS)
+
+
+def parse(body: bytes, chat: bool) -> Question | Refused:
+    """Validate the body of a chat or a completion."""
+    try:
+        model = msgspec.json.decode(body, type=ChatModel if chat else CompletionModel)
+    except RecursionError:
+        return refuse(Reason.BAD_REQUEST, problem="the body is nested too deeply")
+    except msgspec.ValidationError as error:
+        return _misfit(str(error))
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return refuse(Reason.BAD_REQUEST, problem=f"the body is not JSON: {error}")
+    messages = _messages(model)
+    if isinstance(messages, Refused):
+        return messages
+    if model.n not in (None, 1):
+        return refuse_field("n", "n must be 1")
+    return _question(model, messages)
+
+
+def output_tokens(question: Question, target: TargetModel) -> int | Refused:
+    """Return the longest answer allowed, in tokens."""
+    wanted = question.max_tokens
+    if wanted is None:
+        return target.default_output_tokens
+    if not 0 < wanted <= target.max_output_tokens:
+        problem = f"max_tokens must be 1 to {target.max_output_tokens}"
+        return refuse_field("max_tokens", problem)
+    return wanted
+
+
+def check_key(key: str) -> Refused | None:
+    """Refuse an ``Idempotency-Key`` that is too long."""
+    if len(key) <= MAX_KEY_CHARACTERS:
+        return None
+    problem = f"Idempotency-Key must have at most {MAX_KEY_CHARACTERS} characters"
+    return refuse_field("Idempotency-Key", problem)
+
+
+def _question(
+    model: ChatModel | CompletionModel, messages: tuple[dict[str, str], ...]
+) -> Question:
+    wanted = model.max_tokens
+    if isinstance(model, ChatModel) and model.max_completion_tokens is not None:
+        wanted = model.max_completion_tokens
+    given = {name: getattr(model, name) for name in OPTIONS}
+    options = {name: value for name, value in given.items() if value is not None}
+    usage = model.stream_options
+    return Question(
+        model.model,
+        messages,
+        wanted,
+        bool(model.stream),
+        usage is not None and bool(usage.include_usage),
+        options,
+        sum(len(message["content"].encode()) for message in messages),
+    )
+
+
+def _messages(
+    model: ChatModel | CompletionModel,
+) -> tuple[dict[str, str], ...] | Refused:
+    if isinstance(model, CompletionModel):
+        return _prompt(model.prompt)
+    messages: list[dict[str, str]] = []
+    for number, message in enumerate(model.messages):
+        text = _text(message.content, f"messages[{number}].content")
+        if isinstance(text, Refused):
+            return text
+        messages.append({"role": message.role, "content": text})
+    if not messages:
+        return refuse_field("messages", "messages must not be empty")
+    return tuple(messages)
+
+
+def _prompt(prompt: str | list[str]) -> tuple[dict[str, str], ...] | Refused:
+    if isinstance(prompt, str):
+        return ({"role": "user", "content": prompt},)
+    if len(prompt) != 1:
+        return refuse_field("prompt", "prompt must be one text")
+    return ({"role": "user", "content": prompt[0]},)
+
+
+def _text(content: str | list[PartModel] | None, place: str) -> str | Refused:
+    """Return the text of a message; parts are joined."""
+    if content is None or isinstance(content, str):
+        return content or ""
+    for number, part in enumerate(content):
+        if part.type != "text":
+            field = f"{place}[{number}].type"
+            return refuse_field(field, f"{field} must be 'text'")
+    return "".join(part.text for part in content)
+
+
+def _misfit(text: str) -> Refused:
+    match = _PLACE.match(text)
+    if match is None:
+        return refuse(Reason.BAD_REQUEST, problem=text)
+    path = match["path"]
+    return refuse_field(path, f"{path}: {match['problem']}")
+
+
+def _too_large() -> Refused:
+    return refuse(Reason.TOO_LARGE, part="body", limit=MAX_BODY_BYTES, unit="bytes")
--- /dev/null
+++ b/godwitrudder/connection/shape.py
@@ -0,0 +1,221 @@
+"""Answers and errors in the shape that the ecosystem's clients parse."""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable, Iterable, Iterator
+from http import HTTPStatus
+from typing import Any, Final
+
+import msgspec
+
+from godwitrudder.request.answer import Chunk, Piece, ServiceAnswer, Usage
+from godwitrudder.request.exchange import Reader
+from godwitrudder.request.outcome import Completed, Failed, Reason, Refused
+
+CALLER_GONE_STATUS: Final = 499
+STATUS_BY_REASON: Final[dict[Reason, int]] = {
+    Reason.BAD_REQUEST: 400,
+    Reason.UNKNOWN_KEY: 401,
+    Reason.UNKNOWN_MODEL: 404,
+    Reason.UNKNOWN_PATH: 404,
+    Reason.BAD_METHOD: 405,
+    Reason.TOO_SLOW: 408,
+    Reason.TOO_LARGE: 413,
+    Reason.HEADERS_TOO_LARGE: 431,
+    Reason.BUDGET_EXHAUSTED: 429,
+    Reason.BUDGET_UNREACHABLE: 503,
+    Reason.LOG_UNREACHABLE: 503,
+    Reason.OVERLOADED: 429,
+    Reason.DEADLINE: 503,
+    Reason.NO_RUNNER: 503,
+    Reason.DRAINING: 503,
+    Reason.TOO_MANY_CONNECTIONS: 503,
+    Reason.CALLER_GONE: CALLER_GONE_STATUS,
+    Reason.RUNNER_FAILED: 502,
+    Reason.ALREADY_CLAIMED: 409,
+    Reason.ANSWER_NOT_KEPT: 409,
+    Reason.KEY_REUSED: 422,
+    Reason.INTERNAL: 500,
+}
+TYPE_BY_STATUS: Final = {
+    401: "authentication_error",
+    429: "rate_limit_error",
+    CALLER_GONE_STATUS: "server_error",
+}
+
+Start = Callable[[str, list[tuple[str, str]]], Any]
+Headers = Iterable[tuple[str, str]]
+
+
+class Shape:
+    """The shape of one answer: chat or completion.
+
+    Parameters
+    ----------
+    request, model : str
+        What the answer belongs to.
+    chat : bool
+        Whether it is a chat.
+    usage : bool
+        Whether the stream ends with the usage.
+    max_tokens : int
+        An answer of this length was cut.
+    """
+
+    def __init__(
+        self, request: str, model: str, chat: bool, usage: bool, max_tokens: int
+    ) -> None:
+        self._chat = chat
+        self._usage = usage
+        self._max_tokens = max_tokens
+        prefix = "chatcmpl" if chat else "cmpl"
+        self._head: dict[str, Any] = {
+            "id": f"{prefix}-{request[:24]}",
+            "created": int(time.time()),
+            "model": model,
+        }
+        self._before, self._after = self._frame()
+
+    def stream(self, reader: Reader) -> Iterator[bytes]:
+        """Yield server-sent events, as many at once as are there."""
+        if self._chat:
+            yield _sse(self._chunk({"role": "assistant", "content": ""}, None))
+        for pieces in reader.batches():
+            yield b"".join(self._event(piece) for piece in pieces)
+
+    def whole(self, reader: Reader) -> dict[str, Any] | Refused | Failed | None:
+        """Collect the answer; None where the reader has gone."""
+        texts: list[str] = []
+        usage = Usage(0, 0)
+        for pieces in reader.batches():
+            for piece in pieces:
+                match piece:
+                    case Chunk():
+                        texts.append(piece.text)
+                    case Usage():
+                        usage = piece
+                    case Refused() | Failed():
+                        return piece
+                    case Completed():
+                        return self._body("".join(texts), usage)
+        return None
+
+    def _event(self, piece: Piece) -> bytes:
+        match piece:
+            case Chunk():
+                return self._before + msgspec.json.encode(piece.text) + self._after
+            case Usage():
+                return self._end(piece)
+            case Completed():
+                return b"data: [DONE]\n\n"
+            case Refused() | Failed():
+                return _sse(error_body(piece))
+            case ServiceAnswer():
+                return b""
+
+    def _frame(self) -> tuple[bytes, bytes]:
+        """Return what stands before and after the text of every chunk."""
+        mark = "\x00"
+        text = {"content": mark} if self._chat else mark
+        data = _sse(self._chunk(text, None))
+        before, after = data.rsplit(json.dumps(mark).encode(), 1)
+        return before, after
+
+    def _end(self, usage: Usage) -> bytes:
+        empty: Any = {} if self._chat else ""
+        last = _sse(self._chunk(empty, self._finish(usage)))
+        if not self._usage:
+            return last
+        body = {**self._chunk(empty, None), "usage": usage_body(usage)}
+        body["choices"] = []
+        return last + _sse(body)
+
+    def _finish(self, usage: Usage) -> str:
+        return "length" if usage.completion_tokens >= self._max_tokens else "stop"
+
+    def _chunk(self, text: Any, finish: str | None) -> dict[str, Any]:
+        name = "delta" if self._chat else "text"
+        kind = "chat.completion.chunk" if self._chat else "text_completion"
+        choice = {"index": 0, name: text, "finish_reason": finish}
+        return {**self._head, "object": kind, "choices": [choice]}
+
+    def _body(self, text: str, usage: Usage) -> dict[str, Any]:
+        choice: dict[str, Any] = {"index": 0, "finish_reason": self._finish(usage)}
+        if self._chat:
+            choice["message"] = {"role": "assistant", "content": text}
+        else:
+            choice["text"] = text
+        return {
+            **self._head,
+            "object": "chat.completion" if self._chat else "text_completion",
+            "choices": [choice],
+            "usage": usage_body(usage),
+        }
+
+
+def usage_body(usage: Usage) -> dict[str, int]:
+    """Return the usage in the clients' words, in tokens."""
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+    }
+
+
+def error_body(outcome: Refused | Failed) -> dict[str, Any]:
+    """Return an error in the clients' shape, with whether the request ran."""
+    status = STATUS_BY_REASON[outcome.reason]
+    kind = "invalid_request_error" if status < 500 else "server_error"
+    return {
+        "error": {
+            "message": outcome.detail,
+            "type": TYPE_BY_STATUS.get(status, kind),
+            "param": outcome.param if isinstance(outcome, Refused) else None,
+            "code": str(outcome.reason),
+            "ran": str(outcome.ran),
+        }
+    }
+
+
+def send_error(
+    start: Start, outcome: Refused | Failed, headers: Headers = ()
+) -> list[bytes]:
+    """Send an error; clients that honour it retry only where that helps."""
+    if outcome.retry_after is not None:
+        again = ("Retry-After", str(max(1, round(outcome.retry_after))))
+    else:
+        again = ("X-Should-Retry", "false")
+    status = STATUS_BY_REASON[outcome.reason]
+    return send_json(start, status, error_body(outcome), [*headers, again])
+
+
+def send_json(
+    start: Start, status: int, body: Any, headers: Headers = ()
+) -> list[bytes]:
+    """Send a JSON body."""
+    data = msgspec.json.encode(body)
+    return send(start, status, data, "application/json", headers)
+
+
+def send(
+    start: Start, status: int, body: bytes, content_type: str, headers: Headers = ()
+) -> list[bytes]:
+    """Send a body of a known length."""
+    fixed = [("Content-Type", content_type)]
+    if status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+        fixed.append(("Content-Length", str(len(body))))
+    start(f"{status} {_phrase(status)}", [*fixed, *headers])
+    return [body] if len(fixed) > 1 else []
+
+
+def _phrase(status: int) -> str:
+    try:
+        return HTTPStatus(status).phrase
+    except ValueError:
+        return "Other"
+
+
+def _sse(body: Any) -> bytes:
+    return f"data: {json.dumps(body)}\n\n".encode()
--- a/godwitrudder/messages.py
+++ b/godwitrudder/messages.py
@@ -28,4 +28,12 @@
     "idempotency_key_reused": (
         "The idempotency key was used before with another request."
     ),
+    "answer_not_kept": (
+        "The request was answered before and its answer is no longer kept."
+    ),
+    "method_not_allowed": "{path!r} takes {allowed} only.",
+    "headers_too_large": "The headers exceed the limit of {limit} bytes.",
+    "request_timeout": "The request was not received within {seconds} seconds.",
+    "too_many_connections": "This process has too many open connections.",
+    "internal_error": "An internal error ended the request.",
 }
--- /dev/null
+++ b/godwitrudder/process/attempts.py
@@ -0,0 +1,146 @@
+"""The attempt desk: tries runners until the answer is whole.
+
+Each runner goes on where the last one ended.  What is billed is the engine's
+own count of the last attempt; where no engine tells, the whole reservation.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from typing import Final
+from uuid import uuid4
+
+import gevent
+from gevent import Greenlet
+
+from godwitrudder.connection.runner import Broken, RunnerLinks
+from godwitrudder.process.budgets import Spend
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.answer import Call, Chunk, Piece, Usage
+from godwitrudder.request.choice import Runner
+from godwitrudder.request.exchange import Exchange
+from godwitrudder.request.outcome import Completed, Ran, Reason, fail, refuse
+
+ATTEMPTS_MOST: Final = 3
+
+Choose = Callable[[Call, set[str]], Runner | None]
+Note = Callable[[str, Call, str], None]
+
+
+class AttemptDesk:
+    """Carries calls to engines.
+
+    Parameters
+    ----------
+    links : RunnerLinks
+        Connections to the runners.
+    choose : callable
+        Returns the runner for a call, given those that failed it.
+    note : callable
+        Writes to the time line.
+    """
+
+    def __init__(
+        self, links: RunnerLinks, choose: Choose, note: Note, metrics: Metrics
+    ) -> None:
+        self._links = links
+        self._choose = choose
+        self._note = note
+        self._metrics = metrics
+
+    def dispatch(self, call: Call, spend: Spend, exchange: Exchange) -> Iterator[Piece]:
+        """Yield the answer's chunks, its usage and its outcome."""
+        run = _Run(call, spend, exchange)
+        try:
+            for _ in range(ATTEMPTS_MOST):
+                runner = self._choose(call, run.excluded)
+                if runner is None:
+                    break
+                yield from self._attempt(run, runner)
+                if run.completed:
+                    return
+                run.excluded.add(runner.id)
+            yield self._end(run)
+        finally:
+            if not run.completed:
+                self._settle(run)
+
+    def _attempt(self, run: _Run, runner: Runner) -> Iterator[Piece]:
+        attempt = uuid4().hex
+        call = run.call
+        self._note("dispatch", call, f"{runner.id} from token {run.next}")
+        runner.in_flight += 1
+        run.attempts.append((runner, attempt))
+        run.exchange.dispatched = True
+        try:
+            for event in self._links.start(
+                runner.address, attempt, call.prompt, run.next
+            ):
+                if isinstance(event, Broken):
+                    self._broken(run, event)
+                    return
+                yield event
+                run.take(event)
+            if run.completed:
+                yield Completed(run.spend.tokens)
+        finally:
+            runner.in_flight -= 1
+            self._metrics.attempts.labels("whole" if run.completed else "broken").inc()
+
+    def _broken(self, run: _Run, broken: Broken) -> None:
+        run.problem = broken.reason
+        runner, attempt = run.attempts.pop()
+        if broken.sent:
+            run.sent = True
+            address = runner.address
+            run.cancels.append(gevent.spawn(self._links.cancel, address, attempt))
+        elif not run.sent:
+            run.exchange.dispatched = False
+
+    def _end(self, run: _Run) -> Piece:
+        if not run.sent:
+            return refuse(Reason.NO_RUNNER, 1.0, target=run.call.target)
+        ran = Ran.RAN if run.next else Ran.UNKNOWN
+        return fail(Reason.RUNNER_FAILED, ran, problem=run.problem)
+
+    def _settle(self, run: _Run) -> None:
+        """End the engines' streams and bill their own count, where they tell."""
+        for runner, attempt in run.attempts:
+            run.cancels.append(
+                gevent.spawn(self._links.cancel, runner.address, attempt)
+            )
+        if not run.cancels:
+            run.spend.tokens = 0
+            return
+        gevent.joinall(run.cancels)
+        counts = [cancel.value for cancel in run.cancels]
+        if all(isinstance(count, Usage) for count in counts):
+            run.spend.tokens = max(
+                c.prompt_tokens + c.completion_tokens for c in counts
+            )
+        else:
+            run.spend.tokens = run.spend.reserved.tokens
+
+
+class _Run:
+    """What one call has come to."""
+
+    def __init__(self, call: Call, spend: Spend, exchange: Exchange) -> None:
+        self.call = call
+        self.spend = spend
+        self.exchange = exchange
+        self.next = 0
+        self.sent = False
+        self.completed = False
+        self.problem = ""
+        self.excluded: set[str] = set()
+        self.attempts: list[tuple[Runner, str]] = []
+        self.cancels: list[Greenlet] = []
+
+    def take(self, event: Chunk | Usage) -> None:
+        """Count what was passed on."""
+        if isinstance(event, Chunk):
+            self.next = event.index + 1
+            return
+        self.spend.tokens = event.prompt_tokens + event.completion_tokens
+        self.completed = True
--- a/godwitrudder/process/claims.py
+++ b/godwitrudder/process/claims.py
@@ -7,19 +7,17 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 from gevent.event import AsyncResult
 from gevent.timeout import Timeout
 
 from godwitrudder.process.ledger import Ledger
+from godwitrudder.request.answer import ServiceAnswer
 from godwitrudder.request.outcome import Failed, Ran, Reason, Refused, refuse
 from godwitrudder.version import records
 from godwitrudder.version.fold import Applied, ClaimState, Effect
 
-if TYPE_CHECKING:
-    from godwitrudder.process.router import ServiceAnswer
-
 CLAIM_SECONDS: Final = 5.0
 
 
@@ -79,8 +77,6 @@
     def _stored(
         self, request: str, fingerprint: str, state: ClaimState
     ) -> ServiceAnswer | Refused | Failed:
-        from godwitrudder.process.router import ServiceAnswer
-
         if state.fingerprint != fingerprint:
             return refuse(Reason.KEY_REUSED)
         if state.result is None:
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -10,11 +10,12 @@
 from uuid import uuid4
 
 import gevent
-from gevent.pywsgi import WSGIServer
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
+from godwitrudder.connection.runner import RunnerLinks
+from godwitrudder.connection.server import CallerServer
 from godwitrudder.platform.hosts import HttpHostList
 from godwitrudder.platform.log import HttpLog
 from godwitrudder.process.budgets import BudgetDesk
@@ -78,11 +79,13 @@
         self.budgets = BudgetDesk(
             self.ledger, self.incarnation, self.clock, self.metrics
         )
+        self.links = RunnerLinks(self.clock)
         self.router = Router(
             self.configuration,
             self.members,
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
+            self.links,
             self.timeline,
             self.metrics,
             self.clock,
@@ -96,12 +99,14 @@
             lambda: not self.draining,
             self.metrics.render,
         )
-        address = (settings.caller.ip, settings.caller.port)
-        self._callers = WSGIServer(address, application, log=None, error_log=logger)
+        self._callers = CallerServer(
+            settings.caller, application, lambda: self.draining
+        )
 
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
+        self._stack.enter_context(self.links)
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -2,28 +2,29 @@
 
 The order is fixed: the turn comes first, so that a waiting request holds no
 tokens; then the reservation, so that nothing is sent that could not be billed;
-then the dispatch.
+then the dispatch.  Each answer is made in a run of its own and read through an
+exchange.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 from random import Random
-from typing import Final
-from uuid import uuid4
 
 from godwitrudder.clock import Clock
-from godwitrudder.connection import runner as runner_link
-from godwitrudder.connection.runner import Broken, Chunk, Prompt, Usage
+from godwitrudder.connection.runner import Broken, RunnerLinks
+from godwitrudder.process.attempts import AttemptDesk
 from godwitrudder.process.budgets import BudgetDesk, Spend
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.exchanges import ExchangeDesk, Run
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnGate
+from godwitrudder.request.answer import Call, Piece, ServiceAnswer, ServiceCall
 from godwitrudder.request.choice import Runner, choose
+from godwitrudder.request.exchange import Exchange, Reader
 from godwitrudder.request.outcome import (
     Completed,
     Failed,
@@ -31,60 +32,10 @@
     Ran,
     Reason,
     Refused,
+    fail,
     refuse,
 )
-from godwitrudder.version.document import CallModel, TurnModel
-
-ATTEMPTS_MOST: Final = 3
-
-
-@dataclass(frozen=True, slots=True)
-class Call:
-    """A request to a model engine.
-
-    Attributes
-    ----------
-    request : str
-        Id under which it is billed once.
-    prompt_bound : int
-        Upper bound of the prompt, in tokens.
-    """
-
-    request: str
-    workspace: str
-    budget: str
-    target: str
-    prompt: Prompt
-    prompt_bound: int
-
-    @property
-    def bound(self) -> int:
-        """Upper bound of prompt and answer, in tokens."""
-        return self.prompt_bound + self.prompt.max_tokens
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceCall:
-    """A request to a plain service."""
-
-    request: str
-    workspace: str
-    budget: str
-    target: str
-    method: str
-    path: str
-    body: bytes
-    rule: CallModel
-    fingerprint: str
-
-
-@dataclass(frozen=True, slots=True)
-class ServiceAnswer:
-    """The whole answer of a plain service."""
-
-    status: int
-    body: bytes
-    tokens: int
+from godwitrudder.version.document import TurnModel
 
 
 class Router:
@@ -96,6 +47,7 @@
         members: Members,
         budgets: BudgetDesk,
         claims: ClaimDesk,
+        links: RunnerLinks,
         timeline: Timeline,
         metrics: Metrics,
         clock: Clock,
@@ -106,50 +58,47 @@
         self._members = members
         self._budgets = budgets
         self._claims = claims
+        self._links = links
         self._timeline = timeline
         self._metrics = metrics
         self._clock = clock
         self._random = random
         self._failure_domain = failure_domain
         self._gates_by_target: dict[str, TurnGate] = {}
-        self.in_flight = 0
+        self._attempts = AttemptDesk(links, self._runner, self._note, metrics)
+        self.exchanges = ExchangeDesk(clock)
+        self.closed = False
+
+    @property
+    def in_flight(self) -> int:
+        """Requests under way."""
+        return self.exchanges.in_flight
+
+    def open(self, call: Call) -> Reader | Refused | Failed:
+        """Return a reader of the answer; a repeated call joins its run."""
+        return self._open(call, lambda exchange: self._answer(call, exchange))
+
+    def open_service(self, call: ServiceCall) -> Reader | Refused | Failed:
+        """Return a reader of a plain service's answer."""
+        return self._open(call, lambda exchange: self._serve(call, exchange))
+
+    def _open(self, call: Call | ServiceCall, run: Run) -> Reader | Refused | Failed:
+        if self.closed:
+            return refuse(Reason.DRAINING, 1.0)
+        return self.exchanges.open(call.request, call.fingerprint, call.keyed, run)
 
-    def answer(self, call: Call) -> Iterator[Chunk | Usage | Outcome]:
+    def _answer(self, call: Call, exchange: Exchange) -> Iterator[Piece]:
         """Yield the chunks of an answer, then its outcome."""
-        self.in_flight += 1
-        outcome: Outcome = Failed(Reason.CALLER_GONE, "", Ran.UNKNOWN)
+        outcome: Outcome = fail(Reason.CALLER_GONE, Ran.UNKNOWN)
         try:
-            for event in self._admitted(call):
-                if isinstance(event, Completed | Failed | Refused):
-                    outcome = event
-                yield event
+            for piece in self._admitted(call, exchange):
+                if isinstance(piece, Completed | Failed | Refused):
+                    outcome = piece
+                yield piece
         finally:
-            self.in_flight -= 1
             self._close(call.request, call.workspace, call.target, outcome)
 
-    def call_service(self, call: ServiceCall) -> ServiceAnswer | Refused | Failed:
-        """Run a call of a plain service, at most once where it must be."""
-        self.in_flight += 1
-        try:
-            if call.rule.repeatable:
-                answer = self._spend_on_service(call)
-            else:
-                answer = self._claims.run_once(
-                    call.request,
-                    call.fingerprint,
-                    lambda: self._spend_on_service(call),
-                )
-        finally:
-            self.in_flight -= 1
-        outcome: Outcome
-        if isinstance(answer, ServiceAnswer):
-            outcome = Completed(answer.tokens)
-        else:
-            outcome = answer
-        self._close(call.request, call.workspace, call.target, outcome)
-        return answer
-
-    def _admitted(self, call: Call) -> Iterator[Chunk | Usage | Outcome]:
+    def _admitted(self, call: Call, exchange: Exchange) -> Iterator[Piece]:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
         gate = self._gate(call.target)
@@ -163,74 +112,33 @@
                 if isinstance(spend, Refused):
                     yield spend
                     return
-                yield from self._dispatch(call, spend)
+                yield from self._attempts.dispatch(call, spend, exchange)
 
-    def _dispatch(self, call: Call, spend: Spend) -> Iterator[Chunk | Usage | Outcome]:
-        """Try runners in turn; each goes on where the last one ended."""
-        sent = 0
-        started = False
-        excluded: set[str] = set()
-        problem = ""
-        for _ in range(ATTEMPTS_MOST):
-            runner = self._choose(call.target, excluded)
-            if runner is None:
-                break
-            for event in self._attempt(call, runner, sent, spend):
-                if isinstance(event, Broken):
-                    problem = event.reason
-                    started = started or event.sent
-                    continue
-                if isinstance(event, Chunk):
-                    sent += 1
-                yield event
-                if isinstance(event, Completed):
-                    return
-            excluded.add(runner.id)
-        if not started:
-            yield refuse(Reason.NO_RUNNER, 1.0, target=call.target)
-            return
-        yield Failed(Reason.RUNNER_FAILED, problem, Ran.RAN)
-
-    def _attempt(
-        self, call: Call, runner: Runner, start: int, spend: Spend
-    ) -> Iterator[Chunk | Usage | Completed | Broken]:
-        attempt = uuid4().hex
-        self._note("dispatch", call, f"{runner.id} from token {start}")
-        runner.in_flight += 1
-        ended = False
-        index = start
+    def _serve(self, call: ServiceCall, exchange: Exchange) -> Iterator[Piece]:
+        """Yield the answer of a plain service, run at most once where it must be."""
+        outcome: Outcome = fail(Reason.CALLER_GONE, Ran.UNKNOWN)
         try:
-            for event in runner_link.stream(
-                runner.address, attempt, call.prompt, start
-            ):
-                if isinstance(event, Chunk):
-                    if event.index != index:
-                        continue
-                    index += 1
-                    spend.tokens = max(spend.tokens, call.prompt_bound + index)
-                elif isinstance(event, Usage):
-                    spend.tokens = event.prompt_tokens + event.completion_tokens
-                    ended = True
-                    yield event
-                    yield Completed(spend.tokens)
-                    return
-                else:
-                    ended = not event.sent
-                yield event
+            if call.rule.repeatable:
+                answer = self._spend_on_service(call, exchange)
+            else:
+                exchange.shielded = True
+                answer = self._claims.run_once(
+                    call.request,
+                    call.fingerprint,
+                    lambda: self._spend_on_service(call, exchange),
+                )
+            if isinstance(answer, ServiceAnswer):
+                outcome = Completed(answer.tokens)
+                yield answer
+            else:
+                outcome = answer
+            yield outcome
         finally:
-            runner.in_flight -= 1
-            if not ended:
-                self._cancel(runner, attempt, spend)
-
-    def _cancel(self, runner: Runner, attempt: str, spend: Spend) -> None:
-        """End the engine's stream and bill its own count, where it tells."""
-        usage = runner_link.cancel(runner.address, attempt)
-        if isinstance(usage, Usage):
-            spend.tokens = usage.prompt_tokens + usage.completion_tokens
-        else:
-            spend.tokens = spend.reserved.tokens
+            self._close(call.request, call.workspace, call.target, outcome)
 
-    def _spend_on_service(self, call: ServiceCall) -> ServiceAnswer | Refused | Failed:
+    def _spend_on_service(
+        self, call: ServiceCall, exchange: Exchange
+    ) -> ServiceAnswer | Refused | Failed:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
         gate = self._gate(call.target)
@@ -242,27 +150,39 @@
             ) as spend:
                 if isinstance(spend, Refused):
                     return spend
-                return self._call_runner(call, spend)
+                return self._call_runner(call, spend, exchange)
 
     def _call_runner(
-        self, call: ServiceCall, spend: Spend
+        self, call: ServiceCall, spend: Spend, exchange: Exchange
     ) -> ServiceAnswer | Refused | Failed:
         runner = self._choose(call.target, set())
         if runner is None:
             return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
         self._timeline.note("dispatch", call.request, call.workspace, runner.id)
-        runner.in_flight += 1
-        answer = runner_link.call(
-            runner.address, call.method, call.path, call.body, call.request
-        )
-        runner.in_flight -= 1
-        if isinstance(answer, Broken):
-            if not answer.sent:
-                return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
-            spend.tokens = call.rule.cost_tokens
-            return Failed(Reason.RUNNER_FAILED, answer.reason, Ran.UNKNOWN)
+        headers = {"X-Request-Id": call.request}
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        exchange.dispatched = True
         spend.tokens = call.rule.cost_tokens
-        return ServiceAnswer(*answer, tokens=spend.tokens)
+        runner.in_flight += 1
+        try:
+            reply = self._links.call(
+                runner.address, call.method, call.path, call.body, headers
+            )
+        finally:
+            runner.in_flight -= 1
+        if not isinstance(reply, Broken):
+            return ServiceAnswer(
+                reply.status, reply.body, spend.tokens, reply.content_type
+            )
+        if reply.sent:
+            return fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=reply.reason)
+        exchange.dispatched = False
+        spend.tokens = 0
+        return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
+
+    def _runner(self, call: Call, excluded: set[str]) -> Runner | None:
+        return self._choose(call.target, excluded)
 
     def _choose(self, target: str, excluded: set[str]) -> Runner | None:
         runners = self._members.runners_of(target)
--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -64,7 +64,20 @@
         started = self._started_by_request[request] = Event()
         self._queue.push(request, workspace, cost, weight, deadline)
         self.start_next()
-        if started.wait(rules.deadline_seconds) or not self._queue.cancel(request):
+        try:
+            started.wait(rules.deadline_seconds)
+        except BaseException:
+            self._withdraw(request)
+            raise
+        if started.is_set() or not self._queue.cancel(request):
             return None
         del self._started_by_request[request]
         return refuse(Reason.DEADLINE, 1.0)
+
+    def _withdraw(self, request: str) -> None:
+        """Free the place, or the turn, of a request that nobody waits for."""
+        if self._queue.cancel(request):
+            del self._started_by_request[request]
+            return
+        self.running -= 1
+        self.start_next()
--- /dev/null
+++ b/godwitrudder/request/answer.py
@@ -0,0 +1,112 @@
+"""Calls and the pieces of their answers, as plain data.
+
+Every module that carries a call uses these types, so that decisions, tasks and
+connections depend on them and not on one another.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from godwitrudder.request.outcome import Completed, Failed, Refused
+from godwitrudder.version.document import CallModel
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """One token of an answer."""
+
+    index: int
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """The engine's own count at the end of an answer, in tokens."""
+
+    prompt_tokens: int
+    completion_tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The whole answer of a plain service.
+
+    Attributes
+    ----------
+    tokens : int
+        What the call cost; 0 for one that was replayed.
+    """
+
+    status: int
+    body: bytes
+    tokens: int
+    content_type: str = "application/json"
+
+
+Piece = Chunk | Usage | ServiceAnswer | Completed | Failed | Refused
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What an engine needs to answer.
+
+    Attributes
+    ----------
+    options : dict
+        Sampling options, passed on as they came.
+    """
+
+    messages: tuple[dict[str, str], ...]
+    model: str
+    max_tokens: int
+    priority: float
+    options: dict[str, object] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """A request to a model engine.
+
+    Attributes
+    ----------
+    request : str
+        Id under which it is billed once.
+    prompt_bound : int
+        Upper bound of the prompt, in tokens.
+    fingerprint : str
+        Hash of what was asked; equal for a retry of the same request.
+    keyed : bool
+        Whether the caller chose the id, so that it may come again.
+    """
+
+    request: str
+    workspace: str
+    budget: str
+    target: str
+    prompt: Prompt
+    prompt_bound: int
+    fingerprint: str = ""
+    keyed: bool = False
+
+    @property
+    def bound(self) -> int:
+        """Upper bound of prompt and answer, in tokens."""
+        return self.prompt_bound + self.prompt.max_tokens
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceCall:
+    """A request to a plain service; ``path`` includes the query string."""
+
+    request: str
+    workspace: str
+    budget: str
+    target: str
+    method: str
+    path: str
+    body: bytes
+    rule: CallModel
+    fingerprint: str
+    content_type: str = ""
+    keyed: bool = False
--- a/godwitrudder/request/outcome.py
+++ b/godwitrudder/request/outcome.py
@@ -40,6 +40,12 @@
     RUNNER_FAILED = "runner_failed"
     ALREADY_CLAIMED = "already_claimed"
     KEY_REUSED = "idempotency_key_reused"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    BAD_METHOD = "method_not_allowed"
+    HEADERS_TOO_LARGE = "headers_too_large"
+    TOO_SLOW = "request_timeout"
+    TOO_MANY_CONNECTIONS = "too_many_connections"
+    INTERNAL = "internal_error"
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,12 +60,15 @@
         One sentence for the caller.
     retry_after : float or None
         Seconds after which a retry may help.
+    param : str or None
+        Field of the request that is at fault.
     """
 
     reason: Reason
     detail: str
     retry_after: float | None = None
     ran: Ran = Ran.NOT_RUN
+    param: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,3 +104,17 @@
     """Build a refusal with its text from ``messages``."""
     text = messages.TEXT_BY_REASON[reason].format(**fields)
     return Refused(reason, text, retry_after)
+
+
+def refuse_field(param: str, problem: str) -> Refused:
+    """Build the refusal of a malformed field."""
+    text = messages.TEXT_BY_REASON[Reason.BAD_REQUEST].format(problem=problem)
+    return Refused(Reason.BAD_REQUEST, text, param=param)
+
+
+def fail(
+    reason: Reason, ran: Ran, retry_after: float | None = None, **fields: object
+) -> Failed:
+    """Build a failure with its text from ``messages``."""
+    text = messages.TEXT_BY_REASON[reason].format(**fields)
+    return Failed(reason, text, ran, retry_after)
--- a/godwitrudder/version/document.py
+++ b/godwitrudder/version/document.py
@@ -139,6 +139,7 @@
 
     workspace: str
     budget: str
+    key_sha256: str
 
 
 @dataclass(slots=True)
@@ -257,5 +258,7 @@
             return Problem("budgets", f"{name}.paid_tokens", "expected 0 or more")
     for name, workspace in document.workspaces_by_id.items():
         for key in workspace.keys:
-            document.access_by_key_hash[key.sha256] = Access(name, key.budget)
+            document.access_by_key_hash[key.sha256] = Access(
+                name, key.budget, key.sha256
+            )
     return None
