--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -16,7 +16,10 @@
 from standins.batch import answer_length, word
 
 PROMPT = "How do I tag a stray pot"
-CHAT = {"model": "rudder-llm", "messages": [{"role": "user", "content": PROMPT}]}
+CHAT: dict[str, Any] = {
+    "model": "rudder-llm",
+    "messages": [{"role": "user", "content": PROMPT}],
+}
 KEY = "penghu-registry-key"
 
 
