--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -260,8 +260,8 @@
             gevent.sleep(0.01)
     for engine in fleet.engines:
         engine.faults.set({"slow": 1.0})
-    gates = daemon.router._gates_by_target["rudder-llm"]
-    assert (gates.running, len(gates._queue)) == (0, 0)
+    gate = daemon.turns.gate("rudder-llm")
+    assert (gate.running, len(gate.queue)) == (0, 0)
     assert daemon.budgets.wallets_by_budget["registry"].reserved == 0
     streams = [s for e in fleet.engines for s in e.streams_by_attempt.values()]
     assert all(stream.ended for stream in streams)
