--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -16,6 +16,7 @@
     Status,
     StatusAsk,
 )
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
 from godwitrudder.process.timeline import Events, EventsAsk
 
 
@@ -34,6 +35,8 @@
     | Status
     | EventsAsk
     | Events
+    | ShareReport
+    | ShareAnswer
 )
 
 
--- a/godwitrudder/process/console.py
+++ b/godwitrudder/process/console.py
@@ -187,7 +187,7 @@
         drained = self._configuration.document.drained
         out = drained("runner", runner.id)
         out = out or drained("failure_domain", runner.failure_domain)
-        state = "leaving" if runner.leaving else "drained" if out else "live"
+        state = "drained" if out else "leaving" if runner.leaving else "live"
         return RunnerView(
             id=runner.id,
             address=str(runner.address),
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -16,6 +16,8 @@
 from godwitrudder.connection.caller import CallerApplication
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
 from godwitrudder.connection.queries import Status
+from godwitrudder.connection.runner import RunnerLinks
+from godwitrudder.connection.server import CallerServer
 from godwitrudder.platform.hosts import HttpHostList
 from godwitrudder.platform.log import HttpLog
 from godwitrudder.process.budgets import BudgetDesk
@@ -28,9 +30,12 @@
 from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.router import Router
+from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
+from godwitrudder.process.turns import TurnDesk
+from godwitrudder.request.choice import Runner
 from godwitrudder.version import records
 from godwitrudder.version.document import Document
 
@@ -71,13 +76,23 @@
             self.random,
             settings.log_retention_seconds,
         )
-        self.members = Members(HttpHostList(settings.hosts))
+        self.members = Members(HttpHostList(settings.hosts), settings.host, self.clock)
         self.handlers = Handlers(self.hybrid, self.metrics)
+        self.handlers.heard = self.members.heard
+        self.handlers.lost = self.members.lost
         self.peers = PeerLinks(
             self.incarnation,
             settings.peer_key,
             self.handlers,
             self.members.peer_address,
+            self.clock,
+            self.random,
+        )
+        self._peer_server = PeerServer(
+            settings.peer,
+            settings.peer_key,
+            self.handlers,
+            lambda host: self.members.peer_address(host) is not None,
         )
         self._spread = Spread(
             settings.host,
@@ -87,7 +102,6 @@
             lambda: list(self.members.routers_by_id),
             self.random,
         )
-        self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
             self.incarnation,
@@ -98,16 +112,34 @@
         self.budgets = BudgetDesk(
             self.ledger, self.incarnation, self.clock, self.metrics
         )
-        self.router = Router(
+        self.links = RunnerLinks(self.clock)
+        self.runners = RunnerDesk(
+            self.members,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.failure_domain,
+        )
+        self.turns = TurnDesk(
+            self.incarnation,
             self.configuration,
             self.members,
+            self.peers,
+            self.handlers,
+            self.metrics,
+            self.clock,
+            self.runners,
+        )
+        self.router = Router(
+            self.configuration,
+            self.turns,
+            self.runners,
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
+            self.links,
             self.timeline,
             self.metrics,
             self.clock,
-            self.random,
-            settings.failure_domain,
         )
         self.configuration.listen(self._pay_in)
         application = CallerApplication(
@@ -116,8 +148,9 @@
             lambda: not self.draining,
             self.metrics.render,
         )
-        address = (settings.caller.ip, settings.caller.port)
-        self._callers = WSGIServer(address, application, log=None, error_log=logger)
+        self._callers = CallerServer(
+            settings.caller, application, lambda: self.draining
+        )
         self._operators = self._operator_server()
 
     def _operator_server(self) -> WSGIServer:
@@ -140,6 +173,15 @@
         address = (settings.operator.ip, settings.operator.port)
         return WSGIServer(address, application, log=None, error_log=logger)
 
+    def _drained(self, runner: Runner) -> bool:
+        """Whether operators took a runner out of service."""
+        drained = self.configuration.document.drained
+        return (
+            drained("runner", runner.id)
+            or drained("target", runner.target)
+            or drained("failure_domain", runner.failure_domain)
+        )
+
     def status(self) -> Status:
         """Return how this daemon is."""
         configuration = self.configuration
@@ -158,11 +200,16 @@
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
+        self._stack.enter_context(self.links)
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
+        self.members.drain_by(self._drained)
+        self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
+        self._stack.enter_context(self.runners)
+        self._stack.enter_context(self.turns)
         self._stack.enter_context(self._spread)
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -145,3 +145,18 @@
         "registry-app",
     ]
     assert run("workspace show nobody")[0] == Exit.REJECTED
+
+
+def test_a_drained_failure_domain_gets_no_new_work(fleet: Fleet, run: Run) -> None:
+    """All daemons stop choosing its runners, and take them back later."""
+
+    def usable() -> list[bool]:
+        runners = [d.members.runners_of("rudder-llm")[0] for d in fleet.daemons]
+        return [not runner.leaving for runner in runners]
+
+    for word, wanted in (("drain", False), ("undrain", True)):
+        code, text = run(f"target {word} magong --failure-domain")
+        assert code == Exit.DONE, text
+        while usable() != [wanted, wanted]:
+            gevent.sleep(0.05)
+    assert "undrain of failure_domain magong" in run("config history")[1]
