--- /dev/null
+++ b/godwitrudder/connection/escrow.py
@@ -0,0 +1,109 @@
+"""Messages between holders of grants and their witnesses, and between holders."""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class CallBack(msgspec.Struct, frozen=True, array_like=True, tag="call-back"):
+    """Ask a holder for idle tokens; answered by ``Given``.
+
+    Attributes
+    ----------
+    budget, asker : str
+        What is short, and the holder to hand over to.
+    tokens : int
+        What is missing.
+    rank : int
+        The lower one comes first where both are short.
+    """
+
+    budget: str
+    asker: str
+    tokens: int
+    rank: int
+
+
+class Given(msgspec.Struct, frozen=True, array_like=True, tag="given"):
+    """What a holder handed over, and what may still come free there.
+
+    Attributes
+    ----------
+    op : str
+        Operation id of the hand-over; empty for none.
+    busy : int
+        Tokens reserved, or kept for requests that wait there.
+    """
+
+    budget: str
+    donor: str
+    op: str
+    tokens: int
+    busy: int
+
+
+class OpenIntent(msgspec.Struct, frozen=True, array_like=True):
+    """A dispatch about to be made, or a hand-over by its operation id.
+
+    Attributes
+    ----------
+    request, budget : str
+        What will be billed to whom.
+    tokens : int
+        Most that it can cost.
+    runner, attempt : str
+        Where it runs and under which id; empty for a hand-over.
+    """
+
+    request: str
+    budget: str
+    tokens: int
+    runner: str = ""
+    attempt: str = ""
+
+
+class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
+    """Open intents of a holder, and those that are over; answered by ``Acked``."""
+
+    holder: str
+    witness: str
+    intents: tuple[OpenIntent, ...]
+    over: tuple[str, ...] = ()
+
+
+class Acked(msgspec.Struct, frozen=True, array_like=True, tag="acked"):
+    """Whether the witness will list the intents in any closing."""
+
+    accepted: bool
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
+    """The holder is alive, or leaves for good; answered by ``Standing``."""
+
+    holder: str
+    leaving: bool = False
+
+
+class Standing(msgspec.Struct, frozen=True, array_like=True, tag="standing"):
+    """The incarnation that would witness, and whether it fenced the holder."""
+
+    incarnation: str
+    fenced: bool
+
+
+class FindIntent(msgspec.Struct, frozen=True, array_like=True, tag="find"):
+    """Ask a witness where a request was dispatched; answered by ``Found``."""
+
+    request: str
+
+
+class Found(msgspec.Struct, frozen=True, array_like=True, tag="found"):
+    """The holder and the intent of a request; empty where none is known."""
+
+    holder: str
+    intents: tuple[OpenIntent, ...]
+
+
+EscrowMessage = (
+    CallBack | Given | Announce | Acked | Beat | Standing | FindIntent | Found
+)
--- a/godwitrudder/request/admission.py
+++ b/godwitrudder/request/admission.py
@@ -1,34 +1,90 @@
 """Admission: reserve the upper bound of a request from the tokens granted here.
 
-A ``Wallet`` holds what this incarnation may spend of one budget.  A request is
-admitted locally when its upper bound fits; otherwise the caller of this module
-draws a grant.  Nothing here does I/O.
+A ``Wallet`` holds what this incarnation may spend of one budget, in two parts:
+witnessed tokens are spent under acknowledgements of the witnesses, isolated ones
+without.  A request is admitted locally when its upper bound fits one part;
+otherwise the allotment draws a grant.  Nothing here does I/O.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import log
 from typing import Final
 
-HORIZON_SECONDS: Final = 10.0
-RATE_HALF_LIFE_SECONDS: Final = 5.0
-LOW_WATER_SHARE: Final = 0.5
+RATE_HALF_LIFE_SECONDS: Final = 30.0
+_RATE_GAIN_PER_SECOND: Final = log(2) / RATE_HALF_LIFE_SECONDS
+
+
+@dataclass(slots=True)
+class Reservation:
+    """A request may spend up to ``tokens``.
+
+    Attributes
+    ----------
+    holder : str
+        Holder whose grants back the reservation.
+    isolated : bool
+        Whether it spends from the isolated part, with no acknowledgement.
+    """
+
+    request: str
+    budget: str
+    holder: str
+    tokens: int
+    isolated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
-class Reserved:
-    """The request may spend up to ``tokens``."""
+class Waiter:
+    """A request that waits for tokens; times are clock readings in seconds."""
 
     request: str
     budget: str
     tokens: int
+    since: float
+    deadline: float
 
 
 @dataclass(frozen=True, slots=True)
-class Short:
-    """The wallet lacks ``missing`` tokens for the request."""
+class Heard:
+    """What another holder last answered to a call-back.
+
+    Attributes
+    ----------
+    busy : int
+        Tokens reserved there for requests under way or kept for waiting ones.
+    at : float
+        Clock reading in seconds.
+    """
+
+    busy: int
+    at: float
+
+
+@dataclass(slots=True)
+class Part:
+    """Tokens of one kind: ``held`` is granted, reservations included."""
+
+    held: int = 0
+    reserved: int = 0
+
+    @property
+    def idle(self) -> int:
+        """Tokens held and not reserved."""
+        return self.held - self.reserved
+
+    def reserve(self, tokens: int) -> bool:
+        """Reserve tokens; False where too few are idle."""
+        if tokens > self.idle:
+            return False
+        self.reserved += tokens
+        return True
 
-    missing: int
+    def settle(self, reserved: int, used: int) -> None:
+        """End a reservation of which ``used`` tokens are billed."""
+        self.reserved -= reserved
+        self.held -= used
 
 
 @dataclass(slots=True)
@@ -37,58 +93,57 @@
 
     Attributes
     ----------
-    held : int
-        Granted, neither billed nor returned; reservations included.
+    drawing : str
+        Operation id of the draw under way; empty for none.
     rate : float
-        Tokens a second, an exponentially aged mean.
+        Billed tokens a second, an exponentially aged mean.
+    ask_at, asking_until : float
+        Earliest next call-back, and when those under way count as lost.
     """
 
     budget: str
-    held: int = 0
+    witnessed: Part = field(default_factory=Part)
+    isolated: Part = field(default_factory=Part)
+    drawing: str = ""
     rate: float = 0.0
     rated_at: float = 0.0
-    drawing: int = 0
-    reserved_by_request: dict[str, int] = field(default_factory=dict)
+    used_at: float = 0.0
+    ask_at: float = 0.0
+    ask_backoff: float = 0.0
+    waiters_by_request: dict[str, Waiter] = field(default_factory=dict)
+    heard_by_holder: dict[str, Heard] = field(default_factory=dict)
+    asked_by_holder: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def idle(self) -> int:
+        """Tokens of both parts that no reservation needs."""
+        return self.witnessed.idle + self.isolated.idle
 
     @property
     def reserved(self) -> int:
         """Tokens reserved for requests under way."""
-        return sum(self.reserved_by_request.values())
+        return self.witnessed.reserved + self.isolated.reserved
 
     @property
-    def idle(self) -> int:
-        """Tokens held and not reserved."""
-        return self.held - self.reserved
+    def waiting(self) -> int:
+        """Tokens that waiting requests want."""
+        return sum(waiter.tokens for waiter in self.waiters_by_request.values())
 
-    def reserve(self, request: str, tokens: int, now: float) -> Reserved | Short:
-        """Reserve the upper bound of a request."""
-        if tokens > self.idle:
-            return Short(tokens - self.idle)
-        self.reserved_by_request[request] = tokens
-        self._rate(tokens, now)
-        return Reserved(request, self.budget, tokens)
-
-    def settle(self, request: str, used: int) -> int:
-        """End a reservation; return the tokens to bill, never above it."""
-        reserved = self.reserved_by_request.pop(request, 0)
-        billed = min(used, reserved)
-        self.held -= billed
-        return billed
-
-    def credit(self, tokens: int) -> None:
-        """Add a grant that was read back from the log."""
-        self.held += tokens
-
-    def draw_size(self, missing: int) -> int:
-        """Return how many tokens to ask for."""
-        return missing + int(self.rate * HORIZON_SECONDS)
-
-    def below_low_water(self) -> bool:
-        """Whether a new draw should start ahead of need."""
-        return self.idle < self.rate * HORIZON_SECONDS * LOW_WATER_SHARE
-
-    def _rate(self, tokens: int, now: float) -> None:
+    @property
+    def unused(self) -> bool:
+        """Whether nothing is reserved, waited for or on its way."""
+        return not (self.reserved or self.drawing or self.waiters_by_request)
+
+    def part(self, isolated: bool) -> Part:
+        """Return one of the two parts."""
+        return self.isolated if isolated else self.witnessed
+
+    def rate_at(self, now: float) -> float:
+        """Return the aged rate in tokens a second."""
         elapsed = max(0.0, now - self.rated_at)
-        kept = 0.5 ** (elapsed / RATE_HALF_LIFE_SECONDS)
-        self.rate = self.rate * kept + tokens * 0.693 / RATE_HALF_LIFE_SECONDS
+        return self.rate * float(0.5 ** (elapsed / RATE_HALF_LIFE_SECONDS))
+
+    def measure(self, tokens: int, now: float) -> None:
+        """Count billed tokens towards the rate."""
+        self.rate = self.rate_at(now) + tokens * _RATE_GAIN_PER_SECOND
         self.rated_at = now
--- /dev/null
+++ b/godwitrudder/request/announcement.py
@@ -0,0 +1,163 @@
+"""Announcements: every witness acknowledges a dispatch before it is made.
+
+Intents gather while an announcement is on its way to a witness and go out with
+the next one, so a busy holder sends few large messages.  A witness that did not
+answer counts as lost until it is replaced; requests then turn to the isolated
+share at once.  Nothing here does I/O.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Final
+
+from godwitrudder.connection.escrow import Announce, OpenIntent
+
+BATCH_INTENTS: Final = 200
+OVER_MOST: Final = 2000
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Send an announcement; report ``acked`` or ``lost``."""
+
+    message: Announce
+
+
+@dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """Every witness acknowledged the intent."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unwitnessed:
+    """Not every witness can acknowledge the intent."""
+
+    request: str
+
+
+@dataclass(slots=True)
+class Outbox:
+    """What one witness has still to be told."""
+
+    lost: bool = False
+    sending: Announce | None = None
+    intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
+    over: dict[str, None] = field(default_factory=dict)
+
+
+Result = Tell | Acknowledged | Unwitnessed
+
+
+class Announcements:
+    """Intents on their way from one process to its witnesses."""
+
+    def __init__(self) -> None:
+        self.holder = ""
+        self.witnesses: tuple[str, ...] = ()
+        self._outbox_by_witness: dict[str, Outbox] = {}
+        self._missing_by_request: dict[str, set[str]] = {}
+        self._told_by_request: dict[str, tuple[str, ...]] = {}
+
+    @property
+    def lost(self) -> bool:
+        """Whether a witness of the set did not answer."""
+        return any(outbox.lost for outbox in self._outbox_by_witness.values())
+
+    def name(self, holder: str, witnesses: tuple[str, ...]) -> list[Result]:
+        """Go on with a new holder and its witnesses; open intents fail."""
+        failed = list(self._missing_by_request)
+        self._missing_by_request.clear()
+        self.holder = holder
+        self.witnesses = witnesses
+        self._outbox_by_witness = {name: Outbox() for name in witnesses}
+        return [Unwitnessed(request) for request in failed]
+
+    def announce(self, intent: OpenIntent) -> list[Result]:
+        """Have an intent acknowledged by every witness."""
+        if not self.witnesses:
+            return [Acknowledged(intent.request)]
+        if self.lost:
+            return [Unwitnessed(intent.request)]
+        self._missing_by_request[intent.request] = set(self.witnesses)
+        self._told_by_request[intent.request] = self.witnesses
+        results: list[Result] = []
+        for witness in self.witnesses:
+            outbox = self._outbox_by_witness[witness]
+            outbox.intents_by_request[intent.request] = intent
+            results.extend(self._send(witness))
+        return results
+
+    def over(self, request: str) -> None:
+        """Let the witnesses forget an intent with the next announcement.
+
+        Call this once its bill was read back, or where it was never dispatched.
+        """
+        for witness in self._told_by_request.pop(request, ()):
+            outbox = self._outbox_by_witness.get(witness)
+            if outbox is not None and len(outbox.over) < OVER_MOST:
+                outbox.over[request] = None
+
+    def flush(self) -> list[Result]:
+        """Send what is over where nothing else goes out."""
+        results: list[Result] = []
+        for witness, outbox in self._outbox_by_witness.items():
+            if outbox.over and not outbox.lost:
+                results.extend(self._send(witness))
+        return results
+
+    def acked(self, message: Announce) -> list[Result]:
+        """Note that a witness accepted an announcement."""
+        outbox = self._outbox_by_witness.get(message.witness)
+        if outbox is None or outbox.sending is not message:
+            return []
+        outbox.sending = None
+        results: list[Result] = []
+        for intent in message.intents:
+            missing = self._missing_by_request.get(intent.request)
+            if missing is None:
+                continue
+            missing.discard(message.witness)
+            if not missing:
+                del self._missing_by_request[intent.request]
+                results.append(Acknowledged(intent.request))
+        return results + self._send(message.witness, only_new=True)
+
+    def failed(self, message: Announce) -> list[Result]:
+        """Note that a witness did not answer, or has fenced this holder."""
+        outbox = self._outbox_by_witness.get(message.witness)
+        if outbox is None or outbox.sending is not message:
+            return []
+        outbox.sending = None
+        outbox.lost = True
+        outbox.intents_by_request.clear()
+        outbox.over.update(dict.fromkeys(message.over))
+        waiting = [
+            request
+            for request, missing in self._missing_by_request.items()
+            if message.witness in missing
+        ]
+        for request in waiting:
+            del self._missing_by_request[request]
+        return [Unwitnessed(request) for request in waiting]
+
+    def found(self, witness: str) -> None:
+        """Note that a lost witness answers again."""
+        outbox = self._outbox_by_witness.get(witness)
+        if outbox is not None:
+            outbox.lost = False
+
+    def _send(self, witness: str, only_new: bool = False) -> list[Result]:
+        outbox = self._outbox_by_witness[witness]
+        if outbox.sending is not None:
+            return []
+        if not outbox.intents_by_request and (only_new or not outbox.over):
+            return []
+        requests = list(outbox.intents_by_request)[:BATCH_INTENTS]
+        intents = tuple(outbox.intents_by_request.pop(name) for name in requests)
+        message = Announce(self.holder, witness, intents, tuple(outbox.over))
+        outbox.over.clear()
+        outbox.sending = message
+        return [Tell(message)]
--- /dev/null
+++ b/godwitrudder/request/events.py
@@ -0,0 +1,232 @@
+"""Typed events and actions of the allotment; amounts in tokens."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from godwitrudder.request.admission import Reservation
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A request wants tokens before ``deadline``, a clock reading in seconds."""
+
+    request: str
+    budget: str
+    tokens: int
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Abandoned:
+    """A request no longer waits."""
+
+    request: str
+    budget: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """A request with a reservation ended; ``announced`` if it was dispatched."""
+
+    request: str
+    used: int
+    announced: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Granted:
+    """A draw of this process was read back from the log."""
+
+    op: str
+    holder: str
+    budget: str
+    tokens: int
+    isolated: int
+
+
+@dataclass(frozen=True, slots=True)
+class DrawVoid:
+    """A draw of this process counts for nothing."""
+
+    op: str
+    budget: str
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Another holder asks for idle tokens; the lower ``rank`` comes first."""
+
+    budget: str
+    asker: str
+    tokens: int
+    rank: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Another holder answered; what it handed over came as ``Received``."""
+
+    budget: str
+    holder: str
+    busy: int
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """Tokens were handed over, as the donor or the log says; counts once."""
+
+    op: str
+    budget: str
+    donor: str
+    receiver: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Undone:
+    """A hand-over was not acknowledged by the witnesses and did not happen."""
+
+    holder: str
+    budget: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """The budget's state changed: a top-up, a bill or a return was read."""
+
+    budget: str
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """A closing of this holder was read."""
+
+    holder: str
+
+
+@dataclass(frozen=True, slots=True)
+class Renewed:
+    """The witnesses change: go on under a new holder id."""
+
+
+@dataclass(frozen=True, slots=True)
+class Tick:
+    """Time passed."""
+
+
+Event = (
+    Wanted
+    | Abandoned
+    | Ended
+    | Granted
+    | DrawVoid
+    | Asked
+    | Answered
+    | Received
+    | Undone
+    | Changed
+    | Closed
+    | Renewed
+    | Tick
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Draw:
+    """Append a grant for ``holder``."""
+
+    op: str
+    budget: str
+    holder: str
+    needed: int
+    tokens: int
+    isolated: int
+
+
+@dataclass(frozen=True, slots=True)
+class GiveBack:
+    """Append a return; ``isolated`` of the tokens are from that part."""
+
+    op: str
+    budget: str
+    holder: str
+    tokens: int
+    isolated: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOver:
+    """Have it acknowledged by the witnesses, then append it and tell the asker."""
+
+    op: str
+    budget: str
+    donor: str
+    receiver: str
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class Credited:
+    """Append the hand-over that was credited, before any bill paid from it."""
+
+    event: Received
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ask another holder for idle tokens."""
+
+    budget: str
+    holder: str
+    asker: str
+    tokens: int
+    rank: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """Answer a call-back: ``busy`` tokens may still come free here."""
+
+    budget: str
+    busy: int
+
+
+@dataclass(frozen=True, slots=True)
+class Charge:
+    """Append a bill."""
+
+    reservation: Reservation
+    used: int
+
+
+@dataclass(frozen=True, slots=True)
+class Serve:
+    """Wake a request: its tokens are reserved."""
+
+    reservation: Reservation
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Wake a request: it does not run.
+
+    Attributes
+    ----------
+    exhausted : bool
+        Whether the budget was shown not to cover it; else the wait ended.
+    left : int or None
+        Tokens paid and not billed; None where the budget is not known.
+    """
+
+    request: str
+    budget: str
+    needed: int
+    exhausted: bool
+    left: int | None
+
+
+Action = (
+    Draw | GiveBack | HandOver | Credited | Ask | Reply | Charge | Serve | Refuse
+)
--- /dev/null
+++ b/godwitrudder/request/witness.py
@@ -0,0 +1,179 @@
+"""The witness: acknowledges the intents of other holders, and can fence them.
+
+A holder dispatches only what every one of its witnesses has acknowledged.  So a
+witness that stops acknowledging (the fence) knows every dispatch that was or
+will be made, and its closing gives the rest of the grants back.  A paused holder
+that wakes up gets no acknowledgement and can't spend what came back.
+
+A holder is fenced after it was silent for ``FENCE_SECONDS``: longer than a link
+takes to be found dead and replaced, short beside the minute in which a dead
+router's tokens should be free.  A wrong fence costs the holder a new draw and
+nothing else.  A witness that was paused itself, or has not heard from the log,
+does not fence.
+
+Memory holds open intents only.  Losing them leaves tokens charged and lets
+nobody overspend.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+import xxhash
+
+from godwitrudder.connection.escrow import Announce, OpenIntent
+
+WITNESSES: Final = 2
+FENCE_SECONDS: Final = 20.0
+OWN_PAUSE_SECONDS: Final = 5.0
+ORPHAN_BILL_SECONDS: Final = 600.0
+INTENTS_MOST: Final = 20_000
+FENCED_MOST: Final = 20_000
+
+
+@dataclass(slots=True)
+class Watched:
+    """A holder that this process witnesses; times are clock readings."""
+
+    heard_at: float
+    closed_at: float | None = None
+    intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class CloseHolder:
+    """Append a closing with these intents to every partition."""
+
+    holder: str
+    intents: tuple[OpenIntent, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class BillOrphan:
+    """Append a bill for the full reservation of a request nobody billed."""
+
+    holder: str
+    intent: OpenIntent
+
+
+class Witness:
+    """Open intents of the holders that name this incarnation.
+
+    Parameters
+    ----------
+    incarnation : str
+        This process; an announcement meant for another one is not accepted.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+        self.watched_by_holder: dict[str, Watched] = {}
+        self._holder_by_request: dict[str, str] = {}
+        self._fenced: dict[str, None] = {}
+        self._ticked_at: float | None = None
+
+    def announce(self, message: Announce, now: float) -> bool:
+        """Take note of intents; False where none of them may be dispatched."""
+        self._over(message.over)
+        if message.witness != self.incarnation:
+            return False
+        if not self.beat(message.holder, now):
+            return False
+        if len(self._holder_by_request) + len(message.intents) > INTENTS_MOST:
+            return False
+        watched = self.watched_by_holder[message.holder]
+        for intent in message.intents:
+            watched.intents_by_request[intent.request] = intent
+            self._holder_by_request[intent.request] = message.holder
+        return True
+
+    def beat(self, holder: str, now: float) -> bool:
+        """Note that a holder is alive; False where it is fenced."""
+        if holder in self._fenced:
+            return False
+        watched = self.watched_by_holder.get(holder)
+        if watched is None:
+            if len(self._fenced) + len(self.watched_by_holder) >= FENCED_MOST:
+                return False
+            watched = self.watched_by_holder[holder] = Watched(now)
+        watched.heard_at = now
+        return True
+
+    def leave(self, holder: str) -> None:
+        """Forget a holder that gave everything back; it is fenced for good."""
+        watched = self.watched_by_holder.get(holder)
+        if watched is not None and not watched.intents_by_request:
+            del self.watched_by_holder[holder]
+            self._fenced[holder] = None
+
+    def billed(self, request: str) -> None:
+        """Forget an intent whose bill was read from the log."""
+        self._over((request,))
+
+    def find(self, request: str) -> tuple[str, OpenIntent] | None:
+        """Return the holder and the intent of a request."""
+        holder = self._holder_by_request.get(request)
+        if holder is None:
+            return None
+        return holder, self.watched_by_holder[holder].intents_by_request[request]
+
+    def tick(self, now: float, log_reachable: bool) -> list[CloseHolder | BillOrphan]:
+        """Fence silent holders and bill what a dead one left."""
+        paused = self._ticked_at is not None and (
+            now - self._ticked_at > OWN_PAUSE_SECONDS
+        )
+        self._ticked_at = now
+        actions: list[CloseHolder | BillOrphan] = []
+        for holder, watched in list(self.watched_by_holder.items()):
+            if watched.closed_at is not None:
+                actions.extend(self._bill_orphans(holder, watched, now))
+            elif paused or not log_reachable:
+                watched.heard_at = max(watched.heard_at, now - FENCE_SECONDS / 2)
+            elif now - watched.heard_at >= FENCE_SECONDS:
+                actions.append(self._close(holder, watched, now))
+        return actions
+
+    def _close(self, holder: str, watched: Watched, now: float) -> CloseHolder:
+        """Fence first; whatever is listed now is all that can be dispatched."""
+        self._fenced[holder] = None
+        watched.closed_at = now
+        return CloseHolder(holder, tuple(watched.intents_by_request.values()))
+
+    def _bill_orphans(
+        self, holder: str, watched: Watched, now: float
+    ) -> list[BillOrphan]:
+        assert watched.closed_at is not None
+        if not watched.intents_by_request:
+            del self.watched_by_holder[holder]
+            return []
+        if now - watched.closed_at < ORPHAN_BILL_SECONDS:
+            return []
+        watched.closed_at = now
+        intents = watched.intents_by_request.values()
+        return [BillOrphan(holder, intent) for intent in intents if intent.runner]
+
+    def _over(self, requests: Iterable[str]) -> None:
+        for request in requests:
+            holder = self._holder_by_request.pop(request, None)
+            if holder is not None:
+                del self.watched_by_holder[holder].intents_by_request[request]
+
+
+def candidates(host: str, domain: str, domain_by_host: dict[str, str]) -> list[str]:
+    """Return the hosts that may witness for ``host``, best first.
+
+    Rendezvous order, one host per other failure domain first, then the rest of
+    the other domains, then the own domain.
+    """
+    others = [name for name in domain_by_host if name != host]
+    others.sort(key=lambda name: -xxhash.xxh64_intdigest(f"{host}|{name}".encode()))
+    first: dict[str, str] = {}
+    for name in others:
+        if domain_by_host[name] != domain:
+            first.setdefault(domain_by_host[name], name)
+    spread = list(first.values())
+    rest = [name for name in others if name not in spread]
+    rest.sort(key=lambda name: domain_by_host[name] == domain)
+    return spread + rest
