--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -6,12 +6,12 @@
 
 
 class CallBack(msgspec.Struct, frozen=True, array_like=True, tag="call-back"):
-    """Ask a holder for idle tokens; answered by ``Given``.
+    """Ask a holder for idle tokens; it sends ``Given`` back.
 
     Attributes
     ----------
-    budget, asker : str
-        What is short, and the holder to hand over to.
+    budget, asker, holder : str
+        What is short, the holder to hand over to, and the one that is asked.
     tokens : int
         What is missing.
     rank : int
@@ -20,6 +20,7 @@
 
     budget: str
     asker: str
+    holder: str
     tokens: int
     rank: int
 
@@ -29,6 +30,8 @@
 
     Attributes
     ----------
+    asked, donor, asker : str
+        The holder as it was asked and as it spends now, and who asked.
     op : str
         Operation id of the hand-over; empty for none.
     busy : int
@@ -36,7 +39,9 @@
     """
 
     budget: str
+    asked: str
     donor: str
+    asker: str
     op: str
     tokens: int
     busy: int
@@ -62,13 +67,31 @@
     attempt: str = ""
 
 
+class Transfer(msgspec.Struct, frozen=True, array_like=True):
+    """A hand-over that the holder credited and the log may not show yet."""
+
+    op: str
+    budget: str
+    donor: str
+    tokens: int
+
+
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
-    """Open intents of a holder, and those that are over; answered by ``Acked``."""
+    """Open intents of a holder; answered by ``Acked``.
+
+    Attributes
+    ----------
+    over : tuple of str
+        Requests and operation ids that the log shows, or that never happened.
+    received : tuple of Transfer
+        Hand-overs from which these or later intents may be paid.
+    """
 
     holder: str
     witness: str
     intents: tuple[OpenIntent, ...]
     over: tuple[str, ...] = ()
+    received: tuple[Transfer, ...] = ()
 
 
 class Acked(msgspec.Struct, frozen=True, array_like=True, tag="acked"):
--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
+from godwitrudder.connection.escrow import EscrowMessage
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -17,7 +18,7 @@
     incarnation: str
 
 
-Message = Ping
+Message = Ping | EscrowMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -1,50 +1,141 @@
-"""The budget desk: wallets of this incarnation and the draws that fill them.
+"""The budget desk: carries messages to and from the holder of this process.
 
-A reservation is made from grants that were read back from the log, so it holds
-whatever happens to the log afterwards.
+What to draw, hand over, announce or refuse is decided in ``request.holder``; the
+desk appends its records, sends its messages, wakes requests and beats time.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections import deque
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from types import TracebackType
+from typing import Final, Self
 from uuid import uuid4
 
-from gevent.event import Event
+import gevent
+from gevent import Greenlet
+from gevent.event import AsyncResult
 
 from godwitrudder.clock import Clock
+from godwitrudder.connection.escrow import (
+    Acked,
+    Beat,
+    CallBack,
+    Given,
+    Standing,
+)
+from godwitrudder.connection.peer import Handlers, PeerLinks
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.metrics import Metrics
-from godwitrudder.request.admission import Reserved, Short, Wallet
+from godwitrudder.request import events
+from godwitrudder.request.admission import Reservation
+from godwitrudder.request.allotment import Allotment
+from godwitrudder.request.announcement import Tell
+from godwitrudder.request.events import Refuse, Serve
+from godwitrudder.request.holder import Go, Holder, Send, Step, record_of
 from godwitrudder.request.outcome import Reason, Refused, refuse
-from godwitrudder.version import records
-from godwitrudder.version.fold import Applied, Effect, Voided
+from godwitrudder.request.sizing import WHOLE_PERMILLE, Sizing, View
+from godwitrudder.request.witnesses import host_of
+from godwitrudder.version.fold import Effect, Voided
 
-RECHECK_SECONDS = 0.25
+TICK_SECONDS: Final = 0.1
+BEAT_SECONDS: Final = 1.0
+ANSWER_SECONDS: Final = 1.0
+JUDGE_SECONDS: Final = 10.0
+JUDGED_MOST: Final = 10_000
+
+Woken = Serve | Go | Refuse
 
 
 class Spend:
     """A reservation under way; ``tokens`` is what to bill at its end."""
 
-    def __init__(self, reserved: Reserved) -> None:
-        self.reserved = reserved
+    def __init__(self, desk: BudgetDesk, request: str, deadline: float) -> None:
+        self._desk = desk
+        self._request = request
+        self._deadline = deadline
+        self.reserved: Reservation = desk.reservation(request)
         self.tokens = 0
 
+    def announce(self, runner: str, attempt: str = "") -> Refused | None:
+        """Have the witnesses acknowledge a dispatch before its first byte.
+
+        Parameters
+        ----------
+        runner, attempt : str
+            Where the request goes and under which id.
+
+        Returns
+        -------
+        Refused or None
+            None where the dispatch may go out now.
+        """
+        refused = self._desk.announce(self._request, runner, attempt, self._deadline)
+        if refused is None:
+            self.reserved = self._desk.reservation(self._request)
+        return refused
+
 
 class BudgetDesk:
-    """Reserves, bills and returns tokens for one incarnation."""
+    """Reserves, announces, bills and returns tokens for one incarnation.
+
+    Parameters
+    ----------
+    incarnation : str
+        This process.
+    endurance : callable
+        Returns the endurance of a budget, 0 to 1.
+    live : callable
+        Returns the number of live routers.
+    """
 
     def __init__(
-        self, ledger: Ledger, incarnation: str, clock: Clock, metrics: Metrics
+        self,
+        ledger: Ledger,
+        incarnation: str,
+        clock: Clock,
+        metrics: Metrics,
+        peers: PeerLinks,
+        endurance: Callable[[str], float],
+        live: Callable[[], int],
     ) -> None:
         self._ledger = ledger
-        self._incarnation = incarnation
         self._clock = clock
         self._metrics = metrics
-        self.wallets_by_budget: dict[str, Wallet] = {}
-        self._changed_by_budget: dict[str, Event] = {}
+        self._peers = peers
+        self._live = live
+        allotment = Allotment(
+            incarnation,
+            self._view,
+            lambda budget: Sizing(endurance(budget), live()),
+            new_op,
+        )
+        self.holder = Holder(allotment, new_op)
+        self._woken_by_request: dict[str, AsyncResult[Woken]] = {}
+        self._judged: deque[tuple[float, Refuse]] = deque(maxlen=JUDGED_MOST)
+        self._tasks: list[Greenlet] = []
         ledger.listen(self._hear)
 
+    def __enter__(self) -> Self:
+        """Start to beat time."""
+        self._tasks = [gevent.spawn(self._tick_all), gevent.spawn(self._beat_all)]
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        gevent.killall(self._tasks)
+
+    def register(self, handlers: Handlers) -> None:
+        """Take call-backs of other daemons and their answers."""
+        handlers.register(CallBack, self._called_back)
+        handlers.register(Given, self._given)
+
     @contextmanager
     def spend(
         self, request: str, budget: str, tokens: int, deadline: float
@@ -60,121 +151,176 @@
         deadline : float
             Clock reading, in seconds, after which to refuse.
         """
-        reserved = self._reserve(request, budget, tokens, deadline)
-        if isinstance(reserved, Refused):
-            yield reserved
+        woken = self._wait(
+            request,
+            lambda now: self.holder.handle(
+                events.Wanted(request, budget, tokens, deadline), now
+            ),
+            events.Abandoned(request, budget),
+        )
+        if isinstance(woken, Refuse):
+            yield self._refused(woken)
             return
-        spend = Spend(reserved)
+        spend = Spend(self, request, deadline)
         try:
             yield spend
         finally:
-            self._settle(spend)
+            self._settle(request, spend)
+
+    def announce(
+        self, request: str, runner: str, attempt: str, deadline: float
+    ) -> Refused | None:
+        """Have a dispatch acknowledged by the witnesses; None where it may go."""
+        woken = self._wait(
+            request,
+            lambda now: self.holder.announce(request, runner, attempt, deadline, now),
+        )
+        return self._refused(woken) if isinstance(woken, Refuse) else None
+
+    def reservation(self, request: str) -> Reservation:
+        """Return the reservation of a request under way."""
+        return self.holder.allotment.reservations_by_request[request]
 
     def return_idle(self) -> None:
-        """Give all tokens back that no reservation needs."""
-        for wallet in self.wallets_by_budget.values():
-            if wallet.idle > 0:
-                self._return(wallet, wallet.idle)
+        """Give all tokens back that no reservation needs, and leave."""
+        self._run(list(self.holder.allotment.give_back_all()))
 
-    def _reserve(
-        self, request: str, budget: str, tokens: int, deadline: float
-    ) -> Reserved | Refused:
-        wallet = self.wallets_by_budget.setdefault(budget, Wallet(budget))
-        while True:
-            result = wallet.reserve(request, tokens, self._clock.now())
-            if isinstance(result, Reserved):
-                self._draw_ahead(wallet)
-                return result
-            refused = self._short(wallet, result, tokens, deadline)
-            if refused is not None:
-                return refused
-
-    def _short(
-        self, wallet: Wallet, short: Short, tokens: int, deadline: float
-    ) -> Refused | None:
-        """Draw and wait for a change; refuse on evidence or at the deadline."""
-        left = deadline - self._clock.now()
-        if left <= 0:
-            return refuse(Reason.BUDGET_UNREACHABLE, 1.0, budget=wallet.budget)
-        state = self._ledger.budget(wallet.budget)
-        if state is not None and tokens > state.paid - state.billed:
-            remaining = state.paid - state.billed
-            return refuse(
-                Reason.BUDGET_EXHAUSTED,
-                budget=wallet.budget,
-                needed=tokens,
-                left=remaining,
-            )
-        changed = self._changed(wallet.budget)
-        if state is None or state.free > 0:
-            self._draw(wallet, wallet.draw_size(short.missing))
-        changed.wait(min(left, RECHECK_SECONDS))
-        return None
-
-    def _draw_ahead(self, wallet: Wallet) -> None:
-        if wallet.below_low_water():
-            self._draw(wallet, wallet.draw_size(0))
-
-    def _draw(self, wallet: Wallet, tokens: int) -> None:
-        if wallet.drawing or tokens <= 0:
-            return
-        wallet.drawing = tokens
-        grant = records.Grant(uuid4().hex, wallet.budget, self._incarnation, tokens)
-        self._ledger.submit(wallet.budget, grant)
-
-    def _settle(self, spend: Spend) -> None:
-        reserved = spend.reserved
-        wallet = self.wallets_by_budget[reserved.budget]
-        billed = wallet.settle(reserved.request, spend.tokens)
-        if billed < spend.tokens:
-            self._metrics.overspend.inc(spend.tokens - billed)
-        bill = records.Bill(
-            reserved.request, reserved.budget, self._incarnation, billed
+    def leave(self) -> None:
+        """Let the witnesses forget this holder; nothing is held any more."""
+        holder = self.holder.allotment.holder
+        for witness in self.holder.announcements.witnesses:
+            self._peers.tell(host_of(witness), Beat(holder, True))
+
+    def _wait(
+        self,
+        request: str,
+        start: Callable[[float], list[Step]],
+        abandoned: events.Abandoned | None = None,
+    ) -> Woken:
+        result: AsyncResult[Woken] = AsyncResult()
+        self._woken_by_request[request] = result
+        try:
+            self._run(start(self._clock.now()))
+            woken: Woken = result.get()
+            return woken
+        finally:
+            del self._woken_by_request[request]
+            if abandoned is not None and not result.ready():
+                self._run(self.holder.handle(abandoned, self._clock.now()))
+
+    def _settle(self, request: str, spend: Spend) -> None:
+        excess = max(0, spend.tokens - spend.reserved.tokens)
+        self._metrics.overspend.inc(excess)
+        self._metrics.tokens_billed.inc(spend.tokens - excess)
+        self._run(self.holder.ended(request, spend.tokens, self._clock.now()))
+
+    def _refused(self, refusal: Refuse) -> Refused:
+        self._judged.append((self._clock.now() + JUDGE_SECONDS, refusal))
+        if not refusal.exhausted:
+            return refuse(Reason.BUDGET_UNREACHABLE, 1.0, budget=refusal.budget)
+        return refuse(
+            Reason.BUDGET_EXHAUSTED,
+            budget=refusal.budget,
+            needed=refusal.needed,
+            left=refusal.left,
         )
-        self._ledger.submit(reserved.budget, bill)
-        self._metrics.tokens_billed.inc(billed)
-        self._changed(reserved.budget).set()
 
-    def _return(self, wallet: Wallet, tokens: int) -> None:
-        wallet.held -= tokens
-        entry = records.Return(uuid4().hex, wallet.budget, self._incarnation, tokens)
-        self._ledger.submit(wallet.budget, entry)
+    def _run(self, steps: list[Step]) -> None:
+        """Carry actions out, in order."""
+        for step in steps:
+            match step:
+                case Serve():
+                    self._wake(step.reservation.request, step)
+                case Go() | Refuse():
+                    self._wake(step.request, step)
+                case Tell():
+                    gevent.spawn(self._tell, step)
+                case Send():
+                    gevent.spawn(self._peers.tell, host_of(step.target), step.message)
+                case _:
+                    self._append(step)
+
+    def _wake(self, request: str, woken: Woken) -> None:
+        result = self._woken_by_request.get(request)
+        if result is not None:
+            result.set(woken)
+
+    def _append(self, step: Step) -> None:
+        share = WHOLE_PERMILLE // max(1, self._live())
+        entry = record_of(step, self.holder.announcements.witnesses, share)
+        if entry is not None:
+            key = getattr(entry, "budget", None) or self.holder.allotment.holder
+            self._ledger.submit(key, entry)
+
+    def _tell(self, step: Tell) -> None:
+        host = host_of(step.message.witness)
+        answer = self._peers.ask(host, step.message, ANSWER_SECONDS)
+        accepted = isinstance(answer, Acked) and answer.accepted
+        note = self.holder.acked if accepted else self.holder.failed
+        self._run(note(step, self._clock.now()))
+
+    def _called_back(self, message: CallBack) -> None:
+        self._run(self.holder.call_back(message, self._clock.now()))
+
+    def _given(self, message: Given) -> None:
+        self._run(self.holder.given(message, self._clock.now()))
 
     def _hear(self, effect: Effect) -> None:
         """Take note of what the fold made of a record."""
         if isinstance(effect, Voided):
-            self._hear_void(effect)
-            return
-        budget = getattr(effect.entry, "budget", None)
-        if budget is None:
-            return
-        if isinstance(effect.entry, records.Grant):
-            self._credit(effect)
-        self._changed(budget).set()
+            self._count_void(effect)
+        self._run(self.holder.read(effect, self._clock.now()))
 
-    def _hear_void(self, effect: Voided) -> None:
-        entry = effect.entry
-        if not isinstance(entry, records.Grant | records.Bill | records.Return):
-            return
-        if entry.incarnation != self._incarnation:
-            return
-        self._metrics.void_records.labels(effect.reason).inc()
-        if isinstance(entry, records.Grant):
-            self.wallets_by_budget[entry.budget].drawing = 0
-            self._changed(entry.budget).set()
-
-    def _credit(self, effect: Applied) -> None:
-        grant = effect.entry
-        assert isinstance(grant, records.Grant)
-        if grant.incarnation != self._incarnation:
+    def _count_void(self, effect: Voided) -> None:
+        holder = getattr(effect.entry, "incarnation", "")
+        if holder == self.holder.allotment.holder:
+            self._metrics.void_records.labels(effect.reason).inc()
+
+    def _view(self, budget: str) -> View | None:
+        state = self._ledger.budget(budget)
+        if state is None:
+            return None
+        remaining = {
+            holder: holding.remaining
+            for holder, holding in state.holdings_by_incarnation.items()
+        }
+        return View(state.paid, state.billed, state.free, remaining)
+
+    def _tick_all(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            now = self._clock.now()
+            self._run(self.holder.tick(now))
+            while self._judged and self._judged[0][0] <= now:
+                self._judge(self._judged.popleft()[1])
+
+    def _judge(self, refusal: Refuse) -> None:
+        """Count a refusal as false where its bound is still unbilled now.
+
+        By now the bills that were on their way at the refusal have been read.
+        """
+        state = self._ledger.budget(refusal.budget)
+        if state is not None and refusal.needed <= state.paid - state.billed:
+            self._metrics.false_refusals.inc()
+
+    def _beat_all(self) -> None:
+        while True:
+            holder = self.holder.allotment.holder
+            hosts = self.holder.witness_set.to_beat()
+            gevent.joinall([gevent.spawn(self._beat, holder, host) for host in hosts])
+            gevent.sleep(BEAT_SECONDS)
+
+    def _beat(self, holder: str, host: str) -> None:
+        answer = self._peers.ask(host, Beat(holder), ANSWER_SECONDS)
+        if not isinstance(answer, Standing):
+            self.holder.witness_set.missed(host)
             return
-        wallet = self.wallets_by_budget[grant.budget]
-        wallet.drawing = 0
-        wallet.credit(effect.tokens)
-
-    def _changed(self, budget: str) -> Event:
-        """Return the event of the next change and retire a set one."""
-        event = self._changed_by_budget.get(budget)
-        if event is None or event.is_set():
-            event = self._changed_by_budget[budget] = Event()
-        return event
+        steps = self.holder.stood(
+            host, answer.incarnation, answer.fenced, self._clock.now()
+        )
+        self._run(steps)
+
+
+def new_op() -> str:
+    """Return a fresh operation id."""
+    return uuid4().hex
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -26,8 +26,9 @@
 from godwitrudder.process.router import Router
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.timeline import Timeline
+from godwitrudder.process.witness import WitnessDesk
 from godwitrudder.version import records
-from godwitrudder.version.document import Document
+from godwitrudder.version.document import BudgetModel, Document
 
 DRAIN_STEP_SECONDS: Final = 0.05
 
@@ -76,8 +77,27 @@
             self.random,
         )
         self.budgets = BudgetDesk(
-            self.ledger, self.incarnation, self.clock, self.metrics
+            self.ledger,
+            self.incarnation,
+            self.clock,
+            self.metrics,
+            self.peers,
+            self._endurance,
+            lambda: len(self.members.routers_by_id),
+        )
+        self.budgets.register(self.handlers)
+        self.witness = WitnessDesk(
+            self.incarnation,
+            settings.host,
+            settings.failure_domain,
+            self.ledger,
+            self.members,
+            self.peers,
+            self.clock,
+            self.metrics,
+            self.budgets.holder.witness_set,
         )
+        self.witness.register(self.handlers)
         self.router = Router(
             self.configuration,
             self.members,
@@ -106,6 +126,8 @@
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
+        self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self.witness)
         self._stack.enter_context(self.configuration)
         self.configuration.loaded.wait()
         self._callers.start()
@@ -137,8 +159,14 @@
         self.budgets.return_idle()
         while not self.ledger.settled() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
+        if not self.router.in_flight and self.ledger.settled():
+            self.budgets.leave()
         return self.router.in_flight
 
+    def _endurance(self, budget: str) -> float:
+        model = self.configuration.document.budgets_by_id.get(budget)
+        return (model or BudgetModel(0)).endurance
+
     def _pay_in(self, document: Document) -> None:
         """Record what the document pays; a repeated record is void."""
         version = document.version_by_section.get("budgets", -1)
--- a/godwitrudder/process/ledger.py
+++ b/godwitrudder/process/ledger.py
@@ -67,6 +67,7 @@
         self._listeners: list[Listener] = []
         self._tasks: list[Greenlet] = []
         self.pending = 0
+        self.reachable = True
 
     def __enter__(self) -> Self:
         """Start a reader and an appender per partition."""
@@ -93,6 +94,12 @@
         self.pending += 1
         self._queues[partition_of(key, len(self.folds))].put(entry)
 
+    def submit_everywhere(self, entry: Entry) -> None:
+        """Queue a record for every partition."""
+        self.pending += len(self._queues)
+        for queue in self._queues:
+            queue.put(entry)
+
     def fold_of(self, key: str) -> LedgerFold:
         """Return the fold that holds ``key``."""
         return self.folds[partition_of(key, len(self.folds))]
@@ -110,6 +117,7 @@
         backoff = BACKOFF_FIRST_SECONDS
         while True:
             page = self._log.read(stream_of(partition), fold.next_offset, POLL_SECONDS)
+            self.reachable = not isinstance(page, LogUnavailable)
             if isinstance(page, LogUnavailable):
                 backoff = self._sleep(backoff)
                 continue
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -27,6 +27,9 @@
         self.void_records = self._counter(
             "void_records", "Records of this daemon that the fold voided.", ["reason"]
         )
+        self.closings = self._counter(
+            "closings", "Silent holders that this witness closed.", []
+        )
         self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
         self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
         self.config_version = Gauge(
--- /dev/null
+++ b/godwitrudder/process/witness.py
@@ -0,0 +1,192 @@
+"""The witness task: acknowledges intents of peers, fences and closes the silent.
+
+It also says where a request was dispatched, so that any router can find the
+stream of a dead one.
+"""
+
+from __future__ import annotations
+
+from types import TracebackType
+from typing import Final, Self
+from uuid import uuid4
+
+import gevent
+from gevent import Greenlet
+
+from godwitrudder.clock import Clock
+from godwitrudder.connection.escrow import (
+    Acked,
+    Announce,
+    Beat,
+    FindIntent,
+    Found,
+    OpenIntent,
+    Standing,
+)
+from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.process.ledger import Ledger
+from godwitrudder.process.members import Members
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.witness import (
+    BillOrphan,
+    CloseHolder,
+    Witness,
+    candidates,
+)
+from godwitrudder.request.witnesses import WitnessSet
+from godwitrudder.version import records
+from godwitrudder.version.fold import Applied, Effect
+from godwitrudder.version.records import Entry
+
+TICK_SECONDS: Final = 1.0
+FIND_SECONDS: Final = 1.0
+
+
+class WitnessDesk:
+    """Witnesses for peers, and finds witnesses for this process.
+
+    Parameters
+    ----------
+    host, domain : str
+        Where this process runs.
+    named : WitnessSet
+        Takes the hosts that may witness for this process.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        host: str,
+        domain: str,
+        ledger: Ledger,
+        members: Members,
+        peers: PeerLinks,
+        clock: Clock,
+        metrics: Metrics,
+        named: WitnessSet,
+    ) -> None:
+        self.witness = Witness(incarnation)
+        self._host = host
+        self._domain = domain
+        self._ledger = ledger
+        self._members = members
+        self._peers = peers
+        self._clock = clock
+        self._metrics = metrics
+        self._named = named
+        self._task: Greenlet | None = None
+        ledger.listen(self._hear)
+
+    def __enter__(self) -> Self:
+        """Start to beat time."""
+        self._task = gevent.spawn(self._tick_all)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def register(self, handlers: Handlers) -> None:
+        """Answer the holders of other daemons."""
+        handlers.register(Announce, self._announce)
+        handlers.register(Beat, self._beat)
+        handlers.register(FindIntent, self._find)
+
+    def find(self, request: str) -> Found:
+        """Ask every other router for the dispatch of a request.
+
+        Returns
+        -------
+        Found
+            Holder, runner, attempt and reservation; without intents where no
+            reachable router knows the request.
+        """
+        message = FindIntent(request)
+        hosts = [host for host in self._members.routers_by_id if host != self._host]
+        asked = [
+            gevent.spawn(self._peers.ask, host, message, FIND_SECONDS) for host in hosts
+        ]
+        found = self._find(message)
+        for task in gevent.iwait(asked, timeout=FIND_SECONDS):
+            if found.intents:
+                break
+            if isinstance(task.value, Found):
+                found = task.value
+        gevent.killall(asked, block=False)
+        return found
+
+    def _announce(self, message: Announce) -> Acked:
+        return Acked(self.witness.announce(message, self._clock.now()))
+
+    def _beat(self, message: Beat) -> Standing:
+        if message.leaving:
+            self.witness.leave(message.holder)
+            return Standing(self.witness.incarnation, True)
+        alive = self.witness.beat(message.holder, self._clock.now())
+        return Standing(self.witness.incarnation, not alive)
+
+    def _find(self, message: FindIntent) -> Found:
+        found = self.witness.find(message.request)
+        return Found("", ()) if found is None else Found(found[0], (found[1],))
+
+    def _hear(self, effect: Effect) -> None:
+        if isinstance(effect, Applied) and isinstance(effect.entry, records.Bill):
+            self.witness.billed(effect.entry.request)
+
+    def _tick_all(self) -> None:
+        while True:
+            gevent.sleep(TICK_SECONDS)
+            domain_by_host = {
+                entry.id: entry.failure_domain
+                for entry in self._members.routers_by_id.values()
+                if entry.state == "live"
+            }
+            order = candidates(self._host, self._domain, domain_by_host)
+            self._named.listed(order)
+            for action in self.witness.tick(self._clock.now(), self._ledger.reachable):
+                self._append(action)
+
+    def _append(self, action: CloseHolder | BillOrphan) -> None:
+        for budget, entry in entries_of(action, self.witness.incarnation):
+            if budget is None:
+                self._ledger.submit_everywhere(entry)
+            else:
+                self._ledger.submit(budget, entry)
+        if isinstance(action, CloseHolder):
+            self._metrics.closings.inc()
+
+
+def entries_of(
+    action: CloseHolder | BillOrphan, witness: str
+) -> list[tuple[str | None, Entry]]:
+    """Return the records of an action with their budgets; None for all."""
+    if isinstance(action, BillOrphan):
+        intent = action.intent
+        bill = records.Bill(intent.request, intent.budget, action.holder, intent.tokens)
+        return [(intent.budget, bill)]
+    entries: list[tuple[str | None, Entry]] = [
+        (
+            transfer.budget,
+            records.Handover(
+                transfer.op,
+                transfer.budget,
+                transfer.donor,
+                action.holder,
+                transfer.tokens,
+            ),
+        )
+        for transfer in action.transfers
+    ]
+    intents = tuple(_intent(intent) for intent in action.intents)
+    closing = records.Closing(uuid4().hex, action.holder, witness, intents)
+    return [*entries, (None, closing)]
+
+
+def _intent(intent: OpenIntent) -> records.Intent:
+    return records.Intent(intent.request, intent.budget, intent.tokens)
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -4,11 +4,12 @@
 with a clock reading and returns typed actions; it does no I/O, so a daemon, a
 test and a bench run the same code.
 
-A request waits until its upper bound is reserved, or until it is shown that the
-budget cannot cover it: nothing is free, and every other holder has answered,
-since the request came, that it has neither idle nor reserved tokens.  Two
-holders that are both short are ordered by the rank of their oldest request, so
-that one of them gets what both hold.
+A request waits until its upper bound is reserved, or until the bills in the log
+show that the budget cannot cover it.  Meanwhile the process draws what is free
+and calls idle tokens back from the other holders.  What a holder says of itself
+is no evidence: tokens may be on their way from one to another.  Two holders that
+are both short are ordered by the rank of their oldest request, so that one of
+them gets what both hold.
 
 The process spends as a *holder*: its incarnation and a number.  A change of
 witnesses, or a closing by mistake, starts a new holder; reservations of the old
@@ -82,6 +83,11 @@
         """The id under which grants are drawn now."""
         return f"{self._incarnation}+{self._number}"
 
+    @property
+    def next_holder(self) -> str:
+        """The id that a new set of witnesses is for."""
+        return f"{self._incarnation}+{self._number + 1}"
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event at a clock reading and return what to do, in order."""
         return list(self._handle(event, now))
@@ -100,6 +106,15 @@
         reservation.isolated = True
         return True
 
+    def release(self, request: str, deadline: float, now: float) -> list[Action]:
+        """End a reservation that was never dispatched, and wait for another."""
+        reservation = self.reservations_by_request[request]
+        ended = self.handle(events.Ended(request, 0, False), now)
+        wanted = events.Wanted(
+            request, reservation.budget, reservation.tokens, deadline
+        )
+        return ended + self.handle(wanted, now)
+
     def give_back_all(self) -> list[Action]:
         """Return every idle token, for a graceful stop."""
         wallets = list(self.wallets_by_budget.values())
@@ -170,9 +185,7 @@
         self._former_by_budget[reservation.budget] -= reservation.tokens
         self._former_by_budget += Counter()
         isolated = rest if reservation.isolated else 0
-        yield from self._return(
-            reservation.budget, reservation.holder, rest, isolated
-        )
+        yield from self._return(reservation.budget, reservation.holder, rest, isolated)
 
     def _granted(self, event: events.Granted, now: float) -> Iterator[Action]:
         self._drawn_at_by_op.pop(event.op, None)
@@ -300,8 +313,8 @@
 
     def _pump(self, wallet: Wallet, now: float) -> Iterator[Action]:
         """Serve what fits, draw and call back for the rest, refuse on evidence."""
-        yield from self._serve(wallet, now)
         view = self._view(wallet.budget)
+        yield from self._serve(wallet, view, now)
         missing = wallet.waiting - wallet.witnessed.idle
         yield from self._draw(wallet, missing, view, now)
         if not wallet.waiters_by_request:
@@ -312,12 +325,14 @@
         if wallet.waiters_by_request and view is not None:
             yield from self._ask(wallet, max(1, missing), view, now)
 
-    def _serve(self, wallet: Wallet, now: float) -> Iterator[Action]:
+    def _serve(self, wallet: Wallet, view: View | None, now: float) -> Iterator[Action]:
         """Reserve for whatever fits, oldest request first."""
         for waiter in list(wallet.waiters_by_request.values()):
             if now > waiter.deadline:
                 continue
             isolated = not wallet.witnessed.reserve(waiter.tokens)
+            if isolated and self._draw_may_do(wallet, waiter.tokens, view, now):
+                continue
             if isolated and not wallet.isolated.reserve(waiter.tokens):
                 continue
             reservation = Reservation(
@@ -357,7 +372,7 @@
         self, wallet: Wallet, view: View | None, now: float
     ) -> Iterator[Action]:
         for waiter in list(wallet.waiters_by_request.values()):
-            exhausted = self._exhausted(wallet, waiter, view)
+            exhausted = view is not None and waiter.tokens > view.left
             late = now >= waiter.deadline
             lost = view is None and now >= waiter.since + UNKNOWN_SECONDS
             if exhausted or late or lost:
@@ -370,25 +385,6 @@
                     None if view is None else view.left,
                 )
 
-    def _exhausted(self, wallet: Wallet, waiter: Waiter, view: View | None) -> bool:
-        """Whether no token that could still come covers the request."""
-        if view is None:
-            return False
-        if waiter.tokens > view.left:
-            return True
-        if wallet.reserved or self._former_by_budget[wallet.budget]:
-            return False
-        if view.free > 0 or wallet.drawing:
-            return False
-        return all(
-            self._spent(wallet, holder, waiter) for holder in self._others(view)
-        )
-
-    @staticmethod
-    def _spent(wallet: Wallet, holder: str, waiter: Waiter) -> bool:
-        heard = wallet.heard_by_holder.get(holder)
-        return heard is not None and heard.busy == 0 and heard.at >= waiter.since
-
     def _others(self, view: View) -> list[str]:
         """Return the holders of other processes, largest first."""
         mine = f"{self._incarnation}+"
@@ -400,7 +396,7 @@
         self, wallet: Wallet, missing: int, view: View, now: float
     ) -> Iterator[Action]:
         """Call idle tokens back: each holder once at first, then with back-off."""
-        if self._draw_may_do(wallet, missing, view, now):
+        if wallet.drawing and self._draw_may_do(wallet, missing, view, now):
             return
         waiters = list(wallet.waiters_by_request.values())
         since = max(waiter.since for waiter in waiters)
@@ -409,7 +405,7 @@
         if not fresh:
             if now < wallet.ask_at:
                 return
-            fresh = [h for h in others if wallet.heard_by_holder[h].busy]
+            fresh = sorted(others, key=lambda h: -wallet.heard_by_holder[h].busy)
             backoff = wallet.ask_backoff or ASK_FIRST_SECONDS
             wallet.ask_at = now + backoff
             wallet.ask_backoff = min(ASK_MOST_SECONDS, backoff * 2)
@@ -419,10 +415,14 @@
             yield events.Ask(wallet.budget, holder, self.holder, missing, rank)
 
     def _draw_may_do(
-        self, wallet: Wallet, missing: int, view: View, now: float
+        self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> bool:
-        drawn_at = self._drawn_at_by_op.get(wallet.drawing, -DRAW_PATIENCE_SECONDS)
-        return view.free >= missing and now - drawn_at < DRAW_PATIENCE_SECONDS
+        """Whether a draw, which is to start or under way, should cover it soon."""
+        if view is None or view.free < missing:
+            return False
+        return now - self._drawn_at_by_op.get(wallet.drawing, now) < (
+            DRAW_PATIENCE_SECONDS
+        )
 
     @staticmethod
     def _asking(wallet: Wallet, holder: str, now: float) -> bool:
--- a/godwitrudder/request/announcement.py
+++ b/godwitrudder/request/announcement.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from godwitrudder.connection.escrow import Announce, OpenIntent
+from godwitrudder.connection.escrow import Announce, OpenIntent, Transfer
 
 BATCH_INTENTS: Final = 200
 OVER_MOST: Final = 2000
@@ -46,6 +46,7 @@
     sending: Announce | None = None
     intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
     over: dict[str, None] = field(default_factory=dict)
+    received: list[Transfer] = field(default_factory=list)
 
 
 Result = Tell | Acknowledged | Unwitnessed
@@ -90,6 +91,12 @@
             results.extend(self._send(witness))
         return results
 
+    def received(self, transfer: Transfer) -> None:
+        """Tell of a hand-over with the next announcement, before any spend of it."""
+        self._told_by_request[transfer.op] = self.witnesses
+        for outbox in self._outbox_by_witness.values():
+            outbox.received.append(transfer)
+
     def over(self, request: str) -> None:
         """Let the witnesses forget an intent with the next announcement.
 
@@ -134,6 +141,7 @@
         outbox.lost = True
         outbox.intents_by_request.clear()
         outbox.over.update(dict.fromkeys(message.over))
+        outbox.received[:0] = message.received
         waiting = [
             request
             for request, missing in self._missing_by_request.items()
@@ -157,7 +165,14 @@
             return []
         requests = list(outbox.intents_by_request)[:BATCH_INTENTS]
         intents = tuple(outbox.intents_by_request.pop(name) for name in requests)
-        message = Announce(self.holder, witness, intents, tuple(outbox.over))
+        message = Announce(
+            self.holder,
+            witness,
+            intents,
+            tuple(outbox.over),
+            tuple(outbox.received),
+        )
         outbox.over.clear()
+        outbox.received.clear()
         outbox.sending = message
         return [Tell(message)]
--- a/godwitrudder/request/events.py
+++ b/godwitrudder/request/events.py
@@ -227,6 +227,4 @@
     left: int | None
 
 
-Action = (
-    Draw | GiveBack | HandOver | Credited | Ask | Reply | Charge | Serve | Refuse
-)
+Action = Draw | GiveBack | HandOver | Credited | Ask | Reply | Charge | Serve | Refuse
--- a/godwitrudder/request/sizing.py
+++ b/godwitrudder/request/sizing.py
@@ -110,6 +110,4 @@
         if missing <= 0 and more <= 0:
             return None
         wanted = self.isolated(rate, view.paid, ahead) - isolated
-        return Size(
-            max(0, missing), max(0, missing) + more, max(0, min(wanted, more))
-        )
+        return Size(max(0, missing), max(0, missing) + more, max(0, min(wanted, more)))
--- a/godwitrudder/request/witness.py
+++ b/godwitrudder/request/witness.py
@@ -23,7 +23,7 @@
 
 import xxhash
 
-from godwitrudder.connection.escrow import Announce, OpenIntent
+from godwitrudder.connection.escrow import Announce, OpenIntent, Transfer
 
 WITNESSES: Final = 2
 FENCE_SECONDS: Final = 20.0
@@ -40,14 +40,16 @@
     heard_at: float
     closed_at: float | None = None
     intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
+    transfers_by_op: dict[str, Transfer] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
 class CloseHolder:
-    """Append a closing with these intents to every partition."""
+    """Append the transfers, then a closing with the intents to every partition."""
 
     holder: str
     intents: tuple[OpenIntent, ...]
+    transfers: tuple[Transfer, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,7 @@
     def announce(self, message: Announce, now: float) -> bool:
         """Take note of intents; False where none of them may be dispatched."""
         self._over(message.over)
+        self._forget_transfers(message)
         if message.witness != self.incarnation:
             return False
         if not self.beat(message.holder, now):
@@ -87,6 +90,8 @@
         for intent in message.intents:
             watched.intents_by_request[intent.request] = intent
             self._holder_by_request[intent.request] = message.holder
+        for transfer in message.received:
+            watched.transfers_by_op[transfer.op] = transfer
         return True
 
     def beat(self, holder: str, now: float) -> bool:
@@ -139,7 +144,11 @@
         """Fence first; whatever is listed now is all that can be dispatched."""
         self._fenced[holder] = None
         watched.closed_at = now
-        return CloseHolder(holder, tuple(watched.intents_by_request.values()))
+        return CloseHolder(
+            holder,
+            tuple(watched.intents_by_request.values()),
+            tuple(watched.transfers_by_op.values()),
+        )
 
     def _bill_orphans(
         self, holder: str, watched: Watched, now: float
@@ -154,6 +163,12 @@
         intents = watched.intents_by_request.values()
         return [BillOrphan(holder, intent) for intent in intents if intent.runner]
 
+    def _forget_transfers(self, message: Announce) -> None:
+        watched = self.watched_by_holder.get(message.holder)
+        if watched is not None:
+            for op in message.over:
+                watched.transfers_by_op.pop(op, None)
+
     def _over(self, requests: Iterable[str]) -> None:
         for request in requests:
             holder = self._holder_by_request.pop(request, None)
