--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -10,11 +10,12 @@
 from uuid import uuid4
 
 import gevent
-from gevent.pywsgi import WSGIServer
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
+from godwitrudder.connection.runner import RunnerLinks
+from godwitrudder.connection.server import CallerServer
 from godwitrudder.platform.hosts import HttpHostList
 from godwitrudder.platform.log import HttpLog
 from godwitrudder.process.budgets import BudgetDesk
@@ -25,6 +26,7 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.router import Router
 from godwitrudder.process.settings import Settings
+from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.witness import WitnessDesk
 from godwitrudder.version import records
@@ -59,7 +61,13 @@
     def _build(self) -> None:
         settings = self.settings
         self.log = HttpLog(settings.log)
-        self.configuration = Configuration(self.log, self.metrics)
+        self.configuration = Configuration(
+            self.log,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.log_retention_seconds,
+        )
         self.members = Members(HttpHostList(settings.hosts))
         self.handlers = Handlers(self.hybrid, self.metrics)
         self.peers = PeerLinks(
@@ -68,6 +76,14 @@
             self.handlers,
             self.members.peer_address,
         )
+        self._spread = Spread(
+            settings.host,
+            self.configuration,
+            self.peers,
+            self.handlers,
+            lambda: list(self.members.routers_by_id),
+            self.random,
+        )
         self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
@@ -98,11 +114,13 @@
             self.budgets.holder.witness_set,
         )
         self.witness.register(self.handlers)
+        self.links = RunnerLinks(self.clock)
         self.router = Router(
             self.configuration,
             self.members,
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
+            self.links,
             self.timeline,
             self.metrics,
             self.clock,
@@ -116,12 +134,14 @@
             lambda: not self.draining,
             self.metrics.render,
         )
-        address = (settings.caller.ip, settings.caller.port)
-        self._callers = WSGIServer(address, application, log=None, error_log=logger)
+        self._callers = CallerServer(
+            settings.caller, application, lambda: self.draining
+        )
 
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
+        self._stack.enter_context(self.links)
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
@@ -129,6 +149,7 @@
         self._stack.enter_context(self.budgets)
         self._stack.enter_context(self.witness)
         self._stack.enter_context(self.configuration)
+        self._stack.enter_context(self._spread)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
