--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -11,6 +11,7 @@
 from godwitrudder.clock import Stamp
 from godwitrudder.connection.escrow import EscrowMessage
 from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -19,7 +20,15 @@
     incarnation: str
 
 
-Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer | EscrowMessage
+Message = (
+    Ping
+    | ConfigHave
+    | ConfigAsk
+    | ConfigAnswer
+    | ShareReport
+    | ShareAnswer
+    | EscrowMessage
+)
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/connection/runner.py
+++ b/godwitrudder/connection/runner.py
@@ -25,6 +25,7 @@
 
 CONNECTIONS_PER_RUNNER: Final = 1024
 ADDRESSES_KEPT: Final = 1024
+LEAVING_STATUS: Final = 503
 
 
 @dataclass(frozen=True, slots=True)
@@ -59,11 +60,14 @@
         Whether a byte may have reached the runner.
     lost : bool
         Whether the runner does not know the attempt.
+    leaving : bool
+        Whether the runner says that it takes no new work.
     """
 
     reason: str
     sent: bool
     lost: bool = False
+    leaving: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -211,7 +215,7 @@
             sent = sent or broken.sent
             stalled = self._clock.now() - moved_at >= self.patience.stall
             if broken.lost or not broken.sent or stalled:
-                yield Broken(broken.reason, sent, broken.lost)
+                yield Broken(broken.reason, sent, broken.lost, broken.leaving)
                 return
             body = None
 
@@ -222,6 +226,9 @@
         response = None
         try:
             response = self._ask(address, attempt, index, body)
+            if body is not None and response.status_code == LEAVING_STATUS:
+                yield Broken("the runner takes no new work", False, True, True)
+                return
             if response.status_code != 200:
                 reason = f"status {response.status_code}"
                 yield Broken(reason, sent=True, lost=True)
--- a/godwitrudder/process/attempts.py
+++ b/godwitrudder/process/attempts.py
@@ -13,17 +13,18 @@
 import gevent
 from gevent import Greenlet
 
+from godwitrudder.clock import Clock
 from godwitrudder.connection.runner import Broken, RunnerLinks
 from godwitrudder.process.budgets import Spend
 from godwitrudder.process.metrics import Metrics
-from godwitrudder.request.answer import Call, Chunk, Piece, Usage
+from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.request.answer import Call, Chunk, Piece, Prompt, Usage
 from godwitrudder.request.choice import Runner
 from godwitrudder.request.exchange import Exchange
 from godwitrudder.request.outcome import Completed, Ran, Reason, Refused, fail, refuse
 
 ATTEMPTS_MOST: Final = 3
 
-Choose = Callable[[Call, set[str]], Runner | None]
 Note = Callable[[str, Call, str], None]
 
 
@@ -34,26 +35,33 @@
     ----------
     links : RunnerLinks
         Connections to the runners.
-    choose : callable
-        Returns the runner for a call, given those that failed it.
+    runners : RunnerDesk
+        Chooses the runner, given those that failed the call.
     note : callable
         Writes to the time line.
     """
 
     def __init__(
-        self, links: RunnerLinks, choose: Choose, note: Note, metrics: Metrics
+        self,
+        links: RunnerLinks,
+        runners: RunnerDesk,
+        note: Note,
+        metrics: Metrics,
+        clock: Clock,
     ) -> None:
         self._links = links
-        self._choose = choose
+        self._runners = runners
+        self._clock = clock
         self._note = note
         self._metrics = metrics
 
     def dispatch(self, call: Call, spend: Spend, exchange: Exchange) -> Iterator[Piece]:
         """Yield the answer's chunks, its usage and its outcome."""
         run = _Run(call, spend, exchange)
+        text = prompt_text(call.prompt)
         try:
             for _ in range(ATTEMPTS_MOST):
-                runner = self._choose(call, run.excluded)
+                runner = self._runners.choose(call.target, text, run.excluded)
                 if runner is None:
                     break
                 yield from self._attempt(run, runner)
@@ -74,7 +82,9 @@
         if run.refused is not None:
             return
         self._note("dispatch", call, f"{runner.id} from token {run.next}")
-        runner.in_flight += 1
+        self._runners.started(runner)
+        started_at = self._clock.now()
+        first, ok = True, True
         run.attempts.append((runner, attempt))
         run.exchange.dispatched = True
         try:
@@ -82,14 +92,21 @@
                 runner.address, attempt, call.prompt, run.next
             ):
                 if isinstance(event, Broken):
+                    ok = event.leaving
+                    if event.leaving:
+                        self._runners.left(runner)
                     self._broken(run, event)
                     return
+                if first:
+                    seconds = self._clock.now() - started_at
+                    self._runners.first_token(runner, seconds)
+                    first = False
                 yield event
                 run.take(event)
             if run.completed:
                 yield Completed(run.spend.tokens)
         finally:
-            runner.in_flight -= 1
+            self._runners.ended(runner, ok)
             self._metrics.attempts.labels("whole" if run.completed else "broken").inc()
 
     def _broken(self, run: _Run, broken: Broken) -> None:
@@ -152,3 +169,8 @@
             return
         self.spend.tokens = event.prompt_tokens + event.completion_tokens
         self.completed = True
+
+
+def prompt_text(prompt: Prompt) -> str:
+    """Return the text by which engines cache a prompt."""
+    return "\n".join(message["content"] for message in prompt.messages)
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from random import Random
+from dataclasses import replace
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection.runner import Broken, RunnerLinks
@@ -18,12 +18,11 @@
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
 from godwitrudder.process.exchanges import ExchangeDesk, Run
-from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.timeline import Timeline
-from godwitrudder.process.turns import TurnGate
+from godwitrudder.process.turns import TurnDesk
 from godwitrudder.request.answer import Call, Piece, ServiceAnswer, ServiceCall
-from godwitrudder.request.choice import Runner, choose
 from godwitrudder.request.exchange import Exchange, Reader
 from godwitrudder.request.outcome import (
     Completed,
@@ -44,28 +43,25 @@
     def __init__(
         self,
         configuration: Configuration,
-        members: Members,
+        turns: TurnDesk,
+        runners: RunnerDesk,
         budgets: BudgetDesk,
         claims: ClaimDesk,
         links: RunnerLinks,
         timeline: Timeline,
         metrics: Metrics,
         clock: Clock,
-        random: Random,
-        failure_domain: str,
     ) -> None:
         self._configuration = configuration
-        self._members = members
+        self._turns = turns
+        self._runners = runners
         self._budgets = budgets
         self._claims = claims
         self._links = links
         self._timeline = timeline
         self._metrics = metrics
         self._clock = clock
-        self._random = random
-        self._failure_domain = failure_domain
-        self._gates_by_target: dict[str, TurnGate] = {}
-        self._attempts = AttemptDesk(links, self._runner, self._note, metrics)
+        self._attempts = AttemptDesk(links, runners, self._note, metrics, clock)
         self.exchanges = ExchangeDesk(clock)
         self.closed = False
 
@@ -101,10 +97,10 @@
     def _admitted(self, call: Call, exchange: Exchange) -> Iterator[Piece]:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
-        gate = self._gate(call.target)
-        with gate.turn(call.request, call.workspace, call.bound, rules) as refused:
-            if refused is not None:
-                yield refused
+        gate = self._turns.gate(call.target)
+        with gate.turn(call.request, call.workspace, call.bound, rules) as turn:
+            if isinstance(turn, Refused):
+                yield turn
                 return
             with self._budgets.spend(
                 call.request, call.budget, call.bound, deadline
@@ -112,7 +108,12 @@
                 if isinstance(spend, Refused):
                     yield spend
                     return
-                yield from self._attempts.dispatch(call, spend, exchange)
+                prompt = replace(call.prompt, priority=turn.priority)
+                call = replace(call, prompt=prompt)
+                try:
+                    yield from self._attempts.dispatch(call, spend, exchange)
+                finally:
+                    turn.used = spend.tokens
 
     def _serve(self, call: ServiceCall, exchange: Exchange) -> Iterator[Piece]:
         """Yield the answer of a plain service, run at most once where it must be."""
@@ -141,10 +142,10 @@
     ) -> ServiceAnswer | Refused | Failed:
         rules = self._rules(call.target)
         deadline = self._clock.now() + rules.deadline_seconds
-        gate = self._gate(call.target)
-        with gate.turn(call.request, call.workspace, 1.0, rules) as refused:
-            if refused is not None:
-                return refused
+        gate = self._turns.gate(call.target)
+        with gate.turn(call.request, call.workspace, 1.0, rules) as turn:
+            if isinstance(turn, Refused):
+                return turn
             with self._budgets.spend(
                 call.request, call.budget, call.rule.cost_tokens, deadline
             ) as spend:
@@ -155,7 +156,7 @@
     def _call_runner(
         self, call: ServiceCall, spend: Spend, exchange: Exchange
     ) -> ServiceAnswer | Refused | Failed:
-        runner = self._choose(call.target, set())
+        runner = self._runners.choose(call.target, "", set())
         if runner is None:
             return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
         refused = spend.announce(runner.id, call.request)
@@ -167,13 +168,15 @@
             headers["Content-Type"] = call.content_type
         exchange.dispatched = True
         spend.tokens = call.rule.cost_tokens
-        runner.in_flight += 1
+        self._runners.started(runner)
+        ok = True
         try:
             reply = self._links.call(
                 runner.address, call.method, call.path, call.body, headers
             )
+            ok = not isinstance(reply, Broken)
         finally:
-            runner.in_flight -= 1
+            self._runners.ended(runner, ok)
         if not isinstance(reply, Broken):
             return ServiceAnswer(
                 reply.status, reply.body, spend.tokens, reply.content_type
@@ -184,22 +187,6 @@
         spend.tokens = 0
         return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
 
-    def _runner(self, call: Call, excluded: set[str]) -> Runner | None:
-        return self._choose(call.target, excluded)
-
-    def _choose(self, target: str, excluded: set[str]) -> Runner | None:
-        runners = self._members.runners_of(target)
-        return choose(runners, self._failure_domain, excluded, self._random)
-
-    def _gate(self, target: str) -> TurnGate:
-        gate = self._gates_by_target.get(target)
-        if gate is None:
-            gate = self._gates_by_target[target] = TurnGate(target, self._clock)
-        model = self._configuration.document.targets_by_id[target]
-        runners = [r for r in self._members.runners_of(target) if not r.leaving]
-        gate.slots = len(runners) * model.slots_per_runner
-        return gate
-
     def _rules(self, target: str) -> TurnModel:
         turns = self._configuration.document.turns_by_target
         return turns.get(target, TurnModel())
