--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,15 +9,9 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
-from godwitrudder.connection.queries import (
-    ConfigAnswer,
-    ConfigAsk,
-    ConfigHave,
-    Status,
-    StatusAsk,
-)
+from godwitrudder.connection.escrow import EscrowMessage
+from godwitrudder.connection.queries import QueryMessage
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
-from godwitrudder.process.timeline import Events, EventsAsk
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -26,18 +20,7 @@
     incarnation: str
 
 
-Message = (
-    Ping
-    | ConfigHave
-    | ConfigAsk
-    | ConfigAnswer
-    | StatusAsk
-    | Status
-    | EventsAsk
-    | Events
-    | ShareReport
-    | ShareAnswer
-)
+Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/connection/queries.py
+++ b/godwitrudder/connection/queries.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from godwitrudder.platform.log import LogRecord
+from godwitrudder.process.timeline import Events, EventsAsk
 from godwitrudder.version.edits import SnapshotPart
 
 
@@ -73,3 +74,8 @@
     uptime_seconds: float
     in_flight: int
     draining: bool
+
+
+QueryMessage = (
+    ConfigHave | ConfigAsk | ConfigAnswer | StatusAsk | Status | EventsAsk | Events
+)
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -159,6 +159,9 @@
         runner = self._runners.choose(call.target, "", set())
         if runner is None:
             return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
+        refused = spend.announce(runner.id, call.request)
+        if refused is not None:
+            return refused
         self._timeline.note("dispatch", call.request, call.workspace, runner.id)
         headers = {"X-Request-Id": call.request}
         if call.content_type:
