Test the operator keys of the example settings

The example now has keys of its own, and the last of two equal keys counts, so the cases that put a faulty one in front no longer reached the check.

--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -29,15 +29,11 @@
     ('"host"', '"log_retention_seconds": 0, "host"', "f: log_retention_seconds: "),
     ('"host"', '"log_level": "LOUD", "host"', "f: log_level: expected one of DEBUG"),
     (
-        '"host"',
-        '"operator_keys_by_team": {"turns": "12"}, "host"',
-        "f: operator_keys_by_team.turns: expected a SHA-256",
-    ),
-    (
-        '"host"',
-        '"operator_keys_by_team": {"x": ""}, "host"',
-        "f: operator_keys_by_team.x: expected a team of",
+        '"budgets": "',
+        '"budgets": "x',
+        "f: operator_keys_by_team.budgets: expected a SHA",
     ),
+    ('"budgets": "', '"x": "', "f: operator_keys_by_team.x: expected a team of"),
 ]
 
 
