Merge the time lines of all processes, and draw them

Each ring was kept and nobody could read it. Any daemon now gathers the rings of all others; godwitctl merges them by hybrid logical clock, names the processes that did not answer and counts what a ring has lost, prints them, follows them, and draws a page with a lane per process and an arrow per message. Frames, ledger records and configuration are noted; heartbeats and shares of slots are not, since they would push the rest out of the ring.

--- a/godwitrudder/connection/link.py
+++ b/godwitrudder/connection/link.py
@@ -46,6 +46,8 @@
     ----------
     heard, lost : callable
         Take the host of a peer that sent something, or that did not answer.
+    sent, received : callable
+        Take each frame and the host of the peer.
     """
 
     def __init__(self, clock: HybridClock, metrics: Metrics) -> None:
@@ -53,6 +55,8 @@
         self.metrics = metrics
         self.heard: Callable[[str], None] = lambda host: None
         self.lost: Callable[[str], None] = lambda host: None
+        self.sent: Callable[[Frame, str], None] = lambda frame, host: None
+        self.received: Callable[[Frame, str], None] = lambda frame, host: None
         self._handler_by_type: dict[type, Handler] = {Ping: lambda ping: ping}
 
     def register(self, kind: type[T], handler: Callable[[T], Message | None]) -> None:
@@ -165,6 +169,7 @@
             self._handlers.metrics.bad_frames.inc()
             return False
         self._handlers.clock.observe(frame.stamp)
+        self._handlers.received(frame, self._host)
         if frame.answer:
             self._answered(frame)
         else:
@@ -198,6 +203,7 @@
             self.used = True
         self._protocol.send_binary(codec.encode(frame))
         self.flush()
+        self._handlers.sent(frame, self._host)
 
     def flush(self) -> None:
         """Queue what the protocol has to send."""
--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -9,10 +9,14 @@
 from cleo.application import Application
 from cleo.commands.completions_command import CompletionsCommand
 
-from godwitrudder.ctl import config, daily
+from godwitrudder.ctl import config, daily, timeline
 from godwitrudder.ctl.command import FleetCommand
 
-COMMANDS: Final[tuple[type[FleetCommand], ...]] = (*config.COMMANDS, *daily.COMMANDS)
+COMMANDS: Final[tuple[type[FleetCommand], ...]] = (
+    *config.COMMANDS,
+    *daily.COMMANDS,
+    *timeline.COMMANDS,
+)
 
 
 def application() -> Application:
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -29,6 +29,7 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.publisher import Publisher
+from godwitrudder.process.recorder import Recorder
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
@@ -172,6 +173,15 @@
             settings.caller, application, lambda: self.draining
         )
         self._operators = self._operator_server()
+        self._record()
+
+    def _record(self) -> None:
+        """Put frames, ledger records and configuration on the time line."""
+        recorder = Recorder(self.timeline, self.incarnation)
+        self.handlers.sent = recorder.sent
+        self.handlers.received = recorder.received
+        self.ledger.listen(recorder.heard)
+        self.configuration.advanced(recorder.advanced)
 
     def _operator_server(self) -> WSGIServer:
         settings = self.settings
--- /dev/null
+++ b/godwitrudder/process/recorder.py
@@ -0,0 +1,122 @@
+"""The recorder: notes on the time line what the other tasks say and decide.
+
+Heartbeats, shares of slots and questions about state come several times a
+second and would push everything else out of the ring, so they are left out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import Any, Final
+
+from godwitrudder.connection.escrow import Acked, Announce, Beat, Standing
+from godwitrudder.connection.frames import Frame, Ping
+from godwitrudder.connection.queries import (
+    ConfigAnswer,
+    ConfigAsk,
+    ConfigHave,
+    Status,
+    StatusAsk,
+)
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
+from godwitrudder.process.timeline import Events, EventsAsk, Timeline
+from godwitrudder.version import records
+from godwitrudder.version.fold import Effect, Voided
+from godwitrudder.version.revisions import Accepted, Rejected, Restored, Result
+
+QUIET: Final[tuple[type, ...]] = (
+    Ping,
+    Acked,
+    Beat,
+    Standing,
+    ConfigAsk,
+    ConfigHave,
+    EventsAsk,
+    Events,
+    ShareAnswer,
+    ShareReport,
+    Status,
+    StatusAsk,
+)
+
+
+class Recorder:
+    """Notes frames, own ledger records and configuration of one process."""
+
+    def __init__(self, timeline: Timeline, incarnation: str) -> None:
+        self._timeline = timeline
+        self._incarnation = incarnation
+
+    def sent(self, frame: Frame, host: str) -> None:
+        """Note a frame that left for ``host``."""
+        if not _quiet(frame):
+            message = _message(self._timeline.process, frame)
+            for request in _requests(frame):
+                self._timeline.note(
+                    f"send {_tag(frame)}",
+                    request,
+                    "",
+                    f"to {host}",
+                    message,
+                    frame.stamp,
+                )
+
+    def received(self, frame: Frame, host: str) -> None:
+        """Note a frame that came from ``host``."""
+        if not _quiet(frame):
+            message = _message(host, frame)
+            for request in _requests(frame):
+                self._timeline.note(
+                    f"receive {_tag(frame)}", request, "", f"from {host}", message
+                )
+
+    def heard(self, effect: Effect) -> None:
+        """Note what the ledger made of a record of this incarnation."""
+        entry = effect.entry
+        if not getattr(entry, "incarnation", "").startswith(self._incarnation):
+            return
+        request = getattr(entry, "request", "")
+        budget = getattr(entry, "budget", "")
+        kind = type(entry).__name__.lower()
+        if isinstance(effect, Voided):
+            self._timeline.note(f"{kind} void", request, "", f"{effect.reason}")
+        elif isinstance(entry, records.Grant | records.Bill | records.Return):
+            detail = f"{effect.tokens} tokens of {budget}"
+            self._timeline.note(kind, request, "", detail)
+
+    def advanced(self, results: list[Result]) -> None:
+        """Note what became of configuration records."""
+        for result in results:
+            match result:
+                case Accepted(verdict=verdict):
+                    detail = f"{verdict.what}, version {verdict.offset}"
+                    self._timeline.note("config in force", detail=detail)
+                case Rejected(problem=problem):
+                    self._timeline.note("config rejected", detail=str(problem))
+                case Restored(offset=offset):
+                    detail = f"from a snapshot before {offset}"
+                    self._timeline.note("config in force", detail=detail)
+
+
+def _quiet(frame: Frame) -> bool:
+    if isinstance(frame.body, ConfigAnswer):
+        return not (frame.body.records or frame.body.parts)
+    return frame.body is None or isinstance(frame.body, QUIET)
+
+
+def _message(sender: str, frame: Frame) -> str:
+    """Return an id that sender and receiver agree on."""
+    return f"{sender}/{frame.stamp.millis}.{frame.stamp.count}"
+
+
+def _tag(frame: Frame) -> str:
+    kind: Any = type(frame.body)
+    return str(kind.__struct_config__.tag)
+
+
+def _requests(frame: Frame) -> Iterator[str]:
+    """Yield the requests that a frame concerns; one empty id where it names none."""
+    if isinstance(frame.body, Announce):
+        yield from dict.fromkeys(intent.request for intent in frame.body.intents)
+    else:
+        yield getattr(frame.body, "request", "")
--- a/godwitrudder/process/timeline.py
+++ b/godwitrudder/process/timeline.py
@@ -99,7 +99,7 @@
         message: str = "",
         stamp: Stamp | None = None,
     ) -> None:
-        """Add an event; ``stamp`` is given for one that has just been ticked."""
+        """Add an event; a message that was just sent brings its own stamp."""
         event = TimelineEvent(
             stamp or self.clock.tick(),
             self.process,
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -160,3 +160,13 @@
         while usable() != [wanted, wanted]:
             gevent.sleep(0.05)
     assert "undrain of failure_domain magong" in run("config history")[1]
+
+
+def test_the_time_line_of_all_processes(run: Run, tmp_path: Path) -> None:
+    """Both daemons are on it; a bill is found by its request."""
+    path = tmp_path / "page.html"
+    code, text = run(f"timeline --html {path}")
+    assert code == Exit.DONE, text
+    assert "router-1" in path.read_text() and "router-2" in path.read_text()
+    code, text = run("request trace r")
+    assert code == Exit.DONE and "bill r 40 tokens of harbour" in text
