Release claims of calls that did not run

Cause: a claim whose append landed after its router had given up, or whose call was refused for turn, budget or runner, stood for ever: every retry got "unknown" though nothing had run. A copy of a record could not be told from a new claim.

A claim now has an operation id. Its holder releases it by a result that says not run; the next claim then wins, a copy of an earlier one never does. A late claim is released when it is read back and never run. Stored answers keep their content type; one that is too large is remembered as run.

--- a/godwitrudder/process/claims.py
+++ b/godwitrudder/process/claims.py
@@ -1,94 +1,139 @@
 """The claim desk: a non-idempotent call runs at most once.
 
 The claim that stands first in the log runs the call, once and without retry.
-Everybody else answers with the stored result, or says that it is unknown.
+Everybody else answers with the stored result, or says that it is unknown.  A
+claim that came too late for its caller, or whose call was refused before the
+dispatch, is released: nobody runs it, and a later try may.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
 from typing import Final
+from uuid import uuid4
 
+import gevent
 from gevent.event import AsyncResult
 from gevent.timeout import Timeout
 
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.request.answer import ServiceAnswer
-from godwitrudder.request.outcome import Failed, Ran, Reason, Refused, refuse
+from godwitrudder.request.outcome import Failed, Ran, Reason, Refused, fail, refuse
 from godwitrudder.version import records
-from godwitrudder.version.fold import Applied, ClaimState, Effect
+from godwitrudder.version.claims import MAX_RESULT_BYTES
+from godwitrudder.version.fold import Applied, ClaimState, Effect, Void
 
 CLAIM_SECONDS: Final = 5.0
+RESULT_SECONDS: Final = 2.0
+LOOK_SECONDS: Final = 0.05
+
+Answer = ServiceAnswer | Refused | Failed
 
 
 class ClaimDesk:
-    """Claims of one incarnation."""
+    """Claims of one incarnation.
+
+    Parameters
+    ----------
+    seconds : float
+        Longest wait for a claim to be read back.
+    """
 
-    def __init__(self, ledger: Ledger, incarnation: str) -> None:
+    def __init__(
+        self, ledger: Ledger, incarnation: str, seconds: float = CLAIM_SECONDS
+    ) -> None:
         self._ledger = ledger
         self._incarnation = incarnation
-        self._waiting_by_request: dict[str, AsyncResult[bool]] = {}
+        self._seconds = seconds
+        self._waiting_by_op: dict[str, AsyncResult[Effect]] = {}
+        self._abandoned_ops: set[str] = set()
         ledger.listen(self._hear)
 
     def run_once(
-        self,
-        request: str,
-        fingerprint: str,
-        run: Callable[[], ServiceAnswer | Refused | Failed],
-    ) -> ServiceAnswer | Refused | Failed:
+        self, request: str, fingerprint: str, run: Callable[[], Answer]
+    ) -> Answer:
         """Claim the request and run it, or answer what became of it."""
-        state = self._ledger.fold_of(request).claim_of(request)
-        if state is not None:
-            return self._stored(request, fingerprint, state)
-        won = self._claim(request, fingerprint)
-        if won is None:
+        state = self._state(request)
+        if state is not None and not state.released:
+            return self._stored(request, fingerprint)
+        op = uuid4().hex
+        effect = self._claim(records.Claim(request, self._incarnation, fingerprint, op))
+        if isinstance(effect, Applied):
+            return self._run(request, op, run)
+        if effect is None or effect.reason is Void.STALE:
             return refuse(Reason.LOG_UNREACHABLE, 5.0)
-        if not won:
-            first = self._ledger.fold_of(request).claim_of(request)
-            return self._stored(request, fingerprint, first or ClaimState("", ""))
-        return self._run(request, run)
-
-    def _claim(self, request: str, fingerprint: str) -> bool | None:
-        """Return whether the claim is first; None where nobody can tell yet."""
-        if request in self._waiting_by_request:
-            return None
-        result: AsyncResult[bool] = AsyncResult()
-        self._waiting_by_request[request] = result
-        claim = records.Claim(request, self._incarnation, fingerprint)
-        self._ledger.submit(request, claim)
+        return self._stored(request, fingerprint)
+
+    def _claim(self, claim: records.Claim) -> Effect | None:
+        """Return what the log made of a claim; None where it is not known in time."""
+        result: AsyncResult[Effect] = AsyncResult()
+        self._waiting_by_op[claim.op] = result
+        self._ledger.submit(claim.request, claim)
         try:
-            return bool(result.get(timeout=CLAIM_SECONDS))
+            effect: Effect = result.get(timeout=self._seconds)
+            return effect
         except Timeout:
+            self._abandoned_ops.add(claim.op)
             return None
         finally:
-            self._waiting_by_request.pop(request, None)
+            del self._waiting_by_op[claim.op]
 
-    def _run(
-        self,
-        request: str,
-        run: Callable[[], ServiceAnswer | Refused | Failed],
-    ) -> ServiceAnswer | Refused | Failed:
+    def _run(self, request: str, op: str, run: Callable[[], Answer]) -> Answer:
         answer = run()
-        if not isinstance(answer, Refused | Failed):
-            result = records.Result(request, answer.status, answer.body)
-            self._ledger.submit(request, result)
+        if isinstance(answer, Refused):
+            self._release(request, op)
+        elif isinstance(answer, ServiceAnswer):
+            self._ledger.submit(request, _result(request, op, answer))
         return answer
 
-    def _stored(
-        self, request: str, fingerprint: str, state: ClaimState
-    ) -> ServiceAnswer | Refused | Failed:
+    def _release(self, request: str, op: str) -> None:
+        self._ledger.submit(request, records.Result(request, records.NOT_RUN, b"", op))
+
+    def _stored(self, request: str, fingerprint: str) -> Answer:
+        """Answer what is known of a claim; its holder may be at work."""
+        state = self._settled(request)
         if state.fingerprint and state.fingerprint != fingerprint:
             return refuse(Reason.KEY_REUSED)
-        if state.result is None:
-            text = refuse(Reason.ALREADY_CLAIMED, request=request).detail
-            return Failed(Reason.ALREADY_CLAIMED, text, Ran.UNKNOWN, 1.0)
-        return ServiceAnswer(state.result.status, state.result.body, 0)
+        if state.released or self._abandoned_ops.intersection(state.ops):
+            return refuse(Reason.LOG_UNREACHABLE, 1.0)
+        result = state.result
+        if result is None:
+            return fail(Reason.ALREADY_CLAIMED, Ran.UNKNOWN, 1.0, request=request)
+        if not result.kept:
+            return fail(Reason.ANSWER_NOT_KEPT, Ran.RAN)
+        return ServiceAnswer(result.status, result.body, 0, result.content_type)
+
+    def _settled(self, request: str) -> ClaimState:
+        """Return the state of a claim, after a short wait for its result."""
+        state = None
+        with gevent.Timeout(RESULT_SECONDS, False):
+            while True:
+                state = self._state(request)
+                if state is not None and (state.result or state.released):
+                    break
+                gevent.sleep(LOOK_SECONDS)
+        return state or ClaimState("", "")
+
+    def _state(self, request: str) -> ClaimState | None:
+        return self._ledger.fold_of(request).claim_of(request)
 
     def _hear(self, effect: Effect) -> None:
+        """Take note of a claim of this incarnation; a late one is released."""
         entry = effect.entry
         if not isinstance(entry, records.Claim):
             return
-        waiting = self._waiting_by_request.get(entry.request)
+        if entry.incarnation != self._incarnation:
+            return
+        waiting = self._waiting_by_op.get(entry.op)
         if waiting is not None and not waiting.ready():
-            mine = entry.incarnation == self._incarnation
-            waiting.set(isinstance(effect, Applied) and mine)
+            waiting.set(effect)
+        elif entry.op in self._abandoned_ops:
+            self._abandoned_ops.discard(entry.op)
+            if isinstance(effect, Applied):
+                self._release(entry.request, entry.op)
+
+
+def _result(request: str, op: str, answer: ServiceAnswer) -> records.Result:
+    kept = len(answer.body) <= MAX_RESULT_BYTES
+    body = answer.body if kept else b""
+    return records.Result(request, answer.status, body, op, answer.content_type, kept)
--- a/godwitrudder/version/accounts.py
+++ b/godwitrudder/version/accounts.py
@@ -160,8 +160,14 @@
     ----------
     incarnation, fingerprint : str
         Empty once only the fact of the claim is remembered.
+    ops : tuple of str
+        Claims that were first, the last one standing.
+    released : bool
+        Whether its holder said that the call did not run; a new claim may win.
     """
 
     incarnation: str
     fingerprint: str
     result: records.Result | None = None
+    ops: tuple[str, ...] = ()
+    released: bool = False
--- a/godwitrudder/version/claims.py
+++ b/godwitrudder/version/claims.py
@@ -1,5 +1,8 @@
 """Claims of non-idempotent calls: the first in the log runs, once.
 
+Its holder may release a claim by the word that the call did not run and never
+will; then the next claim wins, but not a late copy of an earlier one.
+
 Claim and answer are kept for the replay window, the bare fact of the claim for
 longer.  Answers are bounded in size and in sum; the oldest go first.
 """
@@ -9,6 +12,8 @@
 from collections import deque
 from typing import Final
 
+from msgspec import structs
+
 from godwitrudder.version import records
 from godwitrudder.version.accounts import Applied, ClaimState, Effect, Void, Voided
 from godwitrudder.version.replay import REPLAY_WINDOW_SECONDS, ReplayIndex, key_of
@@ -17,6 +22,7 @@
 MAX_RESULT_BYTES: Final = 16_384
 MAX_RESULTS_BYTES: Final = 2_097_152
 MAX_CLAIMS: Final = 20_000
+MAX_RELEASES: Final = 16
 
 
 class ClaimFold:
@@ -40,9 +46,9 @@
         """Give the right to run to the first claim of a request."""
         key = key_of("claim", entry.request)
         if key in self.known:
-            return Voided(entry, Void.LATER_CLAIM)
+            return self._claim_again(entry)
         self.known.add(key, time)
-        state = ClaimState(entry.incarnation, entry.fingerprint)
+        state = ClaimState(entry.incarnation, entry.fingerprint, ops=(entry.op,))
         self.claims_by_request[entry.request] = state
         self.claimed_at.append((time, entry.request))
         if len(self.claimed_at) > MAX_CLAIMS:
@@ -52,10 +58,13 @@
     def result(self, entry: records.Result) -> Effect:
         """Store the first outcome of a claimed call."""
         claim = self.claims_by_request.get(entry.request)
-        if claim is None:
+        if claim is None or entry.op != claim.ops[-1]:
             return Voided(entry, Void.NOT_HELD)
-        if claim.result is not None:
+        if claim.result is not None or claim.released:
             return Voided(entry, Void.REPEATED)
+        if entry.status == records.NOT_RUN:
+            claim.released = True
+            return Applied(entry, 0)
         if len(entry.body) > MAX_RESULT_BYTES:
             return Voided(entry, Void.TOO_LARGE)
         claim.result = entry
@@ -71,6 +80,19 @@
         while self.claimed_at and self.claimed_at[0][0] < before:
             self._drop_oldest()
 
+    def _claim_again(self, entry: records.Claim) -> Effect:
+        """Let a new claim take over a released one."""
+        state = self.claims_by_request.get(entry.request)
+        if state is None or not state.released or entry.op in state.ops:
+            return Voided(entry, Void.LATER_CLAIM)
+        if len(state.ops) > MAX_RELEASES:
+            return Voided(entry, Void.LATER_CLAIM)
+        state.incarnation = entry.incarnation
+        state.fingerprint = entry.fingerprint
+        state.ops = (*state.ops, entry.op)
+        state.released = False
+        return Applied(entry, 0)
+
     def _drop_oldest(self) -> None:
         _, request = self.claimed_at.popleft()
         claim = self.claims_by_request.pop(request)
@@ -83,4 +105,4 @@
             claim = self.claims_by_request.get(request)
             if claim is not None and claim.result is not None:
                 self.result_bytes -= len(claim.result.body)
-                claim.result = None
+                claim.result = structs.replace(claim.result, body=b"", kept=False)
--- a/godwitrudder/version/records.py
+++ b/godwitrudder/version/records.py
@@ -21,6 +21,7 @@
 
 from godwitrudder import codec
 
+NOT_RUN: Final = 0
 VERSION: Final = 1
 WHOLE_PERMILLE: Final = 1000
 
@@ -193,19 +194,39 @@
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim", gc=False):
-    """The right to run a non-idempotent call; the first per request wins."""
+    """The right to run a non-idempotent call; the first per request wins.
+
+    Attributes
+    ----------
+    op : str
+        Tells a later claim from a copy of one that was released.
+    """
 
     request: str
     incarnation: str
     fingerprint: str
+    op: str = ""
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True, tag="result", gc=False):
-    """The stored outcome of a claimed call, for replay."""
+    """The stored outcome of a claimed call, for replay.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; ``NOT_RUN`` releases the claim.
+    op : str
+        The claim that this ends.
+    kept : bool
+        False where the call ran and its answer is too large to keep.
+    """
 
     request: str
     status: int
     body: bytes
+    op: str = ""
+    content_type: str = "application/json"
+    kept: bool = True
 
 
 Entry = (
--- /dev/null
+++ b/tests/test_claims.py
@@ -0,0 +1,155 @@
+"""Claims: one run at most, and an honest word about it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, cast
+
+import gevent
+import pytest
+
+from godwitrudder.process import claims
+from godwitrudder.process.claims import ClaimDesk
+from godwitrudder.process.ledger import Ledger
+from godwitrudder.request.answer import ServiceAnswer
+from godwitrudder.request.outcome import Failed, Ran, Reason, Refused, refuse
+from godwitrudder.version import records
+from godwitrudder.version.fold import Effect, LedgerFold
+from godwitrudder.version.records import Entry
+
+
+class Log:
+    """A log whose records the test lets through; ``Ledger`` as the desks see it."""
+
+    def __init__(self) -> None:
+        self.fold = LedgerFold()
+        self.queued: list[Entry] = []
+        self.open = True
+        self._listeners: list[Callable[[Effect], None]] = []
+
+    def listen(self, listener: Callable[[Effect], None]) -> None:
+        """Deliver the effects to a desk."""
+        self._listeners.append(listener)
+
+    def submit(self, key: str, entry: Entry) -> None:
+        """Queue a record and let it through unless the log is down."""
+        self.queued.append(entry)
+        if self.open:
+            gevent.spawn(self.flush)
+
+    def fold_of(self, key: str) -> LedgerFold:
+        """Return the only fold."""
+        return self.fold
+
+    def flush(self, copies: int = 1) -> None:
+        """Append what is queued, as often as a lost answer makes it."""
+        entries, self.queued = self.queued, []
+        for _ in range(copies):
+            data = records.encode_batch("w", entries)
+            for effect in self.fold.apply(self.fold.next_offset, 0.0, data):
+                for listener in self._listeners:
+                    listener(effect)
+
+
+class Target:
+    """Counts the runs; answers what the test says."""
+
+    def __init__(self, answer: claims.Answer) -> None:
+        self.answer = answer
+        self.runs = 0
+
+    def __call__(self) -> claims.Answer:
+        """Run once."""
+        self.runs += 1
+        return self.answer
+
+
+DONE = ServiceAnswer(201, b"done", 5, "text/plain")
+
+
+def desk(log: Log, name: str, seconds: float = 1.0) -> ClaimDesk:
+    """Return the desk of an incarnation."""
+    return ClaimDesk(cast(Ledger, log), name, seconds)
+
+
+@pytest.fixture(autouse=True)
+def impatient(monkeypatch: Any) -> None:
+    """Wait less for the results of other routers."""
+    monkeypatch.setattr(claims, "RESULT_SECONDS", 0.2)
+
+
+def test_two_routers_at_once_run_it_once() -> None:
+    """The loser answers with the winner's stored answer."""
+    log, target = Log(), Target(DONE)
+    log.open = False
+    desks = [desk(log, "a"), desk(log, "b")]
+    calls = [gevent.spawn(d.run_once, "r", "f", target) for d in desks]
+    gevent.sleep(0)
+    log.open = True
+    log.flush(copies=2)
+    gevent.joinall(calls)
+    assert target.runs == 1
+    assert [(c.value.status, c.value.body) for c in calls] == [(201, b"done")] * 2
+    assert sum(call.value.tokens for call in calls) == DONE.tokens
+    assert calls[1].value.content_type == "text/plain"
+
+
+def test_claim_that_lands_late_is_never_run() -> None:
+    """Refused as not run; once the log is back, a later try runs it once."""
+    log, target = Log(), Target(DONE)
+    log.open = False
+    late = desk(log, "a", seconds=0.01)
+    refused = late.run_once("r", "f", target)
+    assert isinstance(refused, Refused) and refused.ran is Ran.NOT_RUN
+    log.open = True
+    log.flush(copies=2)
+    gevent.sleep(0.01)
+    assert target.runs == 0
+    assert log.fold.claims_by_request["r"].released
+    assert desk(log, "b").run_once("r", "f", target) == DONE
+    assert target.runs == 1
+    again = late.run_once("r", "f", target)
+    assert isinstance(again, ServiceAnswer) and target.runs == 1
+
+
+def test_refusal_before_dispatch_releases_the_claim() -> None:
+    """The next try at any router runs it; a copy of the old claim does not win."""
+    log = Log()
+    first = Target(refuse(Reason.NO_RUNNER, 1.0, target="t"))
+    assert isinstance(desk(log, "a").run_once("r", "f", first), Refused)
+    gevent.sleep(0.01)
+    old = log.fold.claims_by_request["r"].ops[0]
+    log.submit("r", records.Claim("r", "a", "f", old))
+    gevent.sleep(0.01)
+    assert log.fold.claims_by_request["r"].released
+    assert desk(log, "b").run_once("r", "f", Target(DONE)) == DONE
+
+
+def test_holder_that_died_leaves_unknown() -> None:
+    """A claim without a result is unknown, and never run by another."""
+    log, target = Log(), Target(DONE)
+    log.submit("r", records.Claim("r", "dead", "f", "op"))
+    gevent.sleep(0.01)
+    answer = desk(log, "b").run_once("r", "f", target)
+    assert isinstance(answer, Failed) and answer.ran is Ran.UNKNOWN
+    assert target.runs == 0
+
+
+def test_other_request_under_the_same_key_is_refused() -> None:
+    """The stored answer belongs to what was asked."""
+    log, target = Log(), Target(DONE)
+    desk(log, "a").run_once("r", "f", target)
+    gevent.sleep(0.01)
+    refused = desk(log, "b").run_once("r", "g", target)
+    assert isinstance(refused, Refused) and refused.reason is Reason.KEY_REUSED
+
+
+def test_large_answer_is_known_to_have_run() -> None:
+    """An answer that is not kept is said to have run."""
+    log = Log()
+    large = Target(ServiceAnswer(200, b"x" * 100_000, 5))
+    desk(log, "a").run_once("r", "f", large)
+    gevent.sleep(0.01)
+    again = desk(log, "b").run_once("r", "f", large)
+    assert isinstance(again, Failed) and again.ran is Ran.RAN
+    assert large.runs == 1
