--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -10,6 +10,7 @@
 
 from godwitrudder.clock import Stamp
 from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -18,7 +19,7 @@
     incarnation: str
 
 
-Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer
+Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer | ShareReport | ShareAnswer
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -25,9 +25,11 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.router import Router
+from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
+from godwitrudder.process.turns import TurnDesk
 from godwitrudder.version import records
 from godwitrudder.version.document import Document
 
@@ -67,13 +69,23 @@
             self.random,
             settings.log_retention_seconds,
         )
-        self.members = Members(HttpHostList(settings.hosts))
+        self.members = Members(HttpHostList(settings.hosts), settings.host, self.clock)
         self.handlers = Handlers(self.hybrid, self.metrics)
+        self.handlers.heard = self.members.heard
+        self.handlers.lost = self.members.lost
         self.peers = PeerLinks(
             self.incarnation,
             settings.peer_key,
             self.handlers,
             self.members.peer_address,
+            self.clock,
+            self.random,
+        )
+        self._peer_server = PeerServer(
+            settings.peer,
+            settings.peer_key,
+            self.handlers,
+            lambda host: self.members.peer_address(host) is not None,
         )
         self._spread = Spread(
             settings.host,
@@ -83,7 +95,6 @@
             lambda: list(self.members.routers_by_id),
             self.random,
         )
-        self._peer_server = PeerServer(settings.peer, settings.peer_key, self.handlers)
         self.ledger = Ledger(
             self.log,
             self.incarnation,
@@ -95,17 +106,33 @@
             self.ledger, self.incarnation, self.clock, self.metrics
         )
         self.links = RunnerLinks(self.clock)
-        self.router = Router(
+        self.runners = RunnerDesk(
+            self.members,
+            self.metrics,
+            self.clock,
+            self.random,
+            settings.failure_domain,
+        )
+        self.turns = TurnDesk(
+            self.incarnation,
             self.configuration,
             self.members,
+            self.peers,
+            self.handlers,
+            self.metrics,
+            self.clock,
+            self.runners,
+        )
+        self.router = Router(
+            self.configuration,
+            self.turns,
+            self.runners,
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
             self.links,
             self.timeline,
             self.metrics,
             self.clock,
-            self.random,
-            settings.failure_domain,
         )
         self.configuration.listen(self._pay_in)
         application = CallerApplication(
@@ -126,7 +153,10 @@
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
+        self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
+        self._stack.enter_context(self.runners)
+        self._stack.enter_context(self.turns)
         self._stack.enter_context(self._spread)
         self.configuration.loaded.wait()
         self._callers.start()
