--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,7 +9,8 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
-from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.connection.escrow import EscrowMessage
+from godwitrudder.connection.queries import QueryMessage
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
@@ -19,7 +20,7 @@
     incarnation: str
 
 
-Message = Ping | ConfigHave | ConfigAsk | ConfigAnswer | ShareReport | ShareAnswer
+Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -10,10 +10,12 @@
 from uuid import uuid4
 
 import gevent
+from gevent.pywsgi import WSGIServer
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
+from godwitrudder.connection.queries import Status
 from godwitrudder.connection.runner import RunnerLinks
 from godwitrudder.connection.server import CallerServer
 from godwitrudder.platform.hosts import HttpHostList
@@ -21,17 +23,22 @@
 from godwitrudder.process.budgets import BudgetDesk
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.console import Console
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
+from godwitrudder.process.witness import WitnessDesk
+from godwitrudder.request.choice import Runner
 from godwitrudder.version import records
-from godwitrudder.version.document import Document
+from godwitrudder.version.document import BudgetModel, Document
 
 DRAIN_STEP_SECONDS: Final = 0.05
 
@@ -54,7 +61,8 @@
         self.random = Random()
         self.metrics = Metrics()
         self.hybrid = HybridClock(self.clock)
-        self.timeline = Timeline(settings.host, self.hybrid)
+        self.timeline = Timeline(settings.host, self.hybrid, self.incarnation)
+        self.started_at = self.clock.now()
         self.draining = False
         self._stack = ExitStack()
         self._build()
@@ -103,8 +111,27 @@
             self.random,
         )
         self.budgets = BudgetDesk(
-            self.ledger, self.incarnation, self.clock, self.metrics
+            self.ledger,
+            self.incarnation,
+            self.clock,
+            self.metrics,
+            self.peers,
+            self._endurance,
+            lambda: len(self.members.routers_by_id),
+        )
+        self.budgets.register(self.handlers)
+        self.witness = WitnessDesk(
+            self.incarnation,
+            settings.host,
+            settings.failure_domain,
+            self.ledger,
+            self.members,
+            self.peers,
+            self.clock,
+            self.metrics,
+            self.budgets.holder.witness_set,
         )
+        self.witness.register(self.handlers)
         self.links = RunnerLinks(self.clock)
         self.runners = RunnerDesk(
             self.members,
@@ -144,6 +171,51 @@
         self._callers = CallerServer(
             settings.caller, application, lambda: self.draining
         )
+        self._operators = self._operator_server()
+
+    def _operator_server(self) -> WSGIServer:
+        settings = self.settings
+        console = Console(
+            self.configuration,
+            self.ledger,
+            self.members,
+            self.peers,
+            self.handlers,
+            self.timeline,
+            self.status,
+        )
+        publisher = Publisher(
+            self.log, self.configuration, self.ledger, console, self.clock
+        )
+        application = OperatorApplication(
+            settings.operator_keys_by_team, console, publisher
+        )
+        address = (settings.operator.ip, settings.operator.port)
+        return WSGIServer(address, application, log=None, error_log=logger)
+
+    def _drained(self, runner: Runner) -> bool:
+        """Whether operators took a runner out of service."""
+        drained = self.configuration.document.drained
+        return (
+            drained("runner", runner.id)
+            or drained("target", runner.target)
+            or drained("failure_domain", runner.failure_domain)
+        )
+
+    def status(self) -> Status:
+        """Return how this daemon is."""
+        configuration = self.configuration
+        return Status(
+            self.settings.host,
+            self.incarnation,
+            self.settings.failure_domain,
+            configuration.document.version,
+            configuration.fold.next_offset,
+            round(configuration.in_force_seconds, 3),
+            round(self.clock.now() - self.started_at, 3),
+            self.router.in_flight,
+            self.draining,
+        )
 
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
@@ -153,11 +225,16 @@
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
         self._stack.enter_context(self.members)
+        self.members.drain_by(self._drained)
+        self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self.witness)
         self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
         self._stack.enter_context(self.runners)
         self._stack.enter_context(self.turns)
         self._stack.enter_context(self._spread)
+        self._operators.start()
+        self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
@@ -188,8 +265,14 @@
         self.budgets.return_idle()
         while not self.ledger.settled() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
+        if not self.router.in_flight and self.ledger.settled():
+            self.budgets.leave()
         return self.router.in_flight
 
+    def _endurance(self, budget: str) -> float:
+        model = self.configuration.document.budgets_by_id.get(budget)
+        return (model or BudgetModel(0)).endurance
+
     def _pay_in(self, document: Document) -> None:
         """Record what the document pays; a repeated record is void."""
         version = document.version_by_section.get("budgets", -1)
