--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,6 +9,9 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
+from godwitrudder.connection.escrow import EscrowMessage
+from godwitrudder.connection.queries import QueryMessage
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
 class Ping(msgspec.Struct, frozen=True, array_like=True, tag="ping"):
@@ -17,7 +20,7 @@
     incarnation: str
 
 
-Message = Ping
+Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
