Append from a bounded outbox under a fleet-wide rate

A record stays pending until its effect is read back; a lost answer repeats the batch under the same operation ids and seen log time, and a stale one is stamped anew. Appends per daemon are the fleet's 180 a second by the number of live daemons. A full outbox refuses what its writer can make anew before it refuses a bill, and counts it. A crash of a ledger task is counted and ends the process instead of leaving a daemon that reads no log.

tests/test_outbox.py: with half of the answers lost and an outage of three replay windows, 200 bills of 100 requests by two writers are billed once each.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -16,7 +16,7 @@
 from gevent.pool import Pool  # noqa: E402
 
 from bench.fleet import Fleet, post  # noqa: E402
-from godwitrudder.process.ledger import stream_of  # noqa: E402
+from godwitrudder.process.partition import stream_of  # noqa: E402
 from godwitrudder.version.fold import LedgerFold  # noqa: E402
 from standins.batch import answer_length, word  # noqa: E402
 
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -110,6 +110,8 @@
             settings.ledger_partitions,
             self.metrics,
             self.random,
+            self.clock,
+            lambda: len(self.members.routers_by_id),
         )
         self.budgets = BudgetDesk(
             self.ledger,
--- a/godwitrudder/process/ledger.py
+++ b/godwitrudder/process/ledger.py
@@ -15,18 +15,25 @@
 import gevent
 import xxhash
 from gevent import Greenlet
-from gevent.queue import Queue
+from gevent.event import Event
 
-from godwitrudder.platform.log import POLL_SECONDS, Log, LogUnavailable
+from godwitrudder.clock import Clock
+from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
+from godwitrudder.process import guard
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.outbox import (
+    BACKOFF_FIRST_SECONDS,
+    BACKOFF_MOST_SECONDS,
+    AppendRate,
+    Outgoing,
+)
+from godwitrudder.process.partition import Partition
 from godwitrudder.version import records
 from godwitrudder.version.fold import Budget, Effect, LedgerFold
 from godwitrudder.version.records import Entry
 
 WINDOW_SECONDS: Final = 0.02
-BATCH_ENTRIES: Final = 500
-BACKOFF_FIRST_SECONDS: Final = 0.05
-BACKOFF_MOST_SECONDS: Final = 2.0
+IDLE_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
 Listener = Callable[[Effect], None]
@@ -37,11 +44,6 @@
     return xxhash.xxh64_intdigest(key.encode()) % partitions
 
 
-def stream_of(partition: int) -> str:
-    """Return the log stream of a partition."""
-    return f"ledger-{partition}"
-
-
 class Ledger:
     """All partitions of the ledger, followed and written by one daemon.
 
@@ -53,27 +55,38 @@
         This incarnation.
     partitions : int
         Number of partitions of the fleet.
+    live : callable
+        Returns the number of live daemons, which share the fleet's appends.
     """
 
     def __init__(
-        self, log: Log, writer: str, partitions: int, metrics: Metrics, random: Random
+        self,
+        log: Log,
+        writer: str,
+        partitions: int,
+        metrics: Metrics,
+        random: Random,
+        clock: Clock,
+        live: Callable[[], int],
     ) -> None:
         self._log = log
         self._writer = writer
         self._metrics = metrics
         self._random = random
-        self.folds = [LedgerFold() for _ in range(partitions)]
-        self._queues: list[Queue[Entry]] = [Queue() for _ in range(partitions)]
+        self._clock = clock
+        self._live = live
+        self._rate = AppendRate()
+        self.partitions = [Partition(n, random) for n in range(partitions)]
+        self._woken = [Event() for _ in range(partitions)]
         self._listeners: list[Listener] = []
         self._tasks: list[Greenlet] = []
-        self.pending = 0
         self.reachable = True
 
     def __enter__(self) -> Self:
         """Start a reader and an appender per partition."""
-        for partition in range(len(self.folds)):
-            self._tasks.append(gevent.spawn(self._follow, partition))
-            self._tasks.append(gevent.spawn(self._append_all, partition))
+        for partition in self.partitions:
+            for task in (self._follow, self._append_all):
+                self._tasks.append(guard.spawn(self._metrics, task, partition))
         return self
 
     def __exit__(
@@ -91,62 +104,97 @@
 
     def submit(self, key: str, entry: Entry) -> None:
         """Queue a record for the partition of ``key``."""
-        self.pending += 1
-        self._queues[partition_of(key, len(self.folds))].put(entry)
+        self._put(self._partition(key), entry)
 
     def submit_everywhere(self, entry: Entry) -> None:
         """Queue a record for every partition."""
-        self.pending += len(self._queues)
-        for queue in self._queues:
-            queue.put(entry)
+        for partition in self.partitions:
+            self._put(partition, entry)
 
     def fold_of(self, key: str) -> LedgerFold:
         """Return the fold that holds ``key``."""
-        return self.folds[partition_of(key, len(self.folds))]
+        return self._partition(key).fold
 
     def budget(self, budget: str) -> Budget | None:
         """Return the state of a budget, as read so far."""
         return self.fold_of(budget).budgets_by_id.get(budget)
 
+    @property
+    def pending(self) -> int:
+        """Records whose effect was not read back yet."""
+        return sum(len(p.outbox.pending_by_entry) for p in self.partitions)
+
     def settled(self) -> bool:
-        """Whether every queued record was appended."""
+        """Whether the effect of every record was read back."""
         return self.pending == 0
 
-    def _follow(self, partition: int) -> None:
-        fold = self.folds[partition]
+    def _partition(self, key: str) -> Partition:
+        return self.partitions[partition_of(key, len(self.partitions))]
+
+    def _put(self, partition: Partition, entry: Entry) -> None:
+        if partition.outbox.put(entry):
+            self._woken[partition.number].set()
+        else:
+            self._dropped(entry)
+
+    def _dropped(self, entry: Entry) -> None:
+        kind = type(entry).__name__.lower()
+        self._metrics.dropped_records.labels(kind).inc()
+        if isinstance(entry, records.Bill):
+            self._metrics.violations.labels("bill_dropped").inc()
+
+    def _follow(self, partition: Partition) -> None:
         backoff = BACKOFF_FIRST_SECONDS
         while True:
-            page = self._log.read(stream_of(partition), fold.next_offset, POLL_SECONDS)
+            offset = partition.fold.next_offset
+            page = self._log.read(partition.stream, offset, POLL_SECONDS)
             self.reachable = not isinstance(page, LogUnavailable)
             if isinstance(page, LogUnavailable):
                 backoff = self._sleep(backoff)
                 continue
             backoff = BACKOFF_FIRST_SECONDS
-            for record in page.records:
-                for effect in fold.apply(record.offset, record.time, record.data):
-                    self._tell(effect)
+            self._read(partition, page)
+
+    def _read(self, partition: Partition, page: LogPage) -> None:
+        now = self._clock.now()
+        for record in page.records:
+            for effect in partition.read(record, now):
+                self._tell(effect)
 
     def _tell(self, effect: Effect) -> None:
+        if effect.violation:
+            self._metrics.violations.labels("beyond_holding").inc()
         for listener in self._listeners:
             listener(effect)
 
-    def _append_all(self, partition: int) -> None:
-        queue = self._queues[partition]
+    def _append_all(self, partition: Partition) -> None:
+        woken = self._woken[partition.number]
         while True:
-            entries = [queue.get()]
+            self._await(partition, woken)
             gevent.sleep(WINDOW_SECONDS)
-            while queue.qsize() and len(entries) < BATCH_ENTRIES:
-                entries.append(queue.get())
-            self._append(partition, records.encode_batch(self._writer, entries))
-            self.pending -= len(entries)
-
-    def _append(self, partition: int, data: bytes) -> None:
-        """Append until the log answers; the fold ignores a second record."""
-        backoff = BACKOFF_FIRST_SECONDS
-        while isinstance(self._log.append(stream_of(partition), data), LogUnavailable):
-            self._metrics.appends.labels("unavailable").inc()
-            backoff = self._sleep(backoff)
-        self._metrics.appends.labels("accepted").inc()
+            gevent.sleep(self._rate.take(self._clock.now(), self._live()))
+            outgoing = partition.take(self._clock.now())
+            if outgoing is not None:
+                accepted = self._append(partition, outgoing)
+                partition.outbox.answered(accepted, self._clock.now())
+
+    def _await(self, partition: Partition, woken: Event) -> None:
+        """Wait until a record is due."""
+        while True:
+            due = partition.outbox.due_at()
+            wait = IDLE_SECONDS if due is None else due - self._clock.now()
+            if wait <= 0:
+                return
+            woken.clear()
+            woken.wait(wait)
+
+    def _append(self, partition: Partition, outgoing: Outgoing) -> bool:
+        data = records.encode_batch(self._writer, list(outgoing.entries), outgoing.seen)
+        answer = self._log.append(partition.stream, data)
+        accepted = not isinstance(answer, LogUnavailable)
+        result = "accepted" if accepted else "unavailable"
+        self._metrics.appends.labels(result).inc()
+        return accepted
 
     def _sleep(self, backoff: float) -> float:
         """Sleep with full jitter and return the next back-off, in seconds."""
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -37,6 +37,9 @@
         self.void_records = self._counter(
             "void_records", "Records of this daemon that the fold voided.", ["reason"]
         )
+        self.dropped_records = self._counter(
+            "dropped_records", "Records dropped, the outbox being full.", ["kind"]
+        )
         self.closings = self._counter(
             "closings", "Silent holders that this witness closed.", []
         )
--- /dev/null
+++ b/tests/test_outbox.py
@@ -0,0 +1,126 @@
+"""The outbox against a log that loses answers, is down, or is down for long."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from bench.simulation import Network, SimulatedLog, World
+from godwitrudder.platform.log import LogUnavailable
+from godwitrudder.process.outbox import (
+    MAX_ASKS,
+    MAX_PENDING,
+    AppendRate,
+    Outbox,
+)
+from godwitrudder.process.partition import Partition
+from godwitrudder.version import records
+from godwitrudder.version.replay import REPLAY_WINDOW_SECONDS
+
+STREAM = "ledger-0"
+STEP_SECONDS = 0.05
+
+
+class Writer:
+    """A partition that follows and writes the simulated log."""
+
+    def __init__(self, name: str, world: World, log: SimulatedLog) -> None:
+        self.name = name
+        self.world = world
+        self.log = log
+        self.partition = Partition(0, world.random)
+        world.every(STEP_SECONDS, self.step)
+
+    def put_after(self, seconds: float, entry: records.Entry) -> None:
+        """Queue a record later."""
+        outbox = self.partition.outbox
+        self.world.after(seconds, lambda: outbox.put(entry) and None)
+
+    def step(self) -> None:
+        """Read what is new, append what is due."""
+        offset = self.partition.fold.next_offset
+        for record in self.log.read(self.name, STREAM, offset):
+            self.partition.read(record, self.world.clock.now())
+        outgoing = self.partition.take(self.world.clock.now())
+        if outgoing is not None:
+            data = records.encode_batch(
+                self.name, list(outgoing.entries), outgoing.seen
+            )
+            self.log.append(self.name, STREAM, data, self.answered)
+
+    def answered(self, answer: int | LogUnavailable) -> None:
+        """Note the answer."""
+        accepted = not isinstance(answer, LogUnavailable)
+        self.partition.outbox.answered(accepted, self.world.clock.now())
+
+
+# name, share of lost answers, seconds of the outage
+FAULTS = [
+    ("none", 0.0, 0.0),
+    ("lost answers", 0.5, 0.0),
+    ("outage", 0.0, 60.0),
+    ("outage and lost answers", 0.5, 60.0),
+    ("outage beyond the replay window", 0.5, REPLAY_WINDOW_SECONDS * 3),
+]
+
+
+@pytest.mark.parametrize(("name", "lost", "outage"), FAULTS)
+def test_every_bill_counts_once(name: str, lost: float, outage: float) -> None:
+    """Two writers bill 200 requests, half of them both; all ends settled."""
+    world = World(7)
+    log = SimulatedLog(world, Network(world))
+    log.lost_answers = lost
+    writers = [Writer(name, world, log) for name in ("a", "b")]
+    writers[0].partition.outbox.put(records.Base("x", 1000, 1))
+    for writer in writers:
+        grant = records.Grant(f"g{writer.name}", "x", writer.name, 400)
+        writer.put_after(20.0, grant)
+    for number in range(200):
+        writer = writers[number % 2]
+        bill = records.Bill(f"r{number // 2}", "x", writer.name, 2)
+        writer.put_after(60.0 + number * 0.1, bill)
+    world.after(70.0, lambda: setattr(log, "down", outage > 0))
+    world.after(70.0 + outage, lambda: setattr(log, "down", False))
+    world.run(200.0 + outage)
+    log.lost_answers = 0.0
+    world.run(260.0 + outage)
+    for writer in writers:
+        assert not writer.partition.outbox.pending_by_entry
+        assert writer.partition.fold.budgets_by_id["x"].billed == 200
+
+
+def test_asks_are_refused_before_bills() -> None:
+    """A full outbox takes bills when it takes no more grants."""
+    outbox = Outbox(Random(1))
+    for number in range(MAX_ASKS):
+        assert outbox.put(records.Grant(str(number), "b", "i", 1))
+    assert not outbox.put(records.Grant("more", "b", "i", 1))
+    for number in range(MAX_PENDING - MAX_ASKS):
+        assert outbox.put(records.Bill(str(number), "b", "i", 1))
+    assert not outbox.put(records.Bill("more", "b", "i", 1))
+
+
+@pytest.mark.parametrize("live", [1, 7, 350])
+def test_the_fleet_stays_under_its_rate(live: int) -> None:
+    """Daemons that append without a pause pass 180 appends a second in no minute."""
+    rate, now = AppendRate(180.0), 0.0
+    appends = 0
+    while now < 60.0:
+        now += rate.take(now, live)
+        appends += 1
+    assert (appends - 1) * live <= 180.0 * 60.0 + max(live, 90.0)
+
+
+def test_records_beyond_a_gap_wait() -> None:
+    """A record whose predecessor was not read is not applied."""
+    partition = Partition(0, Random(1))
+    world = World(1)
+    log = SimulatedLog(world, Network(world))
+    for tokens in (10, 20):
+        data = records.encode_batch("w", [records.TopUp(str(tokens), "b", tokens, "")])
+        log.append("w", STREAM, data, lambda answer: None)
+    world.run(1.0)
+    first, second = log.read("w", STREAM, 0)
+    assert partition.read(second, 1.0) == []
+    assert partition.read(first, 1.0) and partition.read(second, 1.0)
