Keep slots free for workspaces under their share, and measure turns

Small workspaces at half their share waited 14 to 19 times as long for a first token beside one with 20x their demand as without it: every slot was full and the routers' news of the runners 0.25 s old.

--- /dev/null
+++ b/bench/measure_turns.py
@@ -0,0 +1,237 @@
+"""Fairness over the fleet: shares, waits, partitions, and what they cost."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+from random import Random
+from typing import Final
+
+from bench.engines import SLOTS, STEP_SECONDS, Engine, Job
+from bench.report import Row
+from bench.routing import Router
+from bench.simulation import Network, World
+
+DOMAINS: Final = ("magong", "budai", "anping", "donggang")
+ROUTERS: Final = 7
+ENGINES: Final = 9
+TOKENS: Final = 60
+WARM_SECONDS: Final = 20
+WINDOW_SECONDS: Final = 10
+BIG: Final = "big"
+SMALL: Final = tuple(f"small-{number}" for number in range(6))
+JAIN_LEAST: Final = 0.98
+WAIT_RATIO_MOST: Final = 2.0
+RECOVERY_MOST_SECONDS: Final = 5.0
+PARTITION_SECONDS: Final = 600
+
+
+class Scene:
+    """Routers, engines and the requests of some workspaces."""
+
+    def __init__(self, policy: str, seed: int, unit: str = "tokens") -> None:
+        self.world = World(seed)
+        self.network = Network(self.world)
+        self.engines = [
+            Engine(self.world, f"e{n}", DOMAINS[n % len(DOMAINS)])
+            for n in range(ENGINES)
+        ]
+        self.routers = {
+            f"r{n}": Router(
+                self.world,
+                self.network,
+                f"r{n}",
+                DOMAINS[n % len(DOMAINS)],
+                self.engines,
+                policy,
+                unit,
+            )
+            for n in range(ROUTERS)
+        }
+        for router in self.routers.values():
+            router.join(self.routers)
+        self._number = 0
+
+    def load(
+        self, workspace: str, rate: float, entries: list[str], tokens: int = TOKENS
+    ) -> None:
+        """Send requests of a workspace, at random times, through its routers."""
+        random = Random(workspace)
+
+        def arrive() -> None:
+            self._number += 1
+            name = f"{workspace}/{self._number}"
+            length = random.randint(tokens // 2, tokens * 3 // 2)
+            now = self.world.clock.now()
+            job = Job(name, workspace, [], length, now)
+            self.routers[random.choice(entries)].arrive(job)
+            self.world.after(random.expovariate(rate), arrive)
+
+        self.world.after(random.expovariate(rate), arrive)
+
+    def served(
+        self, start: int, end: int, workspaces: tuple[str, ...]
+    ) -> dict[str, int]:
+        """Return the tokens that workspaces got in some seconds."""
+        totals = dict.fromkeys(workspaces, 0)
+        for engine in self.engines:
+            for (workspace, second), made in engine.made_by_workspace.items():
+                if start <= second < end and workspace in totals:
+                    totals[workspace] += made
+        return totals
+
+    def waits(self, workspaces: tuple[str, ...]) -> list[float]:
+        """Return the seconds to the first token, sorted."""
+        return sorted(
+            job.first_at - job.arrived
+            for router in self.routers.values()
+            for job in router.jobs
+            if job.workspace in workspaces
+            and job.first_at >= 0
+            and job.arrived > WARM_SECONDS
+        )
+
+
+def capacity() -> float:
+    """Return the requests per second that all engines can serve."""
+    step = STEP_SECONDS * (1 + SLOTS / 16)
+    return ENGINES * SLOTS / (step * TOKENS)
+
+
+def jain(values: list[float]) -> float:
+    """Return the Jain index of some shares; 1 where all are equal."""
+    squares = sum(value * value for value in values)
+    return sum(values) ** 2 / (len(values) * squares) if squares else 0.0
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return a percentile of sorted values."""
+    return values[min(len(values) - 1, int(share * len(values)))]
+
+
+def rows() -> Iterator[Row]:
+    """Yield all rows."""
+    for entry in ("one", "all"):
+        for policy in ("fleet", "least_connections", "round_robin"):
+            yield from _fairness(policy, entry)
+            yield from _waits(policy, entry)
+    yield from _requests()
+    yield from _partition()
+
+
+def _big_entries(entry: str) -> list[str]:
+    return ["r0"] if entry == "one" else [f"r{n}" for n in range(ROUTERS)]
+
+
+def _fairness(policy: str, entry: str) -> Iterator[Row]:
+    """All want more than their share, one twenty times as much."""
+    scene = Scene(policy, 1)
+    share = capacity() / (1 + len(SMALL))
+    for number, name in enumerate(SMALL):
+        scene.load(name, share * 1.3, [f"r{1 + number % (ROUTERS - 1)}"])
+    scene.load(BIG, share * 1.3 * 20, _big_entries(entry))
+    end = 80
+    scene.world.run(end)
+    yield from _jain_rows(scene, f"turns jain 20x at {entry} {policy}", policy, end)
+
+
+def _jain_rows(scene: Scene, name: str, policy: str, end: int) -> Iterator[Row]:
+    starts = range(WARM_SECONDS, end, WINDOW_SECONDS)
+    windows = [
+        jain(
+            [
+                float(v)
+                for v in scene.served(
+                    start, start + WINDOW_SECONDS, (BIG, *SMALL)
+                ).values()
+            ]
+        )
+        for start in starts
+    ]
+    bound = JAIN_LEAST if policy == "fleet" else None
+    yield Row(f"{name} worst window", min(windows), "index", bound, "higher")
+
+
+def _waits(policy: str, entry: str) -> Iterator[Row]:
+    """Small workspaces want half their share, with and without the big one."""
+    p95 = {}
+    for big in (False, True):
+        scene = Scene(policy, 2)
+        share = capacity() / (1 + len(SMALL))
+        for number, name in enumerate(SMALL):
+            scene.load(name, share * 0.5, [f"r{1 + number % (ROUTERS - 1)}"])
+        if big:
+            scene.load(BIG, share * 0.5 * 20, _big_entries(entry))
+        scene.world.run(80)
+        p95[big] = percentile(scene.waits(SMALL), 0.95)
+    bound = WAIT_RATIO_MOST if policy == "fleet" else None
+    name = f"turns small wait ratio 20x at {entry} {policy}"
+    yield Row(name, p95[True] / p95[False], "ratio", bound)
+
+
+def _requests() -> Iterator[Row]:
+    """Turns counted in requests, though one workspace's are three times as long."""
+    scene = Scene("fleet", 3, "requests")
+    share = capacity() / 2
+    scene.load("short", share * 3, ["r1", "r2", "r3"])
+    scene.load("long", share * 3, ["r4", "r5", "r6"], TOKENS * 3)
+    scene.world.run(120)
+    ended: dict[str, float] = defaultdict(float)
+    for router in scene.routers.values():
+        for job in router.jobs:
+            if job.ended_at > 40:
+                ended[job.workspace] += 1
+    yield Row(
+        "turns jain unit requests", jain([*ended.values()]), "index", None, "higher"
+    )
+
+
+def _partition() -> Iterator[Row]:
+    """Two sides that can't reach each other, both reaching the runners."""
+    scene = Scene("fleet", 4)
+    names = list(scene.routers)
+    share = capacity() / (1 + len(SMALL))
+    for number, name in enumerate(SMALL):
+        scene.load(name, share * 1.3, [f"r{1 + number % (ROUTERS - 1)}"])
+    scene.load(BIG, share * 1.3 * 20, names)
+    scene.world.run(30)
+    scene.network.cut(names[:3], names[3:])
+    end = 30 + PARTITION_SECONDS
+    scene.world.run(end)
+    sides = {"left": names[:3], "right": names[3:]}
+    for side, routers in sides.items():
+        index = _side_jain(scene, routers, 60, end)
+        name = f"turns jain within side {side} of a partition"
+        yield Row(name, index, "index", JAIN_LEAST, "higher")
+    running = sum(router.slots.slots for router in scene.routers.values())
+    total = len(scene.engines) * SLOTS
+    yield Row("turns slots over capacity in a partition", running / total, "ratio")
+    scene.network.heal()
+    yield Row(
+        "turns recovery after a partition",
+        _recovery(scene, end),
+        "s",
+        RECOVERY_MOST_SECONDS,
+    )
+
+
+def _side_jain(scene: Scene, routers: list[str], start: float, end: float) -> float:
+    """Return the index over the workspaces that enter only at this side."""
+    shares: dict[str, float] = defaultdict(float)
+    for name in routers:
+        for job in scene.routers[name].jobs:
+            if start < job.ended_at < end:
+                shares[job.workspace] += job.tokens
+    return jain([*shares.values()])
+
+
+def _recovery(scene: Scene, healed: float) -> float:
+    """Return the seconds until all routers ask one aggregator again."""
+    for step in range(1, 400):
+        scene.world.run(healed + step * 0.1)
+        views = {tuple(r.liveness.reachable()) for r in scene.routers.values()}
+        slots = sum(router.slots.slots for router in scene.routers.values())
+        over = abs(slots / (len(scene.engines) * SLOTS) - 1.0)
+        if len(views) == 1 and over < 0.1:
+            return step * 0.1
+    return 40.0
--- /dev/null
+++ b/bench/routing.py
@@ -0,0 +1,290 @@
+"""Routers on the virtual clock: the daemon's decision modules, joined by messages."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Final
+
+from bench.engines import LOAD_STREAMS, SLOTS, Engine, Job
+from bench.simulation import Network, World
+from godwitrudder.connection.liveness import Liveness
+from godwitrudder.connection.runner import Patience
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
+from godwitrudder.process.members import PROBE_SECONDS, PROBES_MOST
+from godwitrudder.process.runners import POLLS_PER_SECOND
+from godwitrudder.request.board import Board
+from godwitrudder.request.choice import REPORT_LAG_SECONDS, Runner
+from godwitrudder.request.report import Reports
+from godwitrudder.request.share import (
+    STALE_PERIODS,
+    ShareBook,
+    aggregator,
+    period_seconds,
+)
+from godwitrudder.request.slots import Slots
+from godwitrudder.request.turn import Ticket
+from godwitrudder.sections import Address
+
+TARGET: Final = "t"
+NEWS_LAG_SECONDS: Final = 1.0
+ATTEMPTS_MOST: Final = 3
+FAR_SECONDS: Final = 1e9
+
+
+class Router:
+    """One router: the daemon's decision modules, joined by messages.
+
+    Parameters
+    ----------
+    policy : str
+        ``fleet`` for the daemon's own, ``ideal`` for one central router with
+        perfect knowledge, else a baseline: ``round_robin`` or
+        ``least_connections``.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        network: Network,
+        name: str,
+        domain: str,
+        engines: list[Engine],
+        policy: str,
+        unit: str = "tokens",
+    ) -> None:
+        self.world = world
+        self.network = network
+        self.name = name
+        self.policy = policy
+        self.unit = unit
+        self.engines_by_name = {engine.name: engine for engine in engines}
+        address = Address("127.0.0.1", 1)
+        self.runners_by_id = {
+            engine.name: Runner(engine.name, TARGET, address, engine.domain)
+            for engine in engines
+        }
+        self.board = Board(domain, Random(name))
+        self.slots = Slots(TARGET)
+        self.reports = Reports(self.slots, name)
+        self.book = ShareBook()
+        self.liveness = Liveness(name)
+        self.peers: dict[str, Router] = {}
+        self.jobs_by_name: dict[str, Job] = {}
+        self.jobs: list[Job] = []
+        self.retries = 0
+        self._turn = 0
+        self._asked = name
+        self._heard_at = 0.0
+        self._read_by_engine: dict[str, float] = {}
+
+    def join(self, peers: dict[str, Router]) -> None:
+        """Start the periodic work of a daemon."""
+        self.peers = peers
+        self.liveness.listed(dict.fromkeys(peers, False), self.world.clock.now())
+        self._own_part()
+        if self.policy != "fleet":
+            self.slots.set_slots(FAR_SECONDS if self.policy != "ideal" else self._all())
+            return
+        jitter = self.world.random.random()
+        period = period_seconds(len(peers))
+        self.world.after(
+            jitter * period, lambda: self.world.every(period, self._report)
+        )
+        self.world.after(
+            jitter, lambda: self.world.every(PROBE_SECONDS, self._probe_some)
+        )
+        self.world.every(1.0 / POLLS_PER_SECOND, self._poll)
+
+    def arrive(self, job: Job) -> None:
+        """Queue a request."""
+        self.jobs.append(job)
+        cost = float(job.tokens) if self.unit == "tokens" else 1.0
+        job.ticket = Ticket(job.name, job.workspace, cost, FAR_SECONDS)
+        self.jobs_by_name[job.name] = job
+        self.slots.queue.push(job.ticket, 1.0, self.world.clock.now())
+        self._start()
+
+    def first(self, job: Job, engine: str) -> None:
+        """Hear of a first token."""
+        now = self.world.clock.now()
+        runner = self.runners_by_id[engine]
+        if runner.unanswered:
+            runner.first_token(now - min(runner.unanswered), now)
+
+    def done(self, job: Job, engine: str) -> None:
+        """Hear of the end of an answer."""
+        now = self.world.clock.now()
+        job.ended_at = now
+        self.runners_by_id[engine].ended(True, now)
+        self._end(job)
+
+    def broken(self, job: Job, attempt: int, engine: str) -> None:
+        """Hear that an attempt broke, and try another runner."""
+        if attempt != job.attempt or job.ended_at >= 0:
+            return
+        job.attempt += 1
+        self.runners_by_id[engine].ended(False, self.world.clock.now())
+        job.excluded.add(engine)
+        self.retries += 1
+        self._dispatch(job)
+
+    def _start(self) -> None:
+        for ticket in list(self.slots.start(self.world.clock.now())):
+            self._dispatch(self.jobs_by_name[ticket.request])
+
+    def _end(self, job: Job) -> None:
+        assert job.ticket is not None
+        del self.jobs_by_name[job.name]
+        self.slots.end(job.ticket, job.ticket.cost, self.world.clock.now())
+        self._start()
+
+    def _dispatch(self, job: Job) -> None:
+        now = self.world.clock.now()
+        runner = self._choose(job, now) if job.attempt < ATTEMPTS_MOST else None
+        if runner is None:
+            job.failed = True
+            job.ended_at = now
+            self._end(job)
+            return
+        runner.started(now)
+        engine = self.engines_by_name[runner.id]
+        priority = 0.0
+        if self.policy in ("fleet", "ideal"):
+            priority = self.slots.priority(job.workspace)
+        self.network.send(
+            self.name, engine.name, lambda: engine.submit(job, priority, self)
+        )
+        self._watch(job, job.attempt, engine.name, job.made)
+
+    def _watch(self, job: Job, attempt: int, engine: str, made: int) -> None:
+        """Give an attempt up that made no progress, as the daemon's link does."""
+
+        def look() -> None:
+            if attempt != job.attempt or job.ended_at >= 0:
+                return
+            # Only a runner that answers nothing stalls; a queue is progress.
+            if job.made == made and self.engines_by_name[engine].mode == "silent":
+                self.broken(job, attempt, engine)
+                return
+            self._watch(job, attempt, engine, job.made)
+
+        self.world.after(Patience().stall, look)
+
+    def _choose(self, job: Job, now: float) -> Runner | None:
+        runners = [r for r in self.runners_by_id.values() if r.id not in job.excluded]
+        if self.policy == "round_robin":
+            self._turn += 1
+            return runners[self._turn % len(runners)]
+        if self.policy == "least_connections":
+            return min(runners, key=lambda r: (r.in_flight, self.world.random.random()))
+        if self.policy == "ideal":
+            return min(runners, key=lambda r: self._true_score(r, job))
+        everyone = list(self.runners_by_id.values())
+        self.board.eject_outliers(everyone, now)
+        return self.board.choose(TARGET, everyone, job.names, job.excluded, now)
+
+    def _true_score(self, runner: Runner, job: Job) -> tuple[bool, float]:
+        """Return what perfect knowledge says: work ahead, in steps."""
+        engine = self.engines_by_name[runner.id]
+        prefill = len(job.names) * (1.0 - engine.match(job.names))
+        full = engine.load >= SLOTS
+        slowness = (1 + engine.load / LOAD_STREAMS) * engine.slow
+        return full or engine.mode != "up", (prefill + job.tokens) * slowness
+
+    def _all(self) -> float:
+        return float(SLOTS * len(self.engines_by_name))
+
+    def _own_part(self) -> None:
+        share = self.liveness.share(self.world.clock.now())
+        routers = len(self.liveness.reachable())
+        self.slots.take_shares(ShareAnswer(False, self._all() * share / routers))
+
+    def _report(self) -> None:
+        host = aggregator(TARGET, self.liveness.reachable()) or self.name
+        if host != self._asked:
+            self.reports.restart()
+            self._asked = host
+        if self.reports.idle:
+            self._heard_at = self.world.clock.now()
+            self._own_part()
+            return
+        flights = {r.id: r.in_flight for r in self.runners_by_id.values()}
+        self._send(host, self.reports.next(flights, []))
+        late = STALE_PERIODS * period_seconds(len(self.peers))
+        if self.world.clock.now() - self._heard_at > late:
+            self.reports.restart()
+            self._own_part()
+
+    def _send(self, host: str, report: ShareReport) -> None:
+        peer = self.peers[host]
+
+        def answer() -> None:
+            got = peer.take(report)
+            self.network.send(host, self.name, lambda: self._answered(got))
+
+        self.network.send(self.name, host, answer)
+
+    def take(self, report: ShareReport) -> ShareAnswer:
+        """Take a report, as the aggregator."""
+        now = self.world.clock.now()
+        slots = self._all() * self.liveness.share(now)
+        routers = len(self.liveness.reachable())
+        return self.book.take(report, slots, {}, routers, now)
+
+    def _answered(self, answer: ShareAnswer) -> None:
+        if answer.whole:
+            self.reports.restart()
+            return
+        now = self.world.clock.now()
+        self._heard_at = now
+        self.slots.take_shares(answer)
+        for flight in answer.flights:
+            self.runners_by_id[flight.runner].told_load(flight.count, now)
+        self._start()
+
+    def _probe_some(self) -> None:
+        now = self.world.clock.now()
+        random = self.world.random
+        for host in self.liveness.to_probe(now, PROBES_MOST, random):
+            self._probe(host)
+
+    def _probe(self, host: str) -> None:
+        asked = self.world.clock.now()
+
+        def pong() -> None:
+            self.liveness.heard(host, self.world.clock.now())
+
+        def ping() -> None:
+            self.peers[host].liveness.heard(self.name, self.world.clock.now())
+            self.network.send(host, self.name, pong)
+
+        def late() -> None:
+            if self.liveness.signs_by_host[host].heard_at < asked:
+                self.liveness.failed(host, self.world.clock.now())
+
+        self.network.send(self.name, host, ping)
+        self.world.after(1.0, late)
+
+    def _poll(self) -> None:
+        """Poll the next runner: late load, late and gappy cache events."""
+        now = self.world.clock.now()
+        self._turn += 1
+        engine = list(self.engines_by_name.values())[
+            self._turn % len(self.engines_by_name)
+        ]
+        runner = self.runners_by_id[engine.name]
+        if engine.mode != "up":
+            runner.missed(now)
+            return
+        shown = now - NEWS_LAG_SECONDS
+        older = [load for at, load in engine.loads if at <= shown]
+        if older:
+            seen = now - REPORT_LAG_SECONDS
+            runner.told_load(older[-1] - runner.in_flight, seen)
+        since = self._read_by_engine.get(engine.name, -1.0)
+        for at, stored, name in engine.events:
+            if since < at <= shown and stored:
+                self.board.prefixes.stored(engine.name, [name], now)
+            elif since < at <= shown:
+                self.board.prefixes.evicted(engine.name, name)
+        self._read_by_engine[engine.name] = shown
--- a/godwitrudder/process/gate.py
+++ b/godwitrudder/process/gate.py
@@ -10,20 +10,16 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass, field
-from typing import Final
 
 from gevent.event import Event
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection.shares import ShareAnswer
 from godwitrudder.request.outcome import Reason, Refused, refuse
-from godwitrudder.request.turn import Ticket, TurnQueue
+from godwitrudder.request.slots import Slots
+from godwitrudder.request.turn import Ticket
 from godwitrudder.version.document import TurnModel
 
-QUEUED_MOST: Final = 10_000
-LIGHT_SHARE: Final = 0.125
-HOPELESS_WAITS: Final = 1.5
-
 
 @dataclass(slots=True)
 class Turn:
@@ -42,38 +38,17 @@
     used: float | None = None
 
 
-@dataclass(slots=True)
-class Service:
-    """What a workspace was served since the last report."""
-
-    units: float = 0.0
-    busy_seconds: float = 0.0
-
-
 @dataclass(slots=True, eq=False)
 class _Waiter:
     ticket: Ticket
     started: Event = field(default_factory=Event)
-    started_at: float = 0.0
 
 
 class TurnGate:
-    """Hands out the turns of one target.
-
-    Attributes
-    ----------
-    slots : int
-        Requests that this daemon may have running.
-    """
+    """Hands out the turns of one target."""
 
     def __init__(self, target: str, clock: Clock) -> None:
-        self.target = target
-        self.slots = 0
-        self.running = 0
-        self.level = 0.0
-        self.queue = TurnQueue()
-        self.service_by_workspace: dict[str, Service] = {}
-        self.load_by_workspace: dict[str, float] = {}
+        self.slots = Slots(target)
         self._clock = clock
         self._waiters_by_ticket: dict[Ticket, _Waiter] = {}
 
@@ -88,7 +63,7 @@
         Turn or Refused
             A refused request has left the queue.
         """
-        refused = self._overloaded(workspace, rules)
+        refused = self.slots.overloaded(workspace, rules)
         if refused is not None:
             yield refused
             return
@@ -103,87 +78,33 @@
                 self._leave(waiter, units)
                 yield refuse(Reason.DEADLINE, 1.0)
                 return
-            turn.priority = self.priority(workspace)
+            turn.priority = self.slots.priority(workspace)
             yield turn
         finally:
             used = turn.used if rules.unit == "tokens" else None
             self._leave(waiter, units if used is None else used)
 
-    def priority(self, workspace: str) -> float:
-        """Return the demand of a workspace in multiples of its share."""
-        held = self.load_by_workspace.get(workspace)
-        if held is not None:
-            return held
-        backlog = self.queue.backlogs_by_workspace.get(workspace)
-        if backlog is None or not self.level:
-            return 0.0
-        return min(1.0, backlog.demand / (self.level * backlog.weight))
-
-    def start_next(self) -> None:
-        """Start queued requests while slots are free.
-
-        Workspaces with nothing running may exceed the slots a little: engines
-        batch, and the priority lets their short work pass.
-        """
-        while self.running < self.slots:
-            if not self._start(light_only=False):
-                return
-        extra = max(1, int(self.slots * LIGHT_SHARE)) if self.slots else 0
-        while self.running < self.slots + extra:
-            if not self._start(light_only=True):
-                return
-
     def take_shares(self, answer: ShareAnswer) -> None:
         """Follow the aggregator's answer."""
-        self.level = answer.level
-        held = answer.held
-        self.queue.fraction_by_workspace = {one.workspace: one.fraction for one in held}
-        self.load_by_workspace = {one.workspace: one.load for one in held}
-        self.set_slots(answer.slots)
-
-    def set_slots(self, slots: float) -> None:
-        """Set the slots; a gate with any keeps one, so that nobody starves."""
-        self.slots = max(1, round(slots)) if slots > 0 else 0
-        self.start_next()
-
-    def _start(self, light_only: bool) -> bool:
-        now = self._clock.now()
-        ticket = self.queue.pop(now, light_only)
-        if ticket is None:
-            return False
-        waiter = self._waiters_by_ticket[ticket]
-        waiter.started_at = now
-        self.running += 1
-        waiter.started.set()
-        return True
-
-    def _overloaded(self, workspace: str, rules: TurnModel) -> Refused | None:
-        """Refuse early what would only be refused at its deadline."""
-        wait = self.queue.expected_wait(workspace)
-        full = self.queue.queued(workspace) >= rules.queue_limit
-        hopeless = wait > HOPELESS_WAITS * rules.deadline_seconds
-        if full or hopeless or len(self.queue) >= QUEUED_MOST:
-            after = max(1.0, wait - rules.deadline_seconds)
-            return refuse(Reason.OVERLOADED, round(after, 1), target=self.target)
-        return None
+        self.slots.take_shares(answer)
+        self._start()
+
+    def _start(self) -> None:
+        for ticket in self.slots.start(self._clock.now()):
+            self._waiters_by_ticket[ticket].started.set()
 
     def _queue(self, waiter: _Waiter, rules: TurnModel) -> None:
         self._waiters_by_ticket[waiter.ticket] = waiter
         weight = rules.weights_by_workspace.get(waiter.ticket.workspace, 1.0)
-        self.queue.push(waiter.ticket, weight, self._clock.now())
-        self.start_next()
+        self.slots.queue.push(waiter.ticket, weight, self._clock.now())
+        self._start()
 
     def _leave(self, waiter: _Waiter, cost: float) -> None:
         """End the turn or leave the queue, whichever applies, once."""
         if self._waiters_by_ticket.pop(waiter.ticket, None) is None:
             return
         if not waiter.ticket.started:
-            self.queue.cancel(waiter.ticket)
+            self.slots.queue.cancel(waiter.ticket)
             return
-        workspace = waiter.ticket.workspace
-        service = self.service_by_workspace.setdefault(workspace, Service())
-        service.units += cost
-        service.busy_seconds += self._clock.now() - waiter.started_at
-        self.running -= 1
-        self.queue.end(waiter.ticket, cost)
-        self.start_next()
+        self.slots.end(waiter.ticket, cost, self._clock.now())
+        self._start()
--- a/godwitrudder/process/runners.py
+++ b/godwitrudder/process/runners.py
@@ -23,15 +23,14 @@
 from godwitrudder.connection.shares import Flight
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.board import Board
 from godwitrudder.request.choice import (
     LEAVING_SECONDS,
     NEVER,
+    REPORT_LAG_SECONDS,
     Runner,
-    choose,
-    outliers,
 )
-from godwitrudder.request.prefix import PrefixIndex, prefix_names
-from godwitrudder.request.retry import RetryBudget
+from godwitrudder.request.prefix import prefix_names
 
 POLLS_PER_SECOND: Final = 4
 EVENT_BYTES_PER_SECOND: Final = 3000.0
@@ -59,11 +58,8 @@
         self._members = members
         self._metrics = metrics
         self._clock = clock
-        self._random = random
-        self._failure_domain = failure_domain
-        self._prefixes = PrefixIndex()
+        self._board = Board(failure_domain, random)
         self._used_at_by_target: dict[str, float] = {}
-        self._retries_by_target: dict[str, RetryBudget] = {}
         self._polled_at_by_runner: dict[str, float] = {}
         self._next_by_runner: dict[str, int] = {}
         self._event_bytes = EVENT_BYTES_MOST
@@ -93,22 +89,11 @@
         """
         now = self._clock.now()
         self._used_at_by_target[target] = now
-        budget = self._retries_by_target.setdefault(target, RetryBudget())
-        if excluded and not budget.take():
-            return None
-        if not excluded:
-            budget.request()
         runners = self._members.runners_of(target)
-        self._eject(runners, now)
+        for slow in self._board.eject_outliers(runners, now):
+            self._metrics.ejections.labels(slow.target, "slow").inc()
         names = prefix_names(prompt_text)
-        ids = [runner.id for runner in runners if runner.usable(now)]
-        matches = self._prefixes.matches(names, ids, now)
-        chosen = choose(
-            runners, self._failure_domain, excluded, self._random, now, matches
-        )
-        if chosen is not None:
-            self._prefixes.stored(chosen.id, names, now)
-        return chosen
+        return self._board.choose(target, runners, names, excluded, now)
 
     def started(self, runner: Runner) -> None:
         """Note that a request goes to a runner."""
@@ -150,11 +135,6 @@
             if runner is not None and now >= runner.left_until:
                 self.left(runner)
 
-    def _eject(self, runners: list[Runner], now: float) -> None:
-        for runner in outliers(runners, now):
-            runner.eject(now)
-            self._metrics.ejections.labels(runner.target, "slow").inc()
-
     def _poll_all(self) -> None:
         while True:
             gevent.sleep(1.0 / POLLS_PER_SECOND)
@@ -193,7 +173,8 @@
                 self._missed(runner)
             return
         self._metrics.polls.labels("load").inc()
-        runner.told_load(load.running + load.waiting - own, self._clock.now())
+        seen = self._clock.now() - REPORT_LAG_SECONDS
+        runner.told_load(load.running + load.waiting - own, seen)
         if self._event_bytes > 0:
             self._follow_events(runner)
 
@@ -212,6 +193,6 @@
         now = self._clock.now()
         for stored, name in events.changes:
             if stored:
-                self._prefixes.stored(runner.id, [name], now)
+                self._board.prefixes.stored(runner.id, [name], now)
             else:
-                self._prefixes.evicted(runner.id, name)
+                self._board.prefixes.evicted(runner.id, name)
--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
 from types import TracebackType
 from typing import Final, Self
 
@@ -16,12 +15,13 @@
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection.peer import Handlers, PeerLinks
-from godwitrudder.connection.shares import Flight, Need, ShareAnswer, ShareReport
+from godwitrudder.connection.shares import ShareAnswer, ShareReport
 from godwitrudder.process.configuration import Configuration
-from godwitrudder.process.gate import Service, TurnGate
+from godwitrudder.process.gate import TurnGate
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.request.report import Reports
 from godwitrudder.request.share import (
     STALE_PERIODS,
     ShareBook,
@@ -32,68 +32,6 @@
 ASK_SECONDS: Final = 1.0
 
 
-class Reports:
-    """What one gate has told its aggregator."""
-
-    def __init__(self, gate: TurnGate, router: str) -> None:
-        self._gate = gate
-        self._router = router
-        self._number = 0
-        self._told_by_workspace: dict[str, int] = {}
-        self._told_by_runner: dict[str, int] = {}
-
-    @property
-    def idle(self) -> bool:
-        """Whether there is nothing to tell."""
-        gate = self._gate
-        return not (gate.running or len(gate.queue) or self._told_by_workspace)
-
-    def restart(self) -> None:
-        """Make the next report a whole one."""
-        self._number = 0
-        self._told_by_workspace = {}
-        self._told_by_runner = {}
-
-    def next(self, flights: dict[str, int], leaving: list[str]) -> ShareReport:
-        """Return the next report: what changed since the last one."""
-        needs = tuple(self._needs())
-        report = ShareReport(
-            self._gate.target,
-            self._router,
-            self._number,
-            needs,
-            tuple(self._flights(flights)),
-            tuple(leaving),
-        )
-        self._number += 1
-        return report
-
-    def _needs(self) -> Iterator[Need]:
-        gate = self._gate
-        backlogs = gate.queue.backlogs_by_workspace
-        demands = {name: one.demand for name, one in backlogs.items() if one.demand}
-        served = gate.service_by_workspace
-        gate.service_by_workspace = {}
-        for workspace in (
-            demands.keys() | self._told_by_workspace.keys() | served.keys()
-        ):
-            demand = demands.get(workspace, 0)
-            done = served.get(workspace)
-            if done is None and demand == self._told_by_workspace.get(workspace, 0):
-                continue
-            done = done or Service()
-            busy = round(done.busy_seconds, 2)
-            yield Need(workspace, demand, round(done.units), busy)
-        self._told_by_workspace = demands
-
-    def _flights(self, flights: dict[str, int]) -> Iterator[Flight]:
-        for runner in flights.keys() | self._told_by_runner.keys():
-            count = flights.get(runner, 0)
-            if count != self._told_by_runner.get(runner, 0):
-                yield Flight(runner, count)
-        self._told_by_runner = {name: count for name, count in flights.items() if count}
-
-
 class TurnDesk:
     """The gates of one daemon, and the books of the targets that it adds up.
 
@@ -145,8 +83,8 @@
         if gate is None:
             gate = self._gates_by_target[target] = TurnGate(target, self._clock)
             self._tasks.spawn(self._share, gate)
-        if not gate.slots:
-            gate.set_slots(self._own_part(target))
+        if not gate.slots.slots:
+            gate.take_shares(ShareAnswer(False, self._own_part(target)))
         return gate
 
     def _slots(self, target: str) -> float:
@@ -162,20 +100,20 @@
 
     def _share(self, gate: TurnGate) -> None:
         """Report to the aggregator, again and again."""
-        reports = Reports(gate, self._incarnation)
+        reports = Reports(gate.slots, self._incarnation)
         heard_at = self._clock.now()
         asked = ""
         while True:
             routers = self._members.reachable_routers()
             period = period_seconds(len(routers))
             gevent.sleep(period)
-            host = aggregator(gate.target, routers) or self._members.host
+            host = aggregator(gate.slots.target, routers) or self._members.host
             if host != asked:
                 reports.restart()
                 asked = host
             if reports.idle:
                 heard_at = self._clock.now()
-                gate.take_shares(ShareAnswer(False, self._own_part(gate.target)))
+                gate.take_shares(ShareAnswer(False, self._own_part(gate.slots.target)))
                 continue
             answer = self._ask(host, self._report(gate, reports))
             if answer is not None and answer.whole:
@@ -188,10 +126,10 @@
                 continue
             reports.restart()
             if self._clock.now() - heard_at > STALE_PERIODS * period:
-                gate.take_shares(ShareAnswer(False, self._own_part(gate.target)))
+                gate.take_shares(ShareAnswer(False, self._own_part(gate.slots.target)))
 
     def _report(self, gate: TurnGate, reports: Reports) -> ShareReport:
-        target = gate.target
+        target = gate.slots.target
         return reports.next(
             self._runners.flights(target), self._runners.leaving(target)
         )
--- /dev/null
+++ b/godwitrudder/request/board.py
@@ -0,0 +1,64 @@
+"""The board of runners: all that one daemon knows, and the choice from it."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+from random import Random
+
+from godwitrudder.request.choice import Runner, choose, outliers
+from godwitrudder.request.prefix import PrefixIndex
+from godwitrudder.request.retry import RetryBudget
+
+
+class Board:
+    """Chooses runners, counts retries, ejects outliers.
+
+    Parameters
+    ----------
+    failure_domain : str
+        Of this daemon.
+    """
+
+    def __init__(self, failure_domain: str, random: Random) -> None:
+        self._failure_domain = failure_domain
+        self._random = random
+        self.prefixes = PrefixIndex()
+        self._retries_by_target: dict[str, RetryBudget] = {}
+
+    def choose(
+        self,
+        target: str,
+        runners: Collection[Runner],
+        names: list[int],
+        excluded: Collection[str],
+        now: float,
+    ) -> Runner | None:
+        """Return the runner for a request, None where there is none left.
+
+        A choice with runners excluded is a retry, and needs one from the budget.
+
+        Parameters
+        ----------
+        names : list of int
+            Names of the prompt's prefixes, shortest first.
+        """
+        budget = self._retries_by_target.setdefault(target, RetryBudget())
+        if excluded and not budget.take():
+            return None
+        if not excluded:
+            budget.request()
+        ids = [runner.id for runner in runners if runner.usable(now)]
+        matches = self.prefixes.matches(names, ids, now)
+        chosen = choose(
+            runners, self._failure_domain, excluded, self._random, now, matches
+        )
+        if chosen is not None:
+            self.prefixes.stored(chosen.id, names, now)
+        return chosen
+
+    def eject_outliers(self, runners: Collection[Runner], now: float) -> list[Runner]:
+        """Take out the runners far slower than the middle one."""
+        slow = outliers(runners, now)
+        for runner in slow:
+            runner.eject(now)
+        return slow
--- a/godwitrudder/request/choice.py
+++ b/godwitrudder/request/choice.py
@@ -23,13 +23,14 @@
 from godwitrudder.sections import Address
 
 NEWS_AGE_SECONDS: Final = 3.0
+REPORT_LAG_SECONDS: Final = 1.5
 DISTANCE_REQUESTS: Final = 0.25
 PREFIX_REQUESTS: Final = 4.0
 BEST_SHARE: Final = 0.5
 LATENCY_GAIN: Final = 0.2
 SLOW_FACTOR: Final = 3.0
 SLOW_SAMPLES_LEAST: Final = 3
-SLOW_SECONDS_LEAST: Final = 0.25
+SLOW_SECONDS_LEAST: Final = 2.0
 FAILURES_MOST: Final = 2
 EJECTED_SECONDS: Final = 2.0
 EJECTED_MOST_SECONDS: Final = 30.0
@@ -119,10 +120,11 @@
         self.failures = 0
         self.samples = 0
 
-    def told_load(self, others: float, now: float) -> None:
-        """Take news of the work that others gave it."""
-        self.others = max(0.0, others)
-        self.others_at = now
+    def told_load(self, others: float, at: float) -> None:
+        """Take news, as of ``at``, of the work that others gave it."""
+        if at >= self.others_at:
+            self.others = max(0.0, others)
+            self.others_at = at
 
     def usable(self, now: float) -> bool:
         """Whether it may get new work; after an ejection, one probe at a time."""
--- a/godwitrudder/request/share.py
+++ b/godwitrudder/request/share.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass, field
@@ -20,11 +21,14 @@
 
 from godwitrudder.connection.shares import Flight, Held, Need, ShareAnswer, ShareReport
 
-PERIOD_LEAST_SECONDS: Final = 0.25
+PERIOD_LEAST_SECONDS: Final = 0.1
 PERIOD_SECONDS_PER_ROUTER: Final = 0.0143
 STALE_PERIODS: Final = 4.0
 PACE_HALF_LIFE_SECONDS: Final = 10.0
 PACE_SPREAD_MOST: Final = 8.0
+RESERVE_LEAST_SHARE: Final = 0.03
+RESERVE_DEVIATIONS: Final = 2.5
+RESERVE_MOST_SHARE: Final = 0.25
 FLIGHTS_TOLD_ROUTERS: Final = 2048
 FLIGHTS_TOLD_LEAST: Final = 4
 
@@ -70,6 +74,19 @@
     return float("inf")
 
 
+def reserve(
+    demands: Iterable[tuple[float, float]], level: float, slots: float
+) -> float:
+    """Return the slots to keep free for those who stay under their share.
+
+    A few standard deviations of what they have under way, so that their next
+    request finds a slot, though another workspace would fill all.
+    """
+    light = sum(demand for demand, weight in demands if demand <= level * weight)
+    wanted = RESERVE_LEAST_SHARE * slots + RESERVE_DEVIATIONS * math.sqrt(light)
+    return min(RESERVE_MOST_SHARE * slots, wanted)
+
+
 @dataclass(slots=True)
 class Reporter:
     """What one router reported last."""
@@ -79,7 +96,7 @@
     demand_by_workspace: dict[str, int] = field(default_factory=dict)
     count_by_runner: dict[str, int] = field(default_factory=dict)
     leaving: tuple[str, ...] = ()
-    told: int = 0
+    told_by_runner: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(slots=True)
@@ -186,13 +203,14 @@
             if reporter.at < stale:
                 self._drop(router)
         self._rate_by_workspace = self._rates(weights)
-        self._level = water_level(
-            (
-                (demand, self._rate_by_workspace[workspace])
-                for workspace, demand in self._demand_by_workspace.items()
-            ),
-            slots,
-        )
+        demands = [
+            (float(demand), self._rate_by_workspace[workspace])
+            for workspace, demand in self._demand_by_workspace.items()
+        ]
+        self._level = water_level(demands, slots)
+        if self._level < float("inf"):
+            room = slots - reserve(demands, self._level, slots)
+            self._level = water_level(demands, room)
         self._filled_at = now
         self._filled_slots = slots
 
@@ -239,15 +257,16 @@
         )
 
     def _flights(self, reporter: Reporter, routers: int) -> tuple[Flight, ...]:
-        """Return other routers' work, a few runners at a time in a large fleet."""
-        runners = list(self._count_by_runner)
+        """Return what changed in the others' work, at most a few runners at once."""
+        own = reporter.count_by_runner
+        told = reporter.told_by_runner
+        changes = []
+        for runner in told.keys() | self._count_by_runner.keys():
+            count = self._count_by_runner.get(runner, 0) - own.get(runner, 0)
+            if count != told.get(runner, 0):
+                changes.append(Flight(runner, count))
         most = max(FLIGHTS_TOLD_LEAST, FLIGHTS_TOLD_ROUTERS // max(1, routers))
-        if len(runners) > most:
-            start = reporter.told % len(runners)
-            runners = (runners + runners)[start : start + most]
-            reporter.told = start + most
-        return tuple(
-            Flight(runner, self._count_by_runner[runner] - own)
-            for runner in runners
-            for own in [reporter.count_by_runner.get(runner, 0)]
-        )
+        changes.sort(key=lambda one: -abs(one.count - told.get(one.runner, 0)))
+        for change in changes[:most]:
+            told[change.runner] = change.count
+        return tuple(changes[:most])
--- a/godwitrudder/request/turn.py
+++ b/godwitrudder/request/turn.py
@@ -37,6 +37,7 @@
     cost: float
     deadline: float
     started: bool = False
+    started_at: float = 0.0
 
 
 @dataclass(slots=True)
@@ -123,8 +124,7 @@
         Parameters
         ----------
         light_only : bool
-            Look only at workspaces with nothing running here that are not held
-            to their share.
+            Look only at workspaces that are not held to their share.
         """
         while True:
             backlog = self._next(light_only)
@@ -160,13 +160,10 @@
             backlog
             for workspace, backlog in self.backlogs_by_workspace.items()
             if backlog.tickets_by_request
-            and not (light_only and self._heavy(workspace, backlog))
+            and not (light_only and workspace in self.fraction_by_workspace)
         )
         return min(waiting, key=lambda backlog: backlog.start, default=None)
 
-    def _heavy(self, workspace: str, backlog: Backlog) -> bool:
-        return backlog.running > 0 or workspace in self.fraction_by_workspace
-
     def _start(self, backlog: Backlog, ticket: Ticket, now: float) -> None:
         start = backlog.start
         self._virtual = max(self._virtual, start)
@@ -176,6 +173,7 @@
         backlog.interval_seconds += INTERVAL_GAIN * (waited - backlog.interval_seconds)
         backlog.waiting_since = now
         ticket.started = True
+        ticket.started_at = now
         self._starts += 1
         if self._starts % FORGET_EVERY_STARTS == 0:
             for workspace in list(self.backlogs_by_workspace):
