--- /dev/null
+++ b/bench/callers.py
@@ -0,0 +1,141 @@
+"""Callers of the example fleet: what they ask and what they saw."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from typing import Any, Final
+
+from geventhttpclient import HTTPClient
+
+from bench.fleet import Fleet
+from godwitrudder.sections import Address
+from godwitrudder.version.fold import LedgerFold
+from standins.batch import answer_length, word
+
+MAX_TOKENS: Final = 64
+TIMEOUT_SECONDS: Final = 60.0
+
+
+@dataclass(frozen=True, slots=True)
+class Seen:
+    """What a caller saw of one request.
+
+    Attributes
+    ----------
+    code : str
+        ``completed``, or the code of the error.
+    ran : str
+        What an error says of whether it ran.
+    right : bool
+        Whether a completed answer is the whole and the caller's own.
+    """
+
+    workspace: str
+    router: str
+    status: int
+    code: str
+    ran: str
+    tokens: int
+    right: bool
+
+
+def key_of(workspace: str) -> str:
+    """Return the API key of an example workspace."""
+    return f"penghu-{workspace}-key"
+
+
+def post(
+    address: Address,
+    path: str,
+    key: str,
+    body: Any,
+    headers: dict[str, str] | None = None,
+) -> tuple[int, bytes]:
+    """POST JSON as a caller and return status and body."""
+    client = HTTPClient(address.ip, address.port, network_timeout=TIMEOUT_SECONDS)
+    sent = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
+    sent.update(headers or {})
+    response = client.post(path, json.dumps(body), sent)
+    data = bytes(response.read())
+    client.close()
+    return response.status_code, data
+
+
+def chat(
+    fleet: Fleet,
+    router: int,
+    workspace: str,
+    prompt: str,
+    stream: bool = False,
+    headers: dict[str, str] | None = None,
+) -> Seen:
+    """Ask the example's model through one daemon."""
+    settings = fleet.daemons[router].settings
+    body = {
+        "model": "rudder-llm",
+        "messages": [{"role": "user", "content": prompt}],
+        "max_tokens": MAX_TOKENS,
+        "stream": stream,
+        "stream_options": {"include_usage": True},
+    }
+    status, data = post(
+        settings.caller, "/v1/chat/completions", key_of(workspace), body, headers
+    )
+    if status != 200:
+        return _refused(workspace, settings.host, status, data)
+    text, tokens = _streamed(data) if stream else _whole(data)
+    right = text == whole_answer(prompt)
+    if not tokens:
+        return Seen(workspace, settings.host, status, "cut", "ran", 0, right)
+    return Seen(workspace, settings.host, status, "completed", "ran", tokens, right)
+
+
+def transfer(fleet: Fleet, router: int, workspace: str, key: str) -> Seen:
+    """Ask for a tag transfer, which may not be repeated."""
+    settings = fleet.daemons[router].settings
+    status, data = post(
+        settings.caller,
+        "/services/registry-app/transfers",
+        key_of(workspace),
+        {"tag": "TW-0417", "to": "boat 12"},
+        {"Idempotency-Key": key},
+    )
+    if status != 200:
+        return _refused(workspace, settings.host, status, data)
+    return Seen(workspace, settings.host, status, "completed", "ran", 5, True)
+
+
+def whole_answer(prompt: str) -> str:
+    """Return the answer that belongs to a prompt."""
+    length = answer_length(prompt, MAX_TOKENS)
+    return "".join(word(prompt, index) for index in range(length))
+
+
+def billed(folds: list[LedgerFold], budget: str) -> tuple[int, int, int]:
+    """Return paid, billed and open tokens of a budget."""
+    state = next(f.budgets_by_id[budget] for f in folds if budget in f.budgets_by_id)
+    return state.paid, state.billed, state.open
+
+
+def _refused(workspace: str, router: str, status: int, data: bytes) -> Seen:
+    error = json.loads(data)["error"]
+    return Seen(workspace, router, status, error["code"], error["ran"], 0, True)
+
+
+def _streamed(data: bytes) -> tuple[str, int]:
+    text, tokens = "", 0
+    for line in data.decode().splitlines():
+        if not line.startswith("data: {"):
+            continue
+        event: dict[str, Any] = json.loads(line[6:])
+        for choice in event.get("choices", []):
+            text += choice["delta"].get("content", "")
+        tokens = event.get("usage", {}).get("total_tokens", tokens)
+    return text, tokens
+
+
+def _whole(data: bytes) -> tuple[str, int]:
+    body = json.loads(data)
+    text = body["choices"][0]["message"]["content"]
+    return text, body["usage"]["total_tokens"]
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,20 +2,19 @@
 
 from __future__ import annotations
 
-import json
 import os
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
-from typing import Any, Final, Self
-
-from geventhttpclient import HTTPClient
+from typing import Final, Self
 
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
+from godwitrudder.process.ledger import stream_of
 from godwitrudder.process.settings import Settings, load_text
 from godwitrudder.sections import Address, Problem
 from godwitrudder.version.document import SECTIONS
+from godwitrudder.version.fold import LedgerFold
 from standins.document import publish
 from standins.engine import Engine
 from standins.platform import Platform
@@ -65,6 +64,16 @@
         """Stop everything."""
         self._stack.close()
 
+    def refold(self) -> list[LedgerFold]:
+        """Fold every partition anew from the log's own records."""
+        folds = []
+        for partition in range(self.daemons[0].settings.ledger_partitions):
+            fold = LedgerFold()
+            for record in self.platform.streams_by_name[stream_of(partition)].records:
+                fold.apply(record.offset, record.time, record.data)
+            folds.append(fold)
+        return folds
+
     def _hosts(self) -> list[HostEntry]:
         hosts = [
             HostEntry(
@@ -100,20 +109,3 @@
     if isinstance(loaded, Problem):
         raise ValueError(str(loaded))
     return loaded
-
-
-def post(
-    address: Address,
-    path: str,
-    key: str,
-    body: Any,
-    headers: dict[str, str] | None = None,
-) -> tuple[int, bytes]:
-    """POST JSON as a caller and return status and body."""
-    client = HTTPClient(address.ip, address.port, network_timeout=30.0)
-    sent = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
-    sent.update(headers or {})
-    response = client.post(path, json.dumps(body), sent)
-    data = bytes(response.read())
-    client.close()
-    return response.status_code, data
