--- a/godwitrudder/version/document.py
+++ b/godwitrudder/version/document.py
@@ -130,6 +130,7 @@
 
     workspace: str
     budget: str
+    key_sha256: str
 
 
 @dataclass(slots=True)
@@ -197,7 +198,7 @@
     document.targets_by_id = parsed["targets"]
     document.turns_by_target = parsed["turns"]
     document.access_by_key_hash = {
-        key.sha256: Access(name, key.budget)
+        key.sha256: Access(name, key.budget, key.sha256)
         for name, workspace in document.workspaces_by_id.items()
         for key in workspace.keys
     }
