--- a/standins/platform.py
+++ b/standins/platform.py
@@ -18,6 +18,7 @@
 from godwitrudder import codec
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.platform.log import LogPage, LogRecord
+from godwitrudder.platform.weights import WeightCatalogue
 from godwitrudder.sections import Address
 from standins.http import Request, Response, StandIn, json_response
 
@@ -113,6 +114,9 @@
         self.retention_seconds = retention_seconds
         self.appends = 0
         self._append_rate = RateLimit(APPENDS_PER_SECOND)
+        self.catalogue = WeightCatalogue(
+            bytes_per_second=WEIGHT_BYTES_PER_SECOND, bytes_by_model={}
+        )
         self._weight_rate = RateLimit(WEIGHT_BYTES_PER_SECOND)
         self._hosts: deque[tuple[float, list[HostEntry]]] = deque([(0.0, hosts)])
 
@@ -134,8 +138,10 @@
             return self._log(request)
         if request.path == "/hosts":
             return self._host_list(request)
+        if request.path == "/weights":
+            return Response(200, [codec.encode(self.catalogue)])
         if request.path.startswith("/weights/"):
-            return self._weights(request)
+            return self._weights(request.path.removeprefix("/weights/"))
         return json_response({"error": f"nothing at {request.path}"}, 404)
 
     def _log(self, request: Request) -> Response:
@@ -169,11 +175,10 @@
             self.set_hosts(hosts)
         return Response(200, [codec.encode(self.hosts)])
 
-    def _weights(self, request: Request) -> Response:
-        """Answer once the rate limit allows so many bytes."""
-        try:
-            size = float(request.query.get("bytes", "1e6"))
-        except ValueError as error:
-            return json_response({"error": f"bytes: {error}"}, 400)
+    def _weights(self, model: str) -> Response:
+        """Answer once the rate limit allows the bytes of a model."""
+        size = self.catalogue.bytes_by_model.get(model)
+        if size is None:
+            return json_response({"error": f"no weights of {model}"}, 404)
         gevent.sleep(self._weight_rate.take(size))
         return json_response({"bytes": size})
