--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -10,7 +10,7 @@
 
 from godwitrudder.clock import Stamp
 from godwitrudder.connection.escrow import EscrowMessage
-from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.connection.queries import QueryMessage
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
 
@@ -20,15 +20,7 @@
     incarnation: str
 
 
-Message = (
-    Ping
-    | ConfigHave
-    | ConfigAsk
-    | ConfigAnswer
-    | ShareReport
-    | ShareAnswer
-    | EscrowMessage
-)
+Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
