--- a/godwitrudder/process/attempts.py
+++ b/godwitrudder/process/attempts.py
@@ -21,7 +21,7 @@
 from godwitrudder.request.answer import Call, Chunk, Piece, Prompt, Usage
 from godwitrudder.request.choice import Runner
 from godwitrudder.request.exchange import Exchange
-from godwitrudder.request.outcome import Completed, Ran, Reason, fail, refuse
+from godwitrudder.request.outcome import Completed, Ran, Reason, Refused, fail, refuse
 
 ATTEMPTS_MOST: Final = 3
 
@@ -67,6 +67,8 @@
                 yield from self._attempt(run, runner)
                 if run.completed:
                     return
+                if run.refused is not None:
+                    break
                 run.excluded.add(runner.id)
             yield self._end(run)
         finally:
@@ -76,6 +78,9 @@
     def _attempt(self, run: _Run, runner: Runner) -> Iterator[Piece]:
         attempt = uuid4().hex
         call = run.call
+        run.refused = run.spend.announce(runner.id, attempt)
+        if run.refused is not None:
+            return
         self._note("dispatch", call, f"{runner.id} from token {run.next}")
         self._runners.started(runner)
         started_at = self._clock.now()
@@ -115,6 +120,8 @@
             run.exchange.dispatched = False
 
     def _end(self, run: _Run) -> Piece:
+        if not run.sent and run.refused is not None:
+            return run.refused
         if not run.sent:
             return refuse(Reason.NO_RUNNER, 1.0, target=run.call.target)
         ran = Ran.RAN if run.next else Ran.UNKNOWN
@@ -149,6 +156,7 @@
         self.next = 0
         self.sent = False
         self.completed = False
+        self.refused: Refused | None = None
         self.problem = ""
         self.excluded: set[str] = set()
         self.attempts: list[tuple[Runner, str]] = []
--- a/godwitrudder/version/records.py
+++ b/godwitrudder/version/records.py
@@ -7,7 +7,10 @@
 A batch says which log time its writer had seen.  The fold forgets operation ids
 that are older than the replay window and voids as ``stale`` every batch that saw
 less than what was forgotten, so a late copy of a record never counts as new.
-A writer that reads ``stale`` for its own record writes it again.
+A writer that reads ``stale`` for its own record writes it again.  Who writes the
+record of somebody else's operation (a bill or a hand-over for a dead holder)
+follows the partition from the time it learnt the id, and does not write what it
+read already.
 
 Records of a budget go to the partition of the budget; a ``Closing`` and a
 ``Witnesses`` go to every partition in which the incarnation holds tokens.
@@ -21,6 +24,7 @@
 
 from godwitrudder import codec
 
+NOT_RUN: Final = 0
 VERSION: Final = 1
 WHOLE_PERMILLE: Final = 1000
 
@@ -193,19 +197,39 @@
 
 
 class Claim(msgspec.Struct, frozen=True, array_like=True, tag="claim", gc=False):
-    """The right to run a non-idempotent call; the first per request wins."""
+    """The right to run a non-idempotent call; the first per request wins.
+
+    Attributes
+    ----------
+    op : str
+        Tells a later claim from a copy of one that was released.
+    """
 
     request: str
     incarnation: str
     fingerprint: str
+    op: str = ""
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True, tag="result", gc=False):
-    """The stored outcome of a claimed call, for replay."""
+    """The stored outcome of a claimed call, for replay.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status; ``NOT_RUN`` releases the claim.
+    op : str
+        The claim that this ends.
+    kept : bool
+        False where the call ran and its answer is too large to keep.
+    """
 
     request: str
     status: int
     body: bytes
+    op: str = ""
+    content_type: str = "application/json"
+    kept: bool = True
 
 
 Entry = (
