--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -34,8 +34,11 @@
 
     def put_after(self, seconds: float, entry: records.Entry) -> None:
         """Queue a record later."""
-        outbox = self.partition.outbox
-        self.world.after(seconds, lambda: outbox.put(entry) and None)
+
+        def put() -> None:
+            self.partition.outbox.put(entry)
+
+        self.world.after(seconds, put)
 
     def step(self) -> None:
         """Read what is new, append what is due."""
