--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -112,6 +112,7 @@
             self.random,
             self.clock,
             lambda: len(self.members.routers_by_id),
+            settings.log_retention_seconds,
         )
         self.budgets = BudgetDesk(
             self.ledger,
--- a/godwitrudder/process/ledger.py
+++ b/godwitrudder/process/ledger.py
@@ -28,6 +28,7 @@
     Outgoing,
 )
 from godwitrudder.process.partition import Partition
+from godwitrudder.process.snapshots import SnapshotDesk
 from godwitrudder.version import records
 from godwitrudder.version.fold import Budget, Effect, LedgerFold
 from godwitrudder.version.records import Entry
@@ -57,6 +58,8 @@
         Number of partitions of the fleet.
     live : callable
         Returns the number of live daemons, which share the fleet's appends.
+    retention : float
+        Seconds for which the log keeps records.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         random: Random,
         clock: Clock,
         live: Callable[[], int],
+        retention: float,
     ) -> None:
         self._log = log
         self._writer = writer
@@ -77,15 +81,16 @@
         self._live = live
         self._rate = AppendRate()
         self.partitions = [Partition(n, random) for n in range(partitions)]
+        self._snapshots = SnapshotDesk(log, metrics, clock, retention, self._pace)
         self._woken = [Event() for _ in range(partitions)]
         self._listeners: list[Listener] = []
         self._tasks: list[Greenlet] = []
         self.reachable = True
 
     def __enter__(self) -> Self:
-        """Start a reader and an appender per partition."""
+        """Start a reader, an appender and a snapshot writer per partition."""
         for partition in self.partitions:
-            for task in (self._follow, self._append_all):
+            for task in (self._follow, self._append_all, self._keep_snapshots):
                 self._tasks.append(guard.spawn(self._metrics, task, partition))
         return self
 
@@ -144,6 +149,7 @@
             self._metrics.violations.labels("bill_dropped").inc()
 
     def _follow(self, partition: Partition) -> None:
+        self._skip(partition)
         backoff = BACKOFF_FIRST_SECONDS
         while True:
             offset = partition.fold.next_offset
@@ -151,9 +157,31 @@
             self.reachable = not isinstance(page, LogUnavailable)
             if isinstance(page, LogUnavailable):
                 backoff = self._sleep(backoff)
-                continue
-            backoff = BACKOFF_FIRST_SECONDS
-            self._read(partition, page)
+            elif page.first > offset and not self._skip(partition):
+                self._metrics.snapshots.labels("missing").inc()
+                backoff = self._sleep(backoff)
+            else:
+                backoff = BACKOFF_FIRST_SECONDS
+                self._read(partition, page)
+
+    def _skip(self, partition: Partition) -> bool:
+        """Continue at the newest snapshot; False where none is further."""
+        lost = self._snapshots.load(partition)
+        if lost is None:
+            return False
+        for _ in lost:
+            self._metrics.violations.labels("append_outcome_unknown").inc()
+        return True
+
+    def _keep_snapshots(self, partition: Partition) -> None:
+        mean = self._snapshots.check_seconds
+        while True:
+            gevent.sleep(mean * self._random.uniform(0.5, 1.5))
+            self._snapshots.keep(partition)
+
+    def _pace(self) -> None:
+        """Wait until one more append is within this daemon's rate."""
+        gevent.sleep(self._rate.take(self._clock.now(), self._live()))
 
     def _read(self, partition: Partition, page: LogPage) -> None:
         now = self._clock.now()
@@ -172,7 +200,7 @@
         while True:
             self._await(partition, woken)
             gevent.sleep(WINDOW_SECONDS)
-            gevent.sleep(self._rate.take(self._clock.now(), self._live()))
+            self._pace()
             outgoing = partition.take(self._clock.now())
             if outgoing is not None:
                 accepted = self._append(partition, outgoing)
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -37,6 +37,9 @@
         self.void_records = self._counter(
             "void_records", "Records of this daemon that the fold voided.", ["reason"]
         )
+        self.snapshots = self._counter(
+            "ledger_snapshots", "Snapshots of ledger partitions.", ["result"]
+        )
         self.dropped_records = self._counter(
             "dropped_records", "Records dropped, the outbox being full.", ["kind"]
         )
--- /dev/null
+++ b/godwitrudder/process/snapshots.py
@@ -0,0 +1,104 @@
+"""Reads and writes the snapshots of partitions."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from godwitrudder.clock import Clock
+from godwitrudder.platform.log import Log, LogUnavailable
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.partition import Partition
+from godwitrudder.version import snapshot
+from godwitrudder.version.records import Entry
+from godwitrudder.version.snapshot import Collector
+
+CHECKS_PER_RETENTION: Final = 64
+
+logger = logging.getLogger(__name__)
+
+
+def snapshot_stream_of(partition: int) -> str:
+    """Return the log stream of a partition's snapshots."""
+    return f"ledger-{partition}-snapshot"
+
+
+class SnapshotDesk:
+    """Snapshots of the partitions that this daemon follows.
+
+    Parameters
+    ----------
+    retention : float
+        Seconds for which the log keeps records.
+    pace : callable
+        Waits until one more append is within the rate.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        metrics: Metrics,
+        clock: Clock,
+        retention: float,
+        pace: Callable[[], None],
+    ) -> None:
+        self._log = log
+        self._metrics = metrics
+        self._clock = clock
+        self._retention = retention
+        self._pace = pace
+
+    @property
+    def check_seconds(self) -> float:
+        """Mean seconds between two looks at the newest snapshot."""
+        return self._retention / CHECKS_PER_RETENTION
+
+    def load(self, partition: Partition) -> list[Entry] | None:
+        """Move a partition forward to the newest whole snapshot.
+
+        Returns
+        -------
+        list of Entry or None
+            Records whose effect nobody can tell any more; None where no
+            snapshot is further than the partition.
+        """
+        collector = self._collect(partition)
+        fold = None if collector is None else collector.newest()
+        if fold is None or fold.next_offset <= partition.fold.next_offset:
+            return None
+        self._metrics.snapshots.labels("loaded").inc()
+        logger.info("%s continues at %d", partition.stream, fold.next_offset)
+        return partition.restore(fold, self._clock.now())
+
+    def keep(self, partition: Partition) -> None:
+        """Write a snapshot before the newest is older than a quarter of retention."""
+        collector = self._collect(partition)
+        if collector is None or not partition.fold.next_offset:
+            return
+        now, reached = self._clock.wall(), partition.fold.next_offset
+        if not collector.fresh(now, self._retention, reached):
+            self._write(partition)
+
+    def _write(self, partition: Partition) -> None:
+        stream = snapshot_stream_of(partition.number)
+        for data in snapshot.chunks_of(partition.fold):
+            self._pace()
+            if isinstance(self._log.append(stream, data), LogUnavailable):
+                self._metrics.snapshots.labels("unfinished").inc()
+                return
+        self._metrics.snapshots.labels("written").inc()
+
+    def _collect(self, partition: Partition) -> Collector | None:
+        """Read the snapshot stream to its end; None where the log is away."""
+        collector = Collector()
+        offset = 0
+        while True:
+            page = self._log.read(snapshot_stream_of(partition.number), offset)
+            if isinstance(page, LogUnavailable):
+                return None
+            for record in page.records:
+                collector.add(record.data, record.time)
+                offset = record.offset + 1
+            if not page.records or offset >= page.next:
+                return collector
--- /dev/null
+++ b/godwitrudder/version/snapshot.py
@@ -0,0 +1,349 @@
+"""Snapshots of a partition: its whole state, in chunks on a stream of its own.
+
+The same records give the same bytes, so two daemons that write at once write the
+same snapshot, and a digest tells whether two states are equal.  A snapshot
+counts once all its chunks are there and the digest of the bytes is right.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass, field
+from typing import Final
+
+import msgspec
+
+from godwitrudder import codec
+from godwitrudder.version import records
+from godwitrudder.version.accounts import Budget, ClaimState, Holder, Holding
+from godwitrudder.version.fold import LedgerFold
+from godwitrudder.version.replay import KEY_BYTES, ReplayIndex, Slice
+
+VERSION: Final = 1
+CHUNK_BYTES: Final = 200_000
+DIGEST_BYTES: Final = 16
+MAX_SETS: Final = 4
+MAX_CHUNKS: Final = 10_000
+
+
+class BudgetState(msgspec.Struct, frozen=True, array_like=True):
+    """A budget without its holdings."""
+
+    id: str
+    base: int
+    wanted: int
+    config_offset: int
+    topped_up: int
+    billed: int
+    open: int
+
+
+class HoldingState(msgspec.Struct, frozen=True, array_like=True):
+    """What one incarnation holds of one budget."""
+
+    budget: str
+    incarnation: str
+    witnessed: int
+    isolated: int
+    intents_by_request: dict[str, int]
+
+
+class HolderState(msgspec.Struct, frozen=True, array_like=True):
+    """One incarnation."""
+
+    incarnation: str
+    epoch: int
+    witnesses: tuple[str, ...]
+    closed: bool
+
+
+class ClaimEntry(msgspec.Struct, frozen=True, array_like=True):
+    """One claim and the log time of its record."""
+
+    time: float
+    request: str
+    incarnation: str
+    fingerprint: str
+    result: records.Result | None
+    ops: tuple[str, ...]
+    released: bool
+
+
+class SliceState(msgspec.Struct, frozen=True, array_like=True):
+    """Operation hashes of one slice of time, sorted and joined."""
+
+    end: float
+    keys: bytes
+
+
+class IndexState(msgspec.Struct, frozen=True, array_like=True):
+    """A replay index."""
+
+    forgotten_until: float
+    slices: tuple[SliceState, ...]
+
+
+class State(msgspec.Struct, frozen=True, array_like=True):
+    """Everything that a fold remembers."""
+
+    next_offset: int
+    time: float
+    budgets: tuple[BudgetState, ...]
+    holdings: tuple[HoldingState, ...]
+    holders: tuple[HolderState, ...]
+    applied: IndexState
+    claims: tuple[ClaimEntry, ...]
+    answered: tuple[str, ...]
+    known: IndexState
+
+
+class Chunk(msgspec.Struct, frozen=True, array_like=True):
+    """A part of a snapshot, as a record of the snapshot stream.
+
+    Attributes
+    ----------
+    covered : int
+        Offset of the first record that the snapshot does not contain.
+    time : float
+        Log time of the newest record in it.
+    digest : bytes
+        Of the whole snapshot; chunks with the same one belong together.
+    """
+
+    version: int
+    covered: int
+    time: float
+    digest: bytes
+    index: int
+    count: int
+    data: bytes
+
+
+def encode(fold: LedgerFold) -> bytes:
+    """Return the state of a fold as bytes; equal states give equal bytes."""
+    return codec.encode(state_of(fold))
+
+
+def digest_of(data: bytes) -> bytes:
+    """Return the digest of an encoded state."""
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).digest()
+
+
+def chunks_of(fold: LedgerFold, size: int = CHUNK_BYTES) -> list[bytes]:
+    """Return the records to append for a snapshot of a fold."""
+    data = encode(fold)
+    digest = digest_of(data)
+    parts = [data[start : start + size] for start in range(0, len(data), size)]
+    return [
+        codec.encode(
+            Chunk(VERSION, fold.next_offset, fold.time, digest, index, len(parts), part)
+        )
+        for index, part in enumerate(parts)
+    ]
+
+
+def decode(data: bytes) -> LedgerFold | codec.Malformed:
+    """Return the fold of an encoded state."""
+    state: State | codec.Malformed = codec.decode(data, State)
+    if isinstance(state, codec.Malformed):
+        return state
+    return _fold_of(state)
+
+
+@dataclass(slots=True)
+class ChunkSet:
+    """Chunks of one snapshot, as far as they were read.
+
+    Attributes
+    ----------
+    written : float
+        Log time of the last chunk that was read.
+    """
+
+    covered: int
+    time: float
+    count: int
+    written: float = 0.0
+    data_by_index: dict[int, bytes] = field(default_factory=dict)
+
+    @property
+    def complete(self) -> bool:
+        """Whether every chunk is there."""
+        return len(self.data_by_index) == self.count
+
+
+class Collector:
+    """Puts chunks together; keeps the few newest snapshots only."""
+
+    def __init__(self) -> None:
+        self.sets_by_digest: dict[bytes, ChunkSet] = {}
+
+    def add(self, data: bytes, written: float) -> None:
+        """Take a record of the snapshot stream; a malformed one is ignored."""
+        chunk = codec.decode(data, Chunk)
+        if isinstance(chunk, codec.Malformed) or chunk.version != VERSION:
+            return
+        if not 0 <= chunk.index < chunk.count <= MAX_CHUNKS:
+            return
+        found = self.sets_by_digest.setdefault(
+            chunk.digest, ChunkSet(chunk.covered, chunk.time, chunk.count)
+        )
+        found.data_by_index[chunk.index] = chunk.data
+        found.written = written
+        if len(self.sets_by_digest) > MAX_SETS:
+            oldest = min(self.sets_by_digest, key=self._covered)
+            del self.sets_by_digest[oldest]
+
+    def newest(self) -> LedgerFold | None:
+        """Return the fold of the furthest snapshot that is whole and right."""
+        for digest in sorted(self.sets_by_digest, key=self._covered, reverse=True):
+            fold = self._fold(digest)
+            if fold is not None:
+                return fold
+        return None
+
+    def fresh(self, now: float, retention: float, next_offset: int) -> bool:
+        """Whether a snapshot stands that need not be written again yet.
+
+        Parameters
+        ----------
+        now : float
+            Log time in seconds.
+        retention : float
+            Seconds for which the log keeps records.
+        next_offset : int
+            Offset up to which the caller has read.
+        """
+        for digest, found in self.sets_by_digest.items():
+            recent = found.covered >= next_offset or found.time > now - retention / 2
+            if recent and found.written > now - retention / 4:
+                if self._fold(digest) is not None:
+                    return True
+        return False
+
+    def _covered(self, digest: bytes) -> int:
+        return self.sets_by_digest[digest].covered
+
+    def _fold(self, digest: bytes) -> LedgerFold | None:
+        found = self.sets_by_digest[digest]
+        if not found.complete:
+            return None
+        data = b"".join(found.data_by_index[index] for index in range(found.count))
+        if digest_of(data) != digest:
+            return None
+        fold = decode(data)
+        return None if isinstance(fold, codec.Malformed) else fold
+
+
+def state_of(fold: LedgerFold) -> State:
+    """Return the state of a fold as a plain value."""
+    budgets = fold.budgets_by_id
+    holders = fold.escrow.holders_by_incarnation
+    return State(
+        fold.next_offset,
+        fold.time,
+        tuple(_budget_state(name, budget) for name, budget in budgets.items()),
+        tuple(
+            HoldingState(
+                name,
+                incarnation,
+                holding.witnessed,
+                holding.isolated,
+                holding.intents_by_request,
+            )
+            for name, budget in budgets.items()
+            for incarnation, holding in budget.holdings_by_incarnation.items()
+        ),
+        tuple(
+            HolderState(name, holder.epoch, holder.witnesses, holder.closed)
+            for name, holder in holders.items()
+        ),
+        _index_state(fold.applied),
+        tuple(
+            _claim_entry(time, request, fold.claims_by_request[request])
+            for time, request in fold.claims.claimed_at
+        ),
+        tuple(fold.claims.answered),
+        _index_state(fold.claims.known),
+    )
+
+
+def _budget_state(name: str, budget: Budget) -> BudgetState:
+    return BudgetState(
+        name,
+        budget.base,
+        budget.wanted,
+        budget.config_offset,
+        budget.topped_up,
+        budget.billed,
+        budget.open,
+    )
+
+
+def _claim_entry(time: float, request: str, claim: ClaimState) -> ClaimEntry:
+    return ClaimEntry(
+        time,
+        request,
+        claim.incarnation,
+        claim.fingerprint,
+        claim.result,
+        claim.ops,
+        claim.released,
+    )
+
+
+def _index_state(index: ReplayIndex) -> IndexState:
+    slices = []
+    for part in index.slices:
+        keys = b"".join(key.to_bytes(KEY_BYTES) for key in sorted(part.keys))
+        slices.append(SliceState(part.end, keys))
+    return IndexState(index.forgotten_until, tuple(slices))
+
+
+def _fold_of(state: State) -> LedgerFold:
+    fold = LedgerFold()
+    fold.next_offset = state.next_offset
+    fold.time = state.time
+    _restore_index(fold.applied, state.applied)
+    _restore_index(fold.claims.known, state.known)
+    for budget in state.budgets:
+        fold.budgets_by_id[budget.id] = Budget(*msgspec.structs.astuple(budget)[1:])
+    for holder in state.holders:
+        fold.escrow.holders_by_incarnation[holder.incarnation] = Holder(
+            holder.epoch, holder.witnesses, holder.closed
+        )
+    for holding in state.holdings:
+        budget_held = fold.budgets_by_id[holding.budget]
+        budget_held.holdings_by_incarnation[holding.incarnation] = Holding(
+            holding.witnessed, holding.isolated, dict(holding.intents_by_request)
+        )
+        owner = fold.escrow.holders_by_incarnation[holding.incarnation]
+        owner.budgets.add(holding.budget)
+    _restore_claims(fold, state)
+    return fold
+
+
+def _restore_claims(fold: LedgerFold, state: State) -> None:
+    claims = fold.claims
+    for claim in state.claims:
+        claims.claimed_at.append((claim.time, claim.request))
+        claims.claims_by_request[claim.request] = ClaimState(
+            claim.incarnation,
+            claim.fingerprint,
+            claim.result,
+            claim.ops,
+            claim.released,
+        )
+        if claim.result is not None:
+            claims.result_bytes += len(claim.result.body)
+    claims.answered.extend(state.answered)
+
+
+def _restore_index(index: ReplayIndex, state: IndexState) -> None:
+    index.forgotten_until = state.forgotten_until
+    for part in state.slices:
+        keys = {
+            int.from_bytes(part.keys[start : start + KEY_BYTES])
+            for start in range(0, len(part.keys), KEY_BYTES)
+        }
+        index.slices.append(Slice(part.end, keys))
--- /dev/null
+++ b/tests/test_snapshot.py
@@ -0,0 +1,203 @@
+"""Snapshots: catch-up equals the full fold, whatever is broken on the stream."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from random import Random
+
+import pytest
+
+from godwitrudder.clock import VirtualClock
+from godwitrudder.platform.log import Log, LogPage, LogRecord, LogUnavailable
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.partition import Partition
+from godwitrudder.process.snapshots import SnapshotDesk, snapshot_stream_of
+from godwitrudder.version import records, snapshot
+from godwitrudder.version.fold import LedgerFold
+from godwitrudder.version.records import Entry
+from godwitrudder.version.snapshot import Collector
+
+STEP_SECONDS = 40.0
+RETENTION_SECONDS = 8000.0
+
+
+class MemoryLog(Log):
+    """A log that forgets what is older than its retention."""
+
+    def __init__(self, clock: VirtualClock) -> None:
+        self.clock = clock
+        self.down = False
+        self.streams: dict[str, list[LogRecord]] = defaultdict(list)
+
+    def append(self, stream: str, data: bytes) -> int | LogUnavailable:
+        """Append one record."""
+        if self.down:
+            return LogUnavailable("down")
+        offset = len(self.streams[stream])
+        self.streams[stream].append(LogRecord(offset, self.clock.now(), data))
+        return offset
+
+    def read(
+        self, stream: str, offset: int, wait: float = 0.0
+    ) -> LogPage | LogUnavailable:
+        """Read what is kept."""
+        if self.down:
+            return LogUnavailable("down")
+        found = self.streams[stream]
+        before = self.clock.now() - RETENTION_SECONDS
+        kept = [record for record in found if record.time >= before]
+        page = tuple(record for record in kept if record.offset >= offset)[:7]
+        return LogPage(len(found) - len(kept), len(found), page)
+
+
+def entry_of(random: Random, number: int) -> Entry:
+    """Return some record; many of them are void."""
+    op, budget = str(random.randrange(number + 1)), random.choice("xyz")
+    holder, tokens = random.choice("abcd") + str(number // 60), random.randrange(90)
+    grant = records.Grant(op, budget, holder, tokens, 5, ("w",), 1, 3, 300, 900)
+    intents = (records.Intent(op, budget, 9),)
+    return random.choice(
+        (
+            records.Base(budget, tokens * 20, number),
+            records.TopUp(op, budget, tokens, "paid"),
+            grant,
+            grant,
+            records.Bill(op, budget, holder, tokens // 4, number % 5 == 0),
+            records.Return(op, budget, holder, tokens // 3),
+            records.Closing(op, holder, "w", intents),
+            records.Claim(op, holder, "f", op),
+            records.Result(op, random.choice((0, 200)), bytes(tokens), op),
+        )
+    )
+
+
+def filled(log: MemoryLog, count: int) -> None:
+    """Append ``count`` seeded records; the clock goes on."""
+    random = Random(11)
+    for number in range(count):
+        log.clock.advance(STEP_SECONDS)
+        seen = log.clock.now() - random.choice((0.0, 9000.0))
+        data = records.encode_batch("w", [entry_of(random, number)], seen)
+        log.append("ledger-0", data)
+
+
+def followed(log: MemoryLog, partition: Partition, until: int) -> None:
+    """Read up to an offset, whatever the retention."""
+    for record in log.streams["ledger-0"][partition.fold.next_offset : until]:
+        partition.read(record, log.clock.now())
+
+
+def digest(fold: LedgerFold) -> bytes:
+    """Return what equal states have in common."""
+    return snapshot.digest_of(snapshot.encode(fold))
+
+
+@pytest.fixture
+def log() -> MemoryLog:
+    """Return a log with 600 records, the first of them aged out."""
+    log = MemoryLog(VirtualClock(1000.0))
+    filled(log, 600)
+    return log
+
+
+def desk(log: MemoryLog) -> SnapshotDesk:
+    """Return a desk on the log."""
+    return SnapshotDesk(
+        log, Metrics(), log.clock, RETENTION_SECONDS, lambda: log.clock.advance(1.0)
+    )
+
+
+@pytest.mark.parametrize("covered", [1, 250, 599, 600])
+@pytest.mark.parametrize("size", [500, snapshot.CHUNK_BYTES])
+def test_catch_up_equals_the_full_fold(log: MemoryLog, covered: int, size: int) -> None:
+    """A snapshot, written twice and interleaved, and the tail give the same state."""
+    full, early = Partition(0, Random(1)), Partition(0, Random(1))
+    followed(log, full, 600)
+    followed(log, early, covered)
+    collector = Collector()
+    for data in snapshot.chunks_of(early.fold, size):
+        collector.add(data, 0.0)
+        collector.add(data, 0.0)
+    fold = collector.newest()
+    assert fold is not None
+    late = Partition(0, Random(1))
+    late.restore(fold, 0.0)
+    followed(log, late, 600)
+    assert digest(late.fold) == digest(full.fold)
+
+
+@pytest.mark.parametrize("fault", ["corrupt", "partial", "foreign", "lagging"])
+def test_a_bad_snapshot_is_ignored(log: MemoryLog, fault: str) -> None:
+    """The newest whole snapshot counts, whatever comes after it."""
+    collector, good, bad = Collector(), Partition(0, Random(1)), Partition(0, Random(1))
+    followed(log, good, 300)
+    followed(log, bad, 100 if fault == "lagging" else 400)
+    for data in snapshot.chunks_of(good.fold, 500):
+        collector.add(data, 0.0)
+    chunks = snapshot.chunks_of(bad.fold, 500)
+    if fault == "corrupt":
+        chunks[0] = chunks[0][:-1] + b"!"
+    if fault == "partial":
+        chunks.pop()
+    if fault == "foreign":
+        chunks = [b"", b"\xff", records.encode_batch("w", [])]
+    for data in chunks:
+        collector.add(data, 1.0)
+    fold = collector.newest()
+    assert fold is not None and digest(fold) == digest(good.fold)
+
+
+def test_retention_passed(log: MemoryLog) -> None:
+    """A new daemon continues where a snapshot ends, though records are gone."""
+    full, late = Partition(0, Random(1)), Partition(0, Random(1))
+    followed(log, full, 600)
+    assert desk(log).load(late) is None
+    desk(log).keep(full)
+    assert desk(log).load(late) == []
+    assert digest(late.fold) == digest(full.fold)
+
+
+def test_a_lagging_snapshot_moves_nothing_back(log: MemoryLog) -> None:
+    """A partition that has read further stays where it is."""
+    full, lagging = Partition(0, Random(1)), Partition(0, Random(1))
+    followed(log, full, 600)
+    followed(log, lagging, 500)
+    desk(log).keep(lagging)
+    before = digest(full.fold)
+    assert desk(log).load(full) is None
+    assert full.restore(lagging.fold, 0.0) == []
+    assert digest(full.fold) == before
+
+
+# seconds after a snapshot, whether the next look writes another
+LOOKS = [(10.0, False), (1900.0, False), (2100.0, True), (9000.0, True)]
+
+
+@pytest.mark.parametrize(("seconds", "written"), LOOKS)
+def test_written_before_a_quarter_of_the_retention(
+    log: MemoryLog, seconds: float, written: bool
+) -> None:
+    """The newest snapshot is never older than that, also with no new record."""
+    partition = Partition(0, Random(1))
+    followed(log, partition, 600)
+    desk(log).keep(partition)
+    stream = log.streams[snapshot_stream_of(0)]
+    before = len(stream)
+    log.clock.advance(seconds)
+    desk(log).keep(partition)
+    assert (len(stream) > before) == written
+    log.down = True
+    desk(log).keep(partition)
+
+
+def test_what_nobody_can_tell_is_given_up(log: MemoryLog) -> None:
+    """A record whose lost answer lies before the snapshot is named, not repeated."""
+    full, cut = Partition(0, Random(1)), Partition(0, Random(1))
+    followed(log, full, 600)
+    followed(log, cut, 10)
+    unsure, fresh = (records.Bill(name, "x", "a0", 1) for name in ("r", "s"))
+    cut.outbox.put(unsure)
+    assert cut.take(log.clock.now()) is not None
+    cut.outbox.put(fresh)
+    assert cut.restore(full.fold, log.clock.now()) == [unsure]
+    assert list(cut.outbox.pending_by_entry) == [fresh]
