--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from godwitrudder.clock import Stamp
+from godwitrudder.connection.answers import RetryMessage
 from godwitrudder.connection.escrow import EscrowMessage
 from godwitrudder.connection.queries import QueryMessage
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
@@ -20,7 +21,7 @@
     incarnation: str
 
 
-Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage
+Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage | RetryMessage
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/connection/runner.py
+++ b/godwitrudder/connection/runner.py
@@ -26,6 +26,8 @@
 CONNECTIONS_PER_RUNNER: Final = 1024
 ADDRESSES_KEPT: Final = 1024
 LEAVING_STATUS: Final = 503
+GAPS_MOST: Final = 2
+RECONNECT_SECONDS: Final = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -196,6 +198,7 @@
         """Yield an attempt's chunks in order, over as many connections as needed."""
         index, sent = start, body is None
         moved_at = self._clock.now()
+        gaps = 0
         while True:
             broken = Broken("the stream ended early", sent=True)
             for event in self._connection(address, attempt, index, body):
@@ -205,7 +208,9 @@
                 if isinstance(event, Chunk) and event.index < index:
                     continue
                 if _gap(event, index):
-                    broken = Broken(f"chunk {index} is missing", sent=True)
+                    gaps += 1
+                    lost = gaps > GAPS_MOST
+                    broken = Broken(f"chunk {index} is missing", True, lost)
                     break
                 moved_at = self._clock.now()
                 yield event
@@ -218,6 +223,7 @@
                 yield Broken(broken.reason, sent, broken.lost, broken.leaving)
                 return
             body = None
+            gevent.sleep(RECONNECT_SECONDS)
 
     def _connection(
         self, address: Address, attempt: str, index: int, body: bytes | None
--- a/godwitrudder/process/attempts.py
+++ b/godwitrudder/process/attempts.py
@@ -26,6 +26,7 @@
 ATTEMPTS_MOST: Final = 3
 
 Note = Callable[[str, Call, str], None]
+Dispatched = Callable[[Call, str, str, int], None]
 
 
 class AttemptDesk:
@@ -39,6 +40,8 @@
         Chooses the runner, given those that failed the call.
     note : callable
         Writes to the time line.
+    dispatched : callable
+        Told the call, runner, attempt and first token before each dispatch.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         links: RunnerLinks,
         runners: RunnerDesk,
         note: Note,
+        dispatched: Dispatched,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -53,10 +57,11 @@
         self._runners = runners
         self._clock = clock
         self._note = note
+        self._dispatched = dispatched
         self._metrics = metrics
 
     def dispatch(self, call: Call, spend: Spend, exchange: Exchange) -> Iterator[Piece]:
-        """Yield the answer's chunks, its usage and its outcome."""
+        """Yield the chunks that the exchange lacks, the usage and the outcome."""
         run = _Run(call, spend, exchange)
         text = prompt_text(call.prompt)
         try:
@@ -81,6 +86,7 @@
         run.refused = run.spend.announce(runner.id, attempt)
         if run.refused is not None:
             return
+        self._dispatched(call, runner.id, attempt, run.next)
         self._note("dispatch", call, f"{runner.id} from token {run.next}")
         self._runners.started(runner)
         started_at = self._clock.now()
@@ -153,8 +159,8 @@
         self.call = call
         self.spend = spend
         self.exchange = exchange
-        self.next = 0
-        self.sent = False
+        self.next = exchange.next
+        self.sent = exchange.dispatched
         self.completed = False
         self.refused: Refused | None = None
         self.problem = ""
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -24,6 +24,8 @@
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
 from godwitrudder.process.console import Console
+from godwitrudder.process.exchanges import ExchangeDesk
+from godwitrudder.process.homes import Homes
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
@@ -33,6 +35,7 @@
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
+from godwitrudder.process.takeover import Takeover
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
@@ -150,6 +153,17 @@
             self.clock,
             self.runners,
         )
+        self.exchanges = ExchangeDesk(self.clock)
+        self.takeover = Takeover(
+            self.exchanges,
+            Homes(settings.host, self.incarnation, self.members, self.peers),
+            self.peers,
+            self.links,
+            self.members,
+            self.ledger,
+            self.witness,
+        )
+        self.takeover.register(self.handlers)
         self.router = Router(
             self.configuration,
             self.turns,
@@ -157,6 +171,8 @@
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
             self.links,
+            self.exchanges,
+            self.takeover,
             self.timeline,
             self.metrics,
             self.clock,
--- /dev/null
+++ b/godwitrudder/process/homes.py
@@ -0,0 +1,104 @@
+"""The homes of keyed requests: who answers which request.
+
+A request whose caller chose its id may come again at any router.  Its homes are
+the first two daemons in rendezvous order of the id; before the dispatch the
+router notes there that it answers the request, and then at which runner.  So a
+retry costs one question, at any number of daemons, and the loss of one home
+loses nothing.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Final
+
+import xxhash
+
+from godwitrudder.connection.answers import Enroll, Enrolled, Place
+from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.process.members import Members
+
+HOMES: Final = 2
+ASK_SECONDS: Final = 0.5
+PLACES_MOST: Final = 10_000
+
+
+class Homes:
+    """Home of some requests, and the way to the homes of all.
+
+    Parameters
+    ----------
+    host, incarnation : str
+        This process.
+    """
+
+    def __init__(
+        self, host: str, incarnation: str, members: Members, peers: PeerLinks
+    ) -> None:
+        self._host = host
+        self._incarnation = incarnation
+        self._members = members
+        self._peers = peers
+        self._place_by_request: OrderedDict[str, Place] = OrderedDict()
+
+    def register(self, handlers: Handlers) -> None:
+        """Answer the routers."""
+        handlers.register(Enroll, self.handle)
+
+    def enroll(self, request: str, replaces: str = "") -> Place | None:
+        """Note that this router answers a request.
+
+        Returns
+        -------
+        Place or None
+            Who answers it already; None where this router may.
+        """
+        message = Enroll(request, Place(self._host, self._incarnation), replaces)
+        homes = self._homes(request)
+        for number, home in enumerate(homes):
+            answer = self._ask(home, message)
+            if isinstance(answer, Enrolled):
+                if answer.other is None:
+                    self._tell(homes[number + 1 :], message)
+                return answer.other
+        return None
+
+    def dispatched(
+        self, request: str, runner: str, attempt: str, budget: str, start: int
+    ) -> None:
+        """Note where a request runs."""
+        place = Place(self._host, self._incarnation, runner, attempt, budget, start)
+        self._tell(self._homes(request), Enroll(request, place))
+
+    def handle(self, message: Enroll) -> Enrolled:
+        """Note a place unless another one stands."""
+        stands = self._place_by_request.get(message.request)
+        mine = (message.place.holder, message.replaces)
+        if stands is not None and stands.holder not in mine:
+            return Enrolled(stands)
+        self._place_by_request[message.request] = message.place
+        if len(self._place_by_request) > PLACES_MOST:
+            self._place_by_request.popitem(last=False)
+        return Enrolled(None)
+
+    def _homes(self, request: str) -> list[str]:
+        """Return the request's homes, in rendezvous order."""
+        hosts = {*self._members.reachable_routers(), self._host}
+        order = sorted(hosts, key=lambda host: _weight(request, host), reverse=True)
+        return order[:HOMES]
+
+    def _ask(self, home: str, message: Enroll) -> object:
+        if home == self._host:
+            return self.handle(message)
+        return self._peers.ask(home, message, ASK_SECONDS)
+
+    def _tell(self, homes: list[str], message: Enroll) -> None:
+        for home in homes:
+            if home == self._host:
+                self.handle(message)
+            else:
+                self._peers.tell(home, message)
+
+
+def _weight(request: str, host: str) -> int:
+    return xxhash.xxh64_intdigest(f"{request}|{host}".encode())
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -20,6 +20,7 @@
 from godwitrudder.process.exchanges import ExchangeDesk, Run
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.process.takeover import Takeover
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.request.answer import Call, Piece, ServiceAnswer, ServiceCall
@@ -48,6 +49,8 @@
         budgets: BudgetDesk,
         claims: ClaimDesk,
         links: RunnerLinks,
+        exchanges: ExchangeDesk,
+        takeover: Takeover,
         timeline: Timeline,
         metrics: Metrics,
         clock: Clock,
@@ -61,8 +64,11 @@
         self._timeline = timeline
         self._metrics = metrics
         self._clock = clock
-        self._attempts = AttemptDesk(links, runners, self._note, metrics, clock)
-        self.exchanges = ExchangeDesk(clock)
+        self._attempts = AttemptDesk(
+            links, runners, self._note, self._dispatched, metrics, clock
+        )
+        self.exchanges = exchanges
+        self._takeover = takeover
         self.closed = False
 
     @property
@@ -72,6 +78,11 @@
 
     def open(self, call: Call) -> Reader | Refused | Failed:
         """Return a reader of the answer; a repeated call joins its run."""
+        if call.keyed:
+            return self._open(
+                call,
+                lambda exchange: self._takeover.answer(call, exchange, self._answer),
+            )
         return self._open(call, lambda exchange: self._answer(call, exchange))
 
     def open_service(self, call: ServiceCall) -> Reader | Refused | Failed:
@@ -191,6 +202,10 @@
         turns = self._configuration.document.turns_by_target
         return turns.get(target, TurnModel())
 
+    def _dispatched(self, call: Call, runner: str, attempt: str, start: int) -> None:
+        if call.keyed:
+            self._takeover.dispatched(call, runner, attempt, start)
+
     def _note(self, kind: str, call: Call, detail: str = "") -> None:
         self._timeline.note(kind, call.request, call.workspace, detail)
 
