--- a/bench/demo.py
+++ b/bench/demo.py
@@ -44,7 +44,7 @@
         rows = pool.map(lambda number: _ask(fleet, number), range(24))
         rows.append(_transfer(fleet))
         for daemon in fleet.daemons:
-            daemon.drain()
+            daemon.drain(grace_seconds=0.0)
         gevent.sleep(0.2)
         return _report(rows, fleet)
 
--- a/godwitrudder/connection/answers.py
+++ b/godwitrudder/connection/answers.py
@@ -12,19 +12,19 @@
     ----------
     host, holder : str
         The router, and its incarnation.
+    fingerprint : str
+        Hash of what the request asks.
     runner, attempt : str
         Where the request was dispatched; empty before.
-    budget : str
-        What the holder reserved from.
     start : int
         Index of the first token of the attempt.
     """
 
     host: str
     holder: str
+    fingerprint: str
     runner: str = ""
     attempt: str = ""
-    budget: str = ""
     start: int = 0
 
 
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from contextlib import ExitStack
 from random import Random
 from types import TracebackType
@@ -45,6 +46,7 @@
 from godwitrudder.version.document import BudgetModel, Document
 
 DRAIN_STEP_SECONDS: Final = 0.05
+CUT_SECONDS: Final = 3.0
 
 logger = logging.getLogger(__name__)
 
@@ -276,24 +278,49 @@
         """Stop all tasks at once; ``drain`` comes first for a graceful stop."""
         self._stack.close()
 
-    def drain(self) -> int:
+    def drain(self, grace_seconds: float | None = None) -> int:
         """Finish what is in flight, give grants back, settle bills.
 
+        Health turns bad at once.  New requests are taken for the grace period,
+        because the balancer sees that late; then they are refused as not run.
+
+        Parameters
+        ----------
+        grace_seconds : float, optional
+            Instead of the grace period of the settings.
+
         Returns
         -------
         int
-            Requests that were still in flight at the deadline.
+            Requests that were cut at the deadline.
         """
+        grace = self.settings.drain_grace_seconds
+        grace = grace if grace_seconds is None else grace_seconds
         self.draining = True
         deadline = self.clock.now() + self.settings.drain_seconds
-        while self.router.in_flight and self.clock.now() < deadline:
-            gevent.sleep(DRAIN_STEP_SECONDS)
+        gevent.sleep(min(grace, self.settings.drain_seconds))
+        self.router.closed = True
+        self._wait(lambda: not self.router.in_flight, deadline)
+        cut = self.cut()
         self.budgets.return_idle()
-        while not self.ledger.settled() and self.clock.now() < deadline:
-            gevent.sleep(DRAIN_STEP_SECONDS)
+        self._wait(self.ledger.settled, max(deadline, self.clock.now() + CUT_SECONDS))
         if not self.router.in_flight and self.ledger.settled():
             self.budgets.leave()
-        return self.router.in_flight
+        return cut
+
+    def cut(self) -> int:
+        """End the requests in flight, name them, and wait for their bills."""
+        self.router.closed = True
+        requests = self.exchanges.stop_all()
+        if requests:
+            logger.warning("%d requests cut: %s", len(requests), ", ".join(requests))
+        deadline = self.clock.now() + CUT_SECONDS
+        self._wait(lambda: not self.router.in_flight, deadline)
+        return len(requests)
+
+    def _wait(self, done: Callable[[], bool], deadline: float) -> None:
+        while not done() and self.clock.now() < deadline:
+            gevent.sleep(DRAIN_STEP_SECONDS)
 
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
--- a/godwitrudder/process/exchanges.py
+++ b/godwitrudder/process/exchanges.py
@@ -42,8 +42,12 @@
 Run = Callable[[Exchange], Iterator[Piece]]
 
 
-class CallerGone(gevent.GreenletExit):  # type: ignore[misc]
-    """Nobody waits for the answer any more."""
+class Stopped(gevent.GreenletExit):  # type: ignore[misc]
+    """The run is to end before its answer is whole."""
+
+    def __init__(self, reason: Reason) -> None:
+        super().__init__(reason)
+        self.reason = reason
 
 
 @dataclass(slots=True)
@@ -107,6 +111,13 @@
             return fail(Reason.ANSWER_NOT_KEPT, Ran.RAN)
         return exchange
 
+    def stop_all(self) -> list[str]:
+        """End every run, shielded ones too; return the ids of their requests."""
+        requests = list(self._tasks_by_request)
+        for task in list(self._tasks_by_request.values()):
+            task.kill(Stopped(Reason.DRAINING), block=False)
+        return requests
+
     def _start(self, request: str, fingerprint: str, keyed: bool, run: Run) -> Exchange:
         exchange = Exchange(request, fingerprint, kept=keyed)
         self._running_by_request[request] = exchange
@@ -120,8 +131,8 @@
             with closing(run(exchange)) as pieces:  # type: ignore[type-var]
                 for piece in pieces:
                     exchange.put(piece)
-        except CallerGone:
-            exchange.end(fail(Reason.CALLER_GONE, _ran(exchange)))
+        except Stopped as stopped:
+            exchange.end(fail(stopped.reason, _ran(exchange)))
         except Exception:
             logger.exception("a run ended by an error")
             exchange.end(fail(Reason.INTERNAL, _ran(exchange)))
@@ -179,7 +190,7 @@
     def _stop(self, exchange: Exchange) -> None:
         task = self._tasks_by_request.get(exchange.request)
         if task is not None and not exchange.shielded:
-            task.kill(CallerGone, block=False)
+            task.kill(Stopped(Reason.CALLER_GONE), block=False)
 
 
 class OwnReader(Reader):
--- a/godwitrudder/process/homes.py
+++ b/godwitrudder/process/homes.py
@@ -45,7 +45,9 @@
         """Answer the routers."""
         handlers.register(Enroll, self.handle)
 
-    def enroll(self, request: str, replaces: str = "") -> Place | None:
+    def enroll(
+        self, request: str, fingerprint: str, replaces: str = ""
+    ) -> Place | None:
         """Note that this router answers a request.
 
         Returns
@@ -53,7 +55,7 @@
         Place or None
             Who answers it already; None where this router may.
         """
-        message = Enroll(request, Place(self._host, self._incarnation), replaces)
+        message = Enroll(request, self._place(fingerprint), replaces)
         homes = self._homes(request)
         for number, home in enumerate(homes):
             answer = self._ask(home, message)
@@ -64,10 +66,10 @@
         return None
 
     def dispatched(
-        self, request: str, runner: str, attempt: str, budget: str, start: int
+        self, request: str, fingerprint: str, runner: str, attempt: str, start: int
     ) -> None:
         """Note where a request runs."""
-        place = Place(self._host, self._incarnation, runner, attempt, budget, start)
+        place = self._place(fingerprint, runner, attempt, start)
         self._tell(self._homes(request), Enroll(request, place))
 
     def handle(self, message: Enroll) -> Enrolled:
@@ -81,6 +83,12 @@
             self._place_by_request.popitem(last=False)
         return Enrolled(None)
 
+    def _place(
+        self, fingerprint: str, runner: str = "", attempt: str = "", start: int = 0
+    ) -> Place:
+        holder = self._incarnation
+        return Place(self._host, holder, fingerprint, runner, attempt, start)
+
     def _homes(self, request: str) -> list[str]:
         """Return the request's homes, in rendezvous order."""
         hosts = {*self._members.reachable_routers(), self._host}
--- a/godwitrudder/process/main.py
+++ b/godwitrudder/process/main.py
@@ -42,26 +42,45 @@
 
 
 def run(settings: Settings) -> int:
-    """Serve until SIGTERM, then drain; a second SIGTERM ends it at once."""
+    """Serve until SIGTERM, then drain; a second SIGTERM ends it at once.
+
+    Returns
+    -------
+    int
+        1 where requests were cut.
+    """
     logging.basicConfig(
         level=settings.log_level,
         format="%(asctime)s %(levelname)s %(name)s %(message)s",
     )
-    asked, forced = Event(), Event()
+    asked, forced, started = Event(), Event(), Event()
+    main_greenlet = gevent.getcurrent()
 
     def stop() -> None:
+        if not started.is_set():
+            gevent.get_hub().loop.run_callback(main_greenlet.throw, SystemExit(0))
         (forced if asked.is_set() else asked).set()
 
     gevent.signal_handler(signal.SIGTERM, stop)
     gevent.signal_handler(signal.SIGINT, stop)
     with Daemon(settings) as daemon:
+        started.set()
         asked.wait()
-        drain = gevent.spawn(daemon.drain)
-        gevent.wait([drain, forced], count=1)
-        cut = drain.value if drain.successful() else daemon.router.in_flight
+        logger.info("draining; %d requests in flight", daemon.router.in_flight)
+        cut = _drain(daemon, forced)
         logger.info("stopped; %d requests cut", cut)
     return 1 if cut else 0
 
 
+def _drain(daemon: Daemon, forced: Event) -> int:
+    """Drain until done or forced; return how many requests were cut."""
+    drain = gevent.spawn(daemon.drain)
+    gevent.wait([drain, forced], count=1)
+    if drain.ready():
+        return int(drain.get())
+    drain.kill()
+    return daemon.cut()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/godwitrudder/process/settings.py
+++ b/godwitrudder/process/settings.py
@@ -53,6 +53,9 @@
         that it owns; ``admin`` owns all.
     drain_seconds : float
         Longest wait for requests in flight at a graceful stop.
+    drain_grace_seconds : float
+        How long a stopping daemon takes new requests, until the balancer has seen
+        its health turn bad.
     ledger_partitions : int
         Number of ledger partitions of the fleet.
     log_retention_seconds : float
@@ -69,6 +72,7 @@
     peer_key: str
     operator_keys_by_team: dict[str, str] = {}
     drain_seconds: float = 30.0
+    drain_grace_seconds: float = 3.0
     ledger_partitions: int = 4
     log_retention_seconds: float = 86400.0
     log_level: str = "INFO"
@@ -90,6 +94,7 @@
     peer_key: str
     operator_keys_by_team: dict[str, str]
     drain_seconds: float
+    drain_grace_seconds: float
     ledger_partitions: int
     log_retention_seconds: float
     log_level: str
@@ -152,6 +157,9 @@
     if not 0 < model.drain_seconds <= MAX_DRAIN_SECONDS:
         expected = f"expected seconds above 0, up to {MAX_DRAIN_SECONDS:g}"
         return Problem(place, "drain_seconds", expected)
+    if not 0 <= model.drain_grace_seconds <= model.drain_seconds:
+        expected = "expected seconds, at most drain_seconds"
+        return Problem(place, "drain_grace_seconds", expected)
     if model.log_retention_seconds < MIN_RETENTION_SECONDS:
         expected = f"expected at least {MIN_RETENTION_SECONDS:g} seconds"
         return Problem(place, "log_retention_seconds", expected)
@@ -192,6 +200,7 @@
         peer_key=model.peer_key,
         operator_keys_by_team=model.operator_keys_by_team,
         drain_seconds=model.drain_seconds,
+        drain_grace_seconds=model.drain_grace_seconds,
         ledger_partitions=model.ledger_partitions,
         log_retention_seconds=model.log_retention_seconds,
         log_level=model.log_level,
--- a/godwitrudder/process/takeover.py
+++ b/godwitrudder/process/takeover.py
@@ -11,6 +11,8 @@
 from collections.abc import Callable, Iterator
 from typing import Final
 
+from msgspec import structs
+
 from godwitrudder.connection.answers import (
     AnswerEnd,
     AnswerPart,
@@ -34,6 +36,7 @@
     Reason,
     Refused,
     fail,
+    refuse,
 )
 from godwitrudder.version import records
 
@@ -78,7 +81,7 @@
 
     def dispatched(self, call: Call, runner: str, attempt: str, start: int) -> None:
         """Note at the request's homes where it runs."""
-        self._homes.dispatched(call.request, runner, attempt, call.budget, start)
+        self._homes.dispatched(call.request, call.fingerprint, runner, attempt, start)
 
     def answer(self, call: Call, exchange: Exchange, anew: Anew) -> Iterator[Piece]:
         """Yield the answer that another router began, or a new one.
@@ -88,12 +91,15 @@
         anew : callable
             Yields what the exchange lacks of an answer that this router makes.
         """
-        place = self._homes.enroll(call.request)
+        place = self._homes.enroll(call.request, call.fingerprint)
+        if place is not None and place.fingerprint != call.fingerprint:
+            yield refuse(Reason.KEY_REUSED)
+            return
         if place is not None:
             yield from self._relay(call, place, exchange)
             if exchange.tail:
                 return
-            self._homes.enroll(call.request, place.holder)
+            self._homes.enroll(call.request, call.fingerprint, place.holder)
             yield from self._resume(call, place, exchange)
             if exchange.tail:
                 return
@@ -152,8 +158,8 @@
         if not found.intents:
             return place
         intent = found.intents[0]
-        return Place(
-            place.host, found.holder, intent.runner, intent.attempt, intent.budget
+        return structs.replace(
+            place, holder=found.holder, runner=intent.runner, attempt=intent.attempt
         )
 
     def _bill(self, call: Call, holder: str, tokens: int) -> None:
@@ -184,7 +190,8 @@
 
 def _not_run(end: AnswerEnd) -> bool:
     """Whether the other router never began, so that this one may."""
-    return bool(end.reason) and end.ran == Ran.NOT_RUN
+    own = ("", Reason.KEY_REUSED)
+    return end.reason not in own and end.ran == Ran.NOT_RUN
 
 
 def _pieces(end: AnswerEnd) -> Iterator[Piece]:
