--- a/godwitrudder/connection/answers.py
+++ b/godwitrudder/connection/answers.py
@@ -18,6 +18,8 @@
         Where the request was dispatched; empty before.
     start : int
         Index of the first token of the attempt.
+    payer, isolated : str, bool
+        The holder and the part of its grants that pay for the attempt.
     """
 
     host: str
@@ -26,6 +28,8 @@
     runner: str = ""
     attempt: str = ""
     start: int = 0
+    payer: str = ""
+    isolated: bool = False
 
 
 class Enroll(msgspec.Struct, frozen=True, array_like=True, tag="enroll"):
--- a/godwitrudder/process/attempts.py
+++ b/godwitrudder/process/attempts.py
@@ -18,6 +18,7 @@
 from godwitrudder.process.budgets import Spend
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.request.admission import Reservation
 from godwitrudder.request.answer import Call, Chunk, Piece, Prompt, Usage
 from godwitrudder.request.choice import Runner
 from godwitrudder.request.exchange import Exchange
@@ -26,7 +27,7 @@
 ATTEMPTS_MOST: Final = 3
 
 Note = Callable[[str, Call, str], None]
-Dispatched = Callable[[Call, str, str, int], None]
+Dispatched = Callable[[Call, str, str, int, Reservation], None]
 
 
 class AttemptDesk:
@@ -41,7 +42,7 @@
     note : callable
         Writes to the time line.
     dispatched : callable
-        Told the call, runner, attempt and first token before each dispatch.
+        Told call, runner, attempt, first token and reservation before a dispatch.
     """
 
     def __init__(
@@ -86,7 +87,7 @@
         run.refused = run.spend.announce(runner.id, attempt)
         if run.refused is not None:
             return
-        self._dispatched(call, runner.id, attempt, run.next)
+        self._dispatched(call, runner.id, attempt, run.next, run.spend.reserved)
         self._note("dispatch", call, f"{runner.id} from token {run.next}")
         self._runners.started(runner)
         started_at = self._clock.now()
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -302,8 +302,7 @@
         self.router.closed = True
         self._wait(lambda: not self.router.in_flight, deadline)
         cut = self.cut()
-        self.budgets.return_idle()
-        self._wait(self.ledger.settled, max(deadline, self.clock.now() + CUT_SECONDS))
+        self._wait(self._settled, max(deadline, self.clock.now() + CUT_SECONDS))
         if not self.router.in_flight and self.ledger.settled():
             self.budgets.leave()
         return cut
@@ -318,6 +317,11 @@
         self._wait(lambda: not self.router.in_flight, deadline)
         return len(requests)
 
+    def _settled(self) -> bool:
+        """Give back what came free; whether the log has it all."""
+        self.budgets.return_idle()
+        return self.budgets.holder.allotment.empty and self.ledger.settled()
+
     def _wait(self, done: Callable[[], bool], deadline: float) -> None:
         while not done() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
--- a/godwitrudder/process/homes.py
+++ b/godwitrudder/process/homes.py
@@ -3,8 +3,9 @@
 A request whose caller chose its id may come again at any router.  Its homes are
 the first two daemons in rendezvous order of the id; before the dispatch the
 router notes there that it answers the request, and then at which runner.  So a
-retry costs one question, at any number of daemons, and the loss of one home
-loses nothing.
+retry costs two questions, at any number of daemons, and the loss of one home
+loses nothing.  All routers ask in the same order, so of two at once the first
+home lets one go ahead.
 """
 
 from __future__ import annotations
@@ -13,10 +14,12 @@
 from typing import Final
 
 import xxhash
+from msgspec import structs
 
 from godwitrudder.connection.answers import Enroll, Enrolled, Place
 from godwitrudder.connection.peer import Handlers, PeerLinks
 from godwitrudder.process.members import Members
+from godwitrudder.request.admission import Reservation
 
 HOMES: Final = 2
 ASK_SECONDS: Final = 0.5
@@ -56,20 +59,30 @@
             Who answers it already; None where this router may.
         """
         message = Enroll(request, self._place(fingerprint), replaces)
-        homes = self._homes(request)
-        for number, home in enumerate(homes):
+        for home in self._homes(request):
             answer = self._ask(home, message)
-            if isinstance(answer, Enrolled):
-                if answer.other is None:
-                    self._tell(homes[number + 1 :], message)
+            if isinstance(answer, Enrolled) and answer.other is not None:
                 return answer.other
         return None
 
     def dispatched(
-        self, request: str, fingerprint: str, runner: str, attempt: str, start: int
+        self,
+        request: str,
+        fingerprint: str,
+        runner: str,
+        attempt: str,
+        start: int,
+        reserved: Reservation,
     ) -> None:
-        """Note where a request runs."""
-        place = self._place(fingerprint, runner, attempt, start)
+        """Note where a request runs and who pays."""
+        place = structs.replace(
+            self._place(fingerprint),
+            runner=runner,
+            attempt=attempt,
+            start=start,
+            payer=reserved.holder,
+            isolated=reserved.isolated,
+        )
         self._tell(self._homes(request), Enroll(request, place))
 
     def handle(self, message: Enroll) -> Enrolled:
@@ -83,15 +96,12 @@
             self._place_by_request.popitem(last=False)
         return Enrolled(None)
 
-    def _place(
-        self, fingerprint: str, runner: str = "", attempt: str = "", start: int = 0
-    ) -> Place:
-        holder = self._incarnation
-        return Place(self._host, holder, fingerprint, runner, attempt, start)
+    def _place(self, fingerprint: str) -> Place:
+        return Place(self._host, self._incarnation, fingerprint)
 
     def _homes(self, request: str) -> list[str]:
         """Return the request's homes, in rendezvous order."""
-        hosts = {*self._members.reachable_routers(), self._host}
+        hosts = {*self._members.routers_by_id, self._host}
         order = sorted(hosts, key=lambda host: _weight(request, host), reverse=True)
         return order[:HOMES]
 
--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -23,6 +23,7 @@
 from godwitrudder.process.takeover import Takeover
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
+from godwitrudder.request.admission import Reservation
 from godwitrudder.request.answer import Call, Piece, ServiceAnswer, ServiceCall
 from godwitrudder.request.exchange import Exchange, Reader
 from godwitrudder.request.outcome import (
@@ -202,9 +203,11 @@
         turns = self._configuration.document.turns_by_target
         return turns.get(target, TurnModel())
 
-    def _dispatched(self, call: Call, runner: str, attempt: str, start: int) -> None:
+    def _dispatched(
+        self, call: Call, runner: str, attempt: str, start: int, reserved: Reservation
+    ) -> None:
         if call.keyed:
-            self._takeover.dispatched(call, runner, attempt, start)
+            self._takeover.dispatched(call, runner, attempt, start, reserved)
 
     def _note(self, kind: str, call: Call, detail: str = "") -> None:
         self._timeline.note(kind, call.request, call.workspace, detail)
--- a/godwitrudder/process/takeover.py
+++ b/godwitrudder/process/takeover.py
@@ -27,6 +27,7 @@
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.witness import WitnessDesk
+from godwitrudder.request.admission import Reservation
 from godwitrudder.request.answer import Call, Chunk, Piece, Usage
 from godwitrudder.request.exchange import Exchange
 from godwitrudder.request.outcome import (
@@ -79,9 +80,13 @@
         self._homes.register(handlers)
         handlers.register(ReadAnswer, self.read)
 
-    def dispatched(self, call: Call, runner: str, attempt: str, start: int) -> None:
-        """Note at the request's homes where it runs."""
-        self._homes.dispatched(call.request, call.fingerprint, runner, attempt, start)
+    def dispatched(
+        self, call: Call, runner: str, attempt: str, start: int, reserved: Reservation
+    ) -> None:
+        """Note at the request's homes where it runs and who pays."""
+        self._homes.dispatched(
+            call.request, call.fingerprint, runner, attempt, start, reserved
+        )
 
     def answer(self, call: Call, exchange: Exchange, anew: Anew) -> Iterator[Piece]:
         """Yield the answer that another router began, or a new one.
@@ -147,7 +152,7 @@
             yield event
             if isinstance(event, Usage):
                 tokens = event.prompt_tokens + event.completion_tokens
-                self._bill(call, found.holder, tokens)
+                self._bill(call, found, tokens)
                 yield Completed(tokens)
 
     def _found(self, call: Call, place: Place) -> Place:
@@ -159,11 +164,13 @@
             return place
         intent = found.intents[0]
         return structs.replace(
-            place, holder=found.holder, runner=intent.runner, attempt=intent.attempt
+            place, payer=found.holder, runner=intent.runner, attempt=intent.attempt
         )
 
-    def _bill(self, call: Call, holder: str, tokens: int) -> None:
-        bill = records.Bill(call.request, call.budget, holder, tokens)
+    def _bill(self, call: Call, place: Place, tokens: int) -> None:
+        bill = records.Bill(
+            call.request, call.budget, place.payer, tokens, place.isolated
+        )
         self._ledger.submit(call.budget, bill)
 
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -11,7 +11,8 @@
 import gevent
 import pytest
 
-from bench.fleet import EXAMPLES, IP, PLATFORM, post
+from bench.callers import post
+from bench.fleet import EXAMPLES, IP, PLATFORM
 from bench.processes import DaemonProcess
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.ledger import stream_of
