--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,7 +10,7 @@
 
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
-from godwitrudder.process.ledger import stream_of
+from godwitrudder.process.partition import stream_of
 from godwitrudder.process.settings import Settings, load_text
 from godwitrudder.sections import Address, Problem
 from godwitrudder.version.document import SECTIONS
