--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -15,7 +15,7 @@
 from bench.fleet import EXAMPLES, IP, PLATFORM
 from bench.processes import DaemonProcess
 from godwitrudder.platform.hosts import HostEntry
-from godwitrudder.process.ledger import stream_of
+from godwitrudder.process.partition import stream_of
 from godwitrudder.sections import Address
 from godwitrudder.version.document import SECTIONS
 from godwitrudder.version.fold import Budget, LedgerFold
