Send records to partition owners, and take them from peers in an outage

Each daemon appended every record itself, so the appends grew with the daemons. The owner of a partition, by rendezvous hash over the reachable hosts, now appends everybody's records in one batch; the next owner or the writer itself does when it does not answer. The rate is the fleet's by the share of partitions owned, and never less than by the number of daemons. A daemon that does not reach the log asks peers for records with their offsets.

--- /dev/null
+++ b/bench/ledgers.py
@@ -0,0 +1,166 @@
+"""Daemons that write the ledger through owners, on the virtual clock.
+
+The daemons' outboxes, owner choices and append rates are the real ones.  The
+fold of a partition is kept once and its effects are delivered to every daemon
+that reaches the log, as all daemons that read the same records agree.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bench.simulation import LOG_SECONDS, Network, SimulatedLog, World
+from godwitrudder.platform.log import LogUnavailable
+from godwitrudder.process.ledger import OFFER_WINDOW_SECONDS, WINDOW_SECONDS
+from godwitrudder.process.outbox import AppendRate, Outbox, Outgoing
+from godwitrudder.process.owners import OFFER_SECONDS
+from godwitrudder.process.partition import stream_of
+from godwitrudder.version import records
+from godwitrudder.version.fold import Effect, LedgerFold
+from godwitrudder.version.ownership import OwnerChoice
+from godwitrudder.version.records import Entry
+
+Answered = Callable[[bool], None]
+Listener = Callable[[int, Effect], None]
+
+
+class LedgerNode:
+    """One daemon's outboxes."""
+
+    def __init__(self, name: str, fleet: LedgerFleet) -> None:
+        self.name = name
+        self.paused = False
+        self.hosts = fleet.names
+        self._fleet = fleet
+        self._world = fleet.world
+        self._choice = OwnerChoice(name)
+        self._rate = AppendRate()
+        self._scheduled: set[int] = set()
+        self._offers: dict[int, list[Answered]] = {}
+        self.outboxes: dict[int, Outbox] = {}
+
+    def submit(self, partition: int, entry: Entry, seen: float | None = None) -> None:
+        """Queue a record."""
+        outbox = self.outboxes.setdefault(partition, Outbox(self._world.random))
+        outbox.put(entry, seen)
+        self._schedule(partition)
+
+    def offered(self, partition: int, outgoing: Outgoing, answered: Answered) -> None:
+        """Take another daemon's batch; a paused daemon says nothing."""
+        if self.paused:
+            return
+        self._offers.setdefault(partition, []).append(answered)
+        for entry in outgoing.entries:
+            self.submit(partition, entry, outgoing.seen)
+
+    def read(self, partition: int, effects: list[Effect]) -> None:
+        """Note what the log did."""
+        for effect in effects:
+            self.outboxes[partition].read(effect)
+
+    def _owner(self, partition: int) -> str | None:
+        if self._offers.get(partition):
+            return None
+        return self._choice.choose(partition, self.hosts, self._world.clock.now())
+
+    def _schedule(self, partition: int) -> None:
+        due = self.outboxes[partition].due_at()
+        if due is None or partition in self._scheduled:
+            return
+        self._scheduled.add(partition)
+        owner = self._owner(partition)
+        wait = max(0.0, due - self._world.clock.now())
+        wait += WINDOW_SECONDS if owner is None else OFFER_WINDOW_SECONDS
+        if owner is None:
+            count = self._fleet.partitions
+            share = self._choice.owned_share(count, self.hosts)
+            share = max(share, 1.0 / len(self.hosts))
+            wait += self._rate.take(self._world.clock.now(), share)
+        self._world.after(wait, lambda: self._step(partition, owner))
+
+    def _step(self, partition: int, owner: str | None) -> None:
+        self._scheduled.discard(partition)
+        if self.paused:
+            self._world.after(1.0, lambda: self._schedule(partition))
+            return
+        fold = self._fleet.folds[partition]
+        outbox = self.outboxes[partition]
+        outgoing = outbox.take(self._world.clock.now(), fold.time, fold.outdated)
+        if outgoing is None:
+            self._schedule(partition)
+            return
+        offers = self._offers.pop(partition, [])
+
+        def answered(accepted: bool) -> None:
+            outbox.answered(accepted, self._world.clock.now())
+            for offer in offers:
+                offer(accepted)
+            self._schedule(partition)
+
+        if owner is None or outgoing.foreign:
+            self._fleet.append(self.name, partition, outgoing, answered)
+        else:
+            self._offer(owner, partition, outgoing, answered)
+
+    def _offer(
+        self, owner: str, partition: int, outgoing: Outgoing, answered: Answered
+    ) -> None:
+        """Offer a batch; the first of answer and timeout counts."""
+        fleet, done = self._fleet, [False]
+
+        def finish(accepted: bool) -> None:
+            if not done[0]:
+                done[0] = True
+                if not accepted:
+                    self._choice.failed(owner, self._world.clock.now())
+                answered(accepted)
+
+        def reply(accepted: bool) -> None:
+            fleet.network.send(owner, self.name, lambda: finish(accepted))
+
+        target = fleet.nodes[owner]
+        fleet.network.send(
+            self.name, owner, lambda: target.offered(partition, outgoing, reply)
+        )
+        self._world.after(OFFER_SECONDS, lambda: finish(False))
+
+
+class LedgerFleet:
+    """Daemons, the log, and the fold of each partition."""
+
+    def __init__(
+        self, seed: int, daemons: int, partitions: int, delay: float = 0.0005
+    ) -> None:
+        self.world = World(seed)
+        self.network = Network(self.world, delay)
+        self.log = SimulatedLog(self.world, self.network)
+        self.partitions = partitions
+        self.folds = [LedgerFold() for _ in range(partitions)]
+        self.names = tuple(f"d{number:03d}" for number in range(daemons))
+        self.nodes = {name: LedgerNode(name, self) for name in self.names}
+        self.listeners: list[Listener] = []
+
+    def append(
+        self, writer: str, partition: int, outgoing: Outgoing, answered: Answered
+    ) -> None:
+        """Append a batch and deliver its effects."""
+        data = records.encode_batch(writer, list(outgoing.entries), outgoing.seen)
+
+        def answer(result: int | LogUnavailable) -> None:
+            answered(not isinstance(result, LogUnavailable))
+
+        self.log.append(writer, stream_of(partition), data, answer)
+        self.world.after(3 * LOG_SECONDS, lambda: self._read(partition))
+
+    def _read(self, partition: int) -> None:
+        fold = self.folds[partition]
+        found = self.log.records_by_stream[stream_of(partition)]
+        for record in found[fold.next_offset :]:
+            effects = fold.apply(record.offset, record.time, record.data)
+            for node in self.nodes.values():
+                if partition in node.outboxes and not node.paused:
+                    if self.network.connected(node.name, SimulatedLog.NODE):
+                        node.read(partition, effects)
+            for effect in effects:
+                for listener in self.listeners:
+                    listener(partition, effect)
--- a/godwitrudder/connection/frames.py
+++ b/godwitrudder/connection/frames.py
@@ -11,6 +11,7 @@
 from godwitrudder.clock import Stamp
 from godwitrudder.connection.answers import RetryMessage
 from godwitrudder.connection.escrow import EscrowMessage
+from godwitrudder.connection.ledgers import LedgerMessage
 from godwitrudder.connection.queries import QueryMessage
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
 
@@ -21,7 +22,15 @@
     incarnation: str
 
 
-Message = Ping | QueryMessage | ShareReport | ShareAnswer | EscrowMessage | RetryMessage
+Message = (
+    Ping
+    | QueryMessage
+    | ShareReport
+    | ShareAnswer
+    | EscrowMessage
+    | RetryMessage
+    | LedgerMessage
+)
 
 
 class Frame(msgspec.Struct, frozen=True, array_like=True):
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -15,6 +15,7 @@
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
+from godwitrudder.connection.ledgers import Offer
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
 from godwitrudder.connection.queries import Status
 from godwitrudder.connection.runner import RunnerLinks
@@ -31,8 +32,10 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.owners import Owners
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
+from godwitrudder.process.relay import Relay
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
@@ -118,6 +121,22 @@
             self.clock,
             lambda: len(self.members.routers_by_id),
             settings.log_retention_seconds,
+            Owners(
+                settings.host,
+                self.peers,
+                self.members.reachable_routers,
+                self.clock,
+                self.metrics,
+            ),
+        )
+        self.handlers.register(Offer, self.ledger.offered)
+        self._relay = Relay(
+            self.ledger,
+            self.peers,
+            self.handlers,
+            self._reachable_others,
+            self.metrics,
+            self.random,
         )
         self.budgets = BudgetDesk(
             self.ledger,
@@ -255,6 +274,7 @@
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
+        self._stack.enter_context(self._relay)
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
@@ -329,6 +349,10 @@
         while not done() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
 
+    def _reachable_others(self) -> list[str]:
+        hosts = self.members.reachable_routers()
+        return [host for host in hosts if host != self.settings.host]
+
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
         return (model or BudgetModel(0)).endurance
--- a/godwitrudder/process/ledger.py
+++ b/godwitrudder/process/ledger.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from types import TracebackType
 from typing import Final, Self
@@ -15,18 +15,20 @@
 import gevent
 import xxhash
 from gevent import Greenlet
-from gevent.event import Event
+from gevent.event import AsyncResult, Event
 
 from godwitrudder.clock import Clock
-from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
+from godwitrudder.codec import Malformed
+from godwitrudder.connection.ledgers import Offer, Taken
+from godwitrudder.platform.log import POLL_SECONDS, Log, LogRecord, LogUnavailable
 from godwitrudder.process import guard
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.outbox import (
     BACKOFF_FIRST_SECONDS,
     BACKOFF_MOST_SECONDS,
     AppendRate,
-    Outgoing,
 )
+from godwitrudder.process.owners import Owners
 from godwitrudder.process.partition import Partition
 from godwitrudder.process.snapshots import SnapshotDesk
 from godwitrudder.version import records
@@ -34,6 +36,7 @@
 from godwitrudder.version.records import Entry
 
 WINDOW_SECONDS: Final = 0.02
+OFFER_WINDOW_SECONDS: Final = 0.002
 IDLE_SECONDS: Final = 1.0
 
 logger = logging.getLogger(__name__)
@@ -60,6 +63,8 @@
         Returns the number of live daemons, which share the fleet's appends.
     retention : float
         Seconds for which the log keeps records.
+    owners : Owners, optional
+        Daemons that append for others; without, this one appends all itself.
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         clock: Clock,
         live: Callable[[], int],
         retention: float,
+        owners: Owners | None = None,
     ) -> None:
         self._log = log
         self._writer = writer
@@ -80,9 +86,11 @@
         self._clock = clock
         self._live = live
         self._rate = AppendRate()
+        self._owners = owners
         self.partitions = [Partition(n, random) for n in range(partitions)]
         self._snapshots = SnapshotDesk(log, metrics, clock, retention, self._pace)
         self._woken = [Event() for _ in range(partitions)]
+        self._offers: list[list[AsyncResult[bool]]] = [[] for _ in self.partitions]
         self._listeners: list[Listener] = []
         self._tasks: list[Greenlet] = []
         self.reachable = True
@@ -116,6 +124,33 @@
         for partition in self.partitions:
             self._put(partition, entry)
 
+    def take(self, partition: Partition, page: Iterable[LogRecord]) -> None:
+        """Apply records, from the log or from a peer, and tell their effects."""
+        now = self._clock.now()
+        for record in page:
+            for effect in partition.read(record, now):
+                self._tell(effect)
+
+    def offered(self, offer: Offer) -> Taken:
+        """Append the batch of another daemon with the next of this one's own."""
+        batch = records.decode_batch(offer.data)
+        if isinstance(batch, Malformed) or not self._known(offer.partition):
+            return Taken(False)
+        partition = self.partitions[offer.partition]
+        for plain in batch.entries:
+            entry = records.decode_entry(plain)
+            if isinstance(entry, Malformed) or not partition.outbox.put(
+                entry, batch.seen
+            ):
+                return Taken(False)
+        result: AsyncResult[bool] = AsyncResult()
+        self._offers[offer.partition].append(result)
+        self._woken[offer.partition].set()
+        return Taken(bool(result.get()))
+
+    def _known(self, partition: int) -> bool:
+        return 0 <= partition < len(self.partitions)
+
     def fold_of(self, key: str) -> LedgerFold:
         """Return the fold that holds ``key``."""
         return self._partition(key).fold
@@ -162,7 +197,7 @@
                 backoff = self._sleep(backoff)
             else:
                 backoff = BACKOFF_FIRST_SECONDS
-                self._read(partition, page)
+                self.take(partition, page.records)
 
     def _skip(self, partition: Partition) -> bool:
         """Continue at the newest snapshot; False where none is further."""
@@ -181,13 +216,10 @@
 
     def _pace(self) -> None:
         """Wait until one more append is within this daemon's rate."""
-        gevent.sleep(self._rate.take(self._clock.now(), self._live()))
-
-    def _read(self, partition: Partition, page: LogPage) -> None:
-        now = self._clock.now()
-        for record in page.records:
-            for effect in partition.read(record, now):
-                self._tell(effect)
+        share = 1.0 / max(1, self._live())
+        if self._owners is not None:
+            share = max(share, self._owners.owned_share(len(self.partitions)))
+        gevent.sleep(self._rate.take(self._clock.now(), share))
 
     def _tell(self, effect: Effect) -> None:
         if effect.violation:
@@ -199,12 +231,33 @@
         woken = self._woken[partition.number]
         while True:
             self._await(partition, woken)
-            gevent.sleep(WINDOW_SECONDS)
-            self._pace()
-            outgoing = partition.take(self._clock.now())
-            if outgoing is not None:
-                accepted = self._append(partition, outgoing)
-                partition.outbox.answered(accepted, self._clock.now())
+            owner = self._owner(partition)
+            gevent.sleep(WINDOW_SECONDS if owner is None else OFFER_WINDOW_SECONDS)
+            if owner is None:
+                self._pace()
+            offers = self._offers[partition.number]
+            self._offers[partition.number] = []
+            accepted = self._send(partition, owner)
+            for result in offers:
+                result.set(accepted)
+
+    def _owner(self, partition: Partition) -> str | None:
+        """Return who appends for this daemon; None to append oneself."""
+        if self._owners is None or self._offers[partition.number]:
+            return None
+        return self._owners.owner(partition.number)
+
+    def _send(self, partition: Partition, owner: str | None) -> bool:
+        outgoing = partition.take(self._clock.now())
+        if outgoing is None:
+            return True
+        data = records.encode_batch(self._writer, list(outgoing.entries), outgoing.seen)
+        if self._owners is None or owner is None or outgoing.foreign:
+            accepted = self._append(partition, data)
+        else:
+            accepted = self._owners.offer(owner, partition.number, data)
+        partition.outbox.answered(accepted, self._clock.now())
+        return accepted
 
     def _await(self, partition: Partition, woken: Event) -> None:
         """Wait until a record is due."""
@@ -216,8 +269,7 @@
             woken.clear()
             woken.wait(wait)
 
-    def _append(self, partition: Partition, outgoing: Outgoing) -> bool:
-        data = records.encode_batch(self._writer, list(outgoing.entries), outgoing.seen)
+    def _append(self, partition: Partition, data: bytes) -> bool:
         answer = self._log.append(partition.stream, data)
         accepted = not isinstance(answer, LogUnavailable)
         result = "accepted" if accepted else "unavailable"
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -40,6 +40,12 @@
         self.snapshots = self._counter(
             "ledger_snapshots", "Snapshots of ledger partitions.", ["result"]
         )
+        self.offers = self._counter(
+            "ledger_offers", "Batches sent to partition owners.", ["result"]
+        )
+        self.relayed_records = self._counter(
+            "relayed_records", "Ledger records taken from peers.", []
+        )
         self.dropped_records = self._counter(
             "dropped_records", "Records dropped, the outbox being full.", ["kind"]
         )
--- a/godwitrudder/process/outbox.py
+++ b/godwitrudder/process/outbox.py
@@ -46,17 +46,17 @@
         self._left = 1.0
         self._at = 0.0
 
-    def take(self, now: float, live: int) -> float:
+    def take(self, now: float, share: float) -> float:
         """Take one append; return the seconds to wait before it.
 
         Parameters
         ----------
         now : float
             Clock reading in seconds.
-        live : int
-            Live daemons, which share the fleet's appends.
+        share : float
+            Share of the fleet's appends that is this daemon's.
         """
-        rate = self._fleet_per_second / max(1, live)
+        rate = self._fleet_per_second * share
         burst = max(1.0, rate * BURST_SECONDS)
         self._left = min(burst, self._left + (now - self._at) * rate) - 1.0
         self._at = now
@@ -73,10 +73,13 @@
         Log time seen at the first attempt to append it.
     due : float
         Clock reading at which to append it (again).
+    foreign : bool
+        Whether another daemon offered it; that daemon alone may stamp it anew.
     """
 
     seen: float | None = None
     due: float = 0.0
+    foreign: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,10 +90,13 @@
     ----------
     seen : float
         Log time for the batch.
+    foreign : bool
+        Whether another daemon offered some of it.
     """
 
     entries: tuple[Entry, ...]
     seen: float
+    foreign: bool = False
 
 
 class Outbox:
@@ -103,16 +109,23 @@
         self._sending: Outgoing | None = None
         self.pending_by_entry: dict[Entry, Pending] = {}
 
-    def put(self, entry: Entry) -> bool:
+    def put(self, entry: Entry, seen: float | None = None) -> bool:
         """Take a record; False where the outbox is full.
 
         What its writer can make anew is refused first.  Bills are bounded by the
         grants that a holder has, so they stay within ``MAX_PENDING``.
+
+        Parameters
+        ----------
+        seen : float or None
+            For the record of another daemon: the log time that it had seen.
         """
         most = MAX_ASKS if isinstance(entry, ASKS) else MAX_PENDING
         if len(self.pending_by_entry) >= most:
             return False
-        self.pending_by_entry.setdefault(entry, Pending())
+        foreign = seen is not None
+        item = self.pending_by_entry.setdefault(entry, Pending(seen, foreign=foreign))
+        item.foreign = item.foreign and foreign
         return True
 
     def due_at(self) -> float | None:
@@ -136,11 +149,13 @@
         """
         if self._sending is not None or now < self._resume:
             return None
+        self._drop_outdated(outdated)
         entries = tuple(islice(self._due(now), BATCH_ENTRIES))
         if not entries:
             return None
         seen = min(self._stamp(entry, stamp, outdated) for entry in entries)
-        self._sending = Outgoing(entries, seen)
+        foreign = any(self.pending_by_entry[entry].foreign for entry in entries)
+        self._sending = Outgoing(entries, seen, foreign)
         return self._sending
 
     def answered(self, accepted: bool, now: float) -> None:
@@ -163,7 +178,7 @@
             return
         if isinstance(effect, Voided) and effect.reason is Void.STALE:
             pending = self.pending_by_entry.get(effect.entry)
-            if pending is not None:
+            if pending is not None and not pending.foreign:
                 pending.seen = None
                 pending.due = 0.0
             return
@@ -174,12 +189,18 @@
         lost = [
             entry
             for entry, item in self.pending_by_entry.items()
-            if item.seen is not None and outdated(item.seen)
+            if item.seen is not None and outdated(item.seen) and not item.foreign
         ]
         for entry in lost:
             del self.pending_by_entry[entry]
         return lost
 
+    def _drop_outdated(self, outdated: Callable[[float], bool]) -> None:
+        """Drop foreign records that may have counted before memory begins."""
+        for entry, item in list(self.pending_by_entry.items()):
+            if item.foreign and item.seen is not None and outdated(item.seen):
+                del self.pending_by_entry[entry]
+
     def _due(self, now: float) -> Iterator[Entry]:
         for entry, item in self.pending_by_entry.items():
             if item.due <= now:
--- a/godwitrudder/process/partition.py
+++ b/godwitrudder/process/partition.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import deque
+from collections.abc import Iterator
 from random import Random
 from typing import Final
 
@@ -12,6 +14,7 @@
 
 # Local clocks may run faster than the log's; a stamp must never be ahead of it.
 CLOCK_SHARE: Final = 0.9
+RECENT_BYTES: Final = 500_000
 
 
 def stream_of(partition: int) -> str:
@@ -27,6 +30,8 @@
         self.fold = LedgerFold()
         self.outbox = Outbox(random)
         self._read_at = 0.0
+        self._recent: deque[LogRecord] = deque()
+        self._recent_bytes = 0
 
     @property
     def stream(self) -> str:
@@ -51,6 +56,7 @@
         effects = self.fold.apply(record.offset, record.time, record.data)
         if self.fold.time > before:
             self._read_at = now
+        self._keep(record)
         for effect in effects:
             self.outbox.read(effect)
         return effects
@@ -64,4 +70,24 @@
             return []
         self.fold = fold
         self._read_at = now
+        self._recent.clear()
+        self._recent_bytes = 0
         return self.outbox.jumped(fold.outdated)
+
+    def recent_from(self, offset: int, most_bytes: int) -> Iterator[LogRecord]:
+        """Yield the kept records from an offset on; none where it is not kept."""
+        if not self._recent or self._recent[0].offset > offset:
+            return
+        size = 0
+        for record in list(self._recent):
+            if record.offset >= offset:
+                size += len(record.data)
+                if size > most_bytes:
+                    return
+                yield record
+
+    def _keep(self, record: LogRecord) -> None:
+        self._recent.append(record)
+        self._recent_bytes += len(record.data)
+        while self._recent_bytes > RECENT_BYTES and len(self._recent) > 1:
+            self._recent_bytes -= len(self._recent.popleft().data)
--- /dev/null
+++ b/godwitrudder/process/relay.py
@@ -0,0 +1,98 @@
+"""The relay: ledger records from peers, for a daemon cut off from the log.
+
+Records travel with their offsets and go through the same fold, so a peer that
+is behind moves nothing back and a gap is left for the log or a snapshot.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from types import TracebackType
+from typing import Final, Self
+
+import gevent
+from gevent import Greenlet
+
+from godwitrudder.connection.ledgers import RecordsAnswer, RecordsAsk
+from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.process import guard
+from godwitrudder.process.ledger import Ledger
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.partition import Partition
+
+ASK_SECONDS: Final = 0.5
+ANSWER_SECONDS: Final = 1.0
+ANSWER_BYTES: Final = 500_000
+
+
+class Relay:
+    """Asks peers for records while the log is away, and answers theirs.
+
+    Parameters
+    ----------
+    others : callable
+        Returns the reachable other hosts.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        peers: PeerLinks,
+        handlers: Handlers,
+        others: Callable[[], list[str]],
+        metrics: Metrics,
+        random: Random,
+    ) -> None:
+        self._ledger = ledger
+        self._peers = peers
+        self._others = others
+        self._metrics = metrics
+        self._random = random
+        self._task: Greenlet | None = None
+        handlers.register(RecordsAsk, self._answer)
+
+    def __enter__(self) -> Self:
+        """Start to ask."""
+        self._task = guard.spawn(self._metrics, self._ask_all)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def _ask_all(self) -> None:
+        while True:
+            gevent.sleep(ASK_SECONDS * self._random.uniform(0.5, 1.5))
+            hosts = self._others()
+            if hosts and not self._ledger.reachable:
+                host = self._random.choice(hosts)
+                for partition in self._ledger.partitions:
+                    self._ask(host, partition)
+
+    def _ask(self, host: str, partition: Partition) -> None:
+        """Ask one peer until it has nothing more."""
+        while True:
+            question = RecordsAsk(partition.number, partition.fold.next_offset)
+            answer = self._peers.ask(host, question, ANSWER_SECONDS)
+            if not isinstance(answer, RecordsAnswer) or not answer.records:
+                return
+            before = partition.fold.next_offset
+            self._ledger.take(partition, answer.records)
+            read = partition.fold.next_offset - before
+            self._metrics.relayed_records.inc(read)
+            if not read:
+                return
+
+    def _answer(self, question: RecordsAsk) -> RecordsAnswer:
+        if not 0 <= question.partition < len(self._ledger.partitions):
+            return RecordsAnswer(question.partition, ())
+        partition = self._ledger.partitions[question.partition]
+        records = partition.recent_from(question.next_offset, ANSWER_BYTES)
+        return RecordsAnswer(question.partition, tuple(records))
--- a/tests/test_outbox.py
+++ b/tests/test_outbox.py
@@ -7,14 +7,14 @@
 import pytest
 
 from bench.simulation import Network, SimulatedLog, World
-from godwitrudder.platform.log import LogUnavailable
+from godwitrudder.platform.log import LogRecord, LogUnavailable
 from godwitrudder.process.outbox import (
     MAX_ASKS,
     MAX_PENDING,
     AppendRate,
     Outbox,
 )
-from godwitrudder.process.partition import Partition
+from godwitrudder.process.partition import RECENT_BYTES, Partition
 from godwitrudder.version import records
 from godwitrudder.version.replay import REPLAY_WINDOW_SECONDS
 
@@ -110,7 +110,7 @@
     rate, now = AppendRate(180.0), 0.0
     appends = 0
     while now < 60.0:
-        now += rate.take(now, live)
+        now += rate.take(now, 1.0 / live)
         appends += 1
     assert (appends - 1) * live <= 180.0 * 60.0 + max(live, 90.0)
 
@@ -127,3 +127,20 @@
     first, second = log.read("w", STREAM, 0)
     assert partition.read(second, 1.0) == []
     assert partition.read(first, 1.0) and partition.read(second, 1.0)
+
+
+def test_a_peer_passes_on_what_it_kept() -> None:
+    """A daemon cut off catches up from a peer; what the peer lost is a gap."""
+    peer, cut = Partition(0, Random(1)), Partition(0, Random(1))
+    body = bytes(RECENT_BYTES // 10)
+    for offset in range(30):
+        entry = records.Result(str(offset), 200, body)
+        peer.read(LogRecord(offset, 1.0, records.encode_batch("w", [entry])), 1.0)
+    assert not list(peer.recent_from(0, RECENT_BYTES))
+    start = next(n for n in range(30) if list(peer.recent_from(n, RECENT_BYTES)))
+    assert 15 < start < 25
+    for record in peer.recent_from(start, RECENT_BYTES):
+        cut.read(record, 1.0)
+    assert cut.fold.next_offset == 0
+    cut.restore(peer.fold, 1.0)
+    assert not list(cut.recent_from(start, RECENT_BYTES))
