Let three daemons per partition record what the document pays

Every daemon recorded every budget of each new document: 350 daemons and 460,000 budgets would have appended 161 million records for one edit.

The first three daemons of a partition by rendezvous hashing compare document and ledger and record what differs, the second and third only seconds later. The comparison repeats, so a late record of an older document is put right.

--- a/godwitrudder/process/console.py
+++ b/godwitrudder/process/console.py
@@ -16,6 +16,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.timeline import Events, EventsAsk, Timeline
 from godwitrudder.request.choice import Runner
+from godwitrudder.version.accounts import Budget
 from godwitrudder.version.document import TurnModel
 from godwitrudder.views import (
     BudgetView,
@@ -35,10 +36,8 @@
 
 ANSWER_SECONDS: Final = 2.0
 ASKED_AT_ONCE: Final = 32
-BELOW_COMMITTED: Final = (
-    "the document pays in less than is billed and granted, or has just changed;"
-    " the former amount is in force"
-)
+NOT_PAID_YET: Final = "the ledger has not taken this document's amount over yet"
+LOWERED: Final = "more is billed and granted; lowered as grants come back"
 
 T = TypeVar("T", bound=Message)
 
@@ -135,7 +134,6 @@
                 free=0,
                 note="not known to this daemon's ledger",
             )
-        differs = model is not None and state.base != tokens
         return BudgetView(
             id=name,
             document_tokens=tokens,
@@ -144,7 +142,7 @@
             billed=state.billed,
             open=state.open,
             free=state.free,
-            note=BELOW_COMMITTED if differs else "",
+            note=_note(tokens, state),
         )
 
     def workspace(self, name: str) -> WorkspaceView | None:
@@ -215,3 +213,10 @@
     def _others(self) -> Iterator[str]:
         own = self._timeline.process
         return (host for host in self._members.routers_by_id if host != own)
+
+
+def _note(document_tokens: int, state: Budget) -> str:
+    """Say why the document's amount is not what is in force."""
+    if document_tokens not in (-1, state.wanted):
+        return NOT_PAID_YET
+    return LOWERED if state.base > state.wanted else ""
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -28,6 +28,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
 from godwitrudder.process.router import Router
@@ -38,8 +39,7 @@
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
 from godwitrudder.request.choice import Runner
-from godwitrudder.version import records
-from godwitrudder.version.document import BudgetModel, Document
+from godwitrudder.version.document import BudgetModel
 
 DRAIN_STEP_SECONDS: Final = 0.05
 
@@ -162,7 +162,14 @@
             self.metrics,
             self.clock,
         )
-        self.configuration.listen(self._pay_in)
+        self._payments = Payments(
+            settings.host,
+            self.ledger,
+            settings.ledger_partitions,
+            self.members.reachable_routers,
+            self.clock,
+        )
+        self.configuration.listen(self._payments.hear)
         application = CallerApplication(
             self.router,
             lambda: self.configuration.document,
@@ -243,6 +250,7 @@
         self._stack.enter_context(self.runners)
         self._stack.enter_context(self.turns)
         self._stack.enter_context(self._spread)
+        self._stack.enter_context(self._payments)
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
@@ -282,12 +290,3 @@
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
         return (model or BudgetModel(0)).endurance
-
-    def _pay_in(self, document: Document) -> None:
-        """Record what the document pays; a repeated record is void."""
-        version = document.version_by_section.get("budgets", -1)
-        for name, budget in document.budgets_by_id.items():
-            state = self.ledger.budget(name)
-            if state is None or state.config_offset < version:
-                entry = records.Base(name, budget.paid_tokens, version)
-                self.ledger.submit(name, entry)
--- /dev/null
+++ b/godwitrudder/process/payments.py
@@ -0,0 +1,101 @@
+"""The payments task: tells the ledger what the document pays in."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable
+from types import TracebackType
+from typing import Final, Self
+
+import gevent
+from gevent import Greenlet
+
+from godwitrudder.clock import Clock
+from godwitrudder.process.ledger import Ledger, partition_of
+from godwitrudder.version.document import BudgetModel, Document
+from godwitrudder.version.payments import differing, rank_of, turn_comes
+
+STEP_SECONDS: Final = 0.1
+RECHECK_SECONDS: Final = 5.0
+
+
+class Payments:
+    """Compares document and ledger in the partitions that are this daemon's.
+
+    Parameters
+    ----------
+    hosts : callable
+        Returns the reachable daemons, this one included.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        ledger: Ledger,
+        partitions: int,
+        hosts: Callable[[], list[str]],
+        clock: Clock,
+    ) -> None:
+        self._host = host
+        self._ledger = ledger
+        self._partitions = partitions
+        self._hosts = hosts
+        self._clock = clock
+        self._budgets_by_id: dict[str, BudgetModel] = {}
+        self._names_by_partition: dict[int, list[str]] = {}
+        self._version = -1
+        self._seen_at = 0.0
+        self._checked_at_by_partition: dict[int, float] = {}
+        self._version_by_submitted: dict[str, int] = {}
+        self._task: Greenlet | None = None
+
+    def __enter__(self) -> Self:
+        """Start to compare."""
+        self._task = gevent.spawn(self._run)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop."""
+        if self._task is not None:
+            self._task.kill()
+
+    def hear(self, document: Document) -> None:
+        """Take a new document over."""
+        version = document.version_by_section.get("budgets", -1)
+        if version == self._version:
+            return
+        self._version = version
+        self._budgets_by_id = document.budgets_by_id
+        self._seen_at = self._clock.now()
+        self._checked_at_by_partition.clear()
+        names: defaultdict[int, list[str]] = defaultdict(list)
+        for name in document.budgets_by_id:
+            names[partition_of(name, self._partitions)].append(name)
+        self._names_by_partition = dict(names)
+
+    def _run(self) -> None:
+        while True:
+            now = self._clock.now()
+            for partition in self._names_by_partition:
+                self._check(partition, now)
+            gevent.sleep(STEP_SECONDS)
+
+    def _check(self, partition: int, now: float) -> None:
+        checked_at = self._checked_at_by_partition.get(partition)
+        if checked_at is not None and now - checked_at < RECHECK_SECONDS:
+            return
+        rank = rank_of(self._host, partition, self._hosts())
+        if not turn_comes(rank, now - self._seen_at):
+            return
+        self._checked_at_by_partition[partition] = now
+        names = self._names_by_partition[partition]
+        state_of = self._ledger.budget
+        for entry in differing(self._budgets_by_id, names, self._version, state_of):
+            if self._version_by_submitted.get(entry.budget) != self._version:
+                self._version_by_submitted[entry.budget] = self._version
+                self._ledger.submit(entry.budget, entry)
