Pay budgets in at once, and only when the host list is known

A cold fleet that loses its log right after the start refused requests, since budgets were paid in 0.3 s after the document. The first daemon of a partition now acts at once, and nobody acts before the host list is read, so that a starting daemon does not take itself for the first of all partitions.

--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -166,7 +166,7 @@
             settings.host,
             self.ledger,
             settings.ledger_partitions,
-            self.members.reachable_routers,
+            self._listed_routers,
             self.clock,
         )
         self.configuration.listen(self._payments.hear)
@@ -210,6 +210,10 @@
         address = (settings.operator.ip, settings.operator.port)
         return WSGIServer(address, application, log=None, error_log=logger)
 
+    def _listed_routers(self) -> list[str]:
+        """Return the reachable routers, none before the first host list."""
+        return self.members.reachable_routers() if self.members.routers_by_id else []
+
     def _drained(self, runner: Runner) -> bool:
         """Whether operators took a runner out of service."""
         drained = self.configuration.document.drained
--- a/godwitrudder/process/payments.py
+++ b/godwitrudder/process/payments.py
@@ -9,6 +9,7 @@
 
 import gevent
 from gevent import Greenlet
+from gevent.event import Event
 
 from godwitrudder.clock import Clock
 from godwitrudder.process.ledger import Ledger, partition_of
@@ -25,7 +26,8 @@
     Parameters
     ----------
     hosts : callable
-        Returns the reachable daemons, this one included.
+        Returns the reachable daemons, this one included; none while the host
+        list has not been read.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         self._seen_at = 0.0
         self._checked_at_by_partition: dict[int, float] = {}
         self._version_by_submitted: dict[str, int] = {}
+        self._heard = Event()
         self._task: Greenlet | None = None
 
     def __enter__(self) -> Self:
@@ -77,20 +80,23 @@
         for name in document.budgets_by_id:
             names[partition_of(name, self._partitions)].append(name)
         self._names_by_partition = dict(names)
+        self._heard.set()
 
     def _run(self) -> None:
         while True:
             now = self._clock.now()
             for partition in self._names_by_partition:
                 self._check(partition, now)
-            gevent.sleep(STEP_SECONDS)
+            self._heard.wait(STEP_SECONDS)
+            self._heard.clear()
 
     def _check(self, partition: int, now: float) -> None:
         checked_at = self._checked_at_by_partition.get(partition)
         if checked_at is not None and now - checked_at < RECHECK_SECONDS:
             return
-        rank = rank_of(self._host, partition, self._hosts())
-        if not turn_comes(rank, now - self._seen_at):
+        hosts = self._hosts()
+        rank = rank_of(self._host, partition, hosts)
+        if not hosts or not turn_comes(rank, now - self._seen_at):
             return
         self._checked_at_by_partition[partition] = now
         names = self._names_by_partition[partition]
--- a/godwitrudder/version/payments.py
+++ b/godwitrudder/version/payments.py
@@ -18,7 +18,6 @@
 from godwitrudder.version.document import BudgetModel
 
 PAYERS: Final = 3
-FIRST_WAIT_SECONDS: Final = 0.3
 RANK_WAIT_SECONDS: Final = 3.0
 
 
@@ -34,7 +33,7 @@
 
 def turn_comes(rank: int, age: float) -> bool:
     """Whether a daemon of a rank acts on a document seen ``age`` seconds ago."""
-    return rank < PAYERS and age >= FIRST_WAIT_SECONDS + rank * RANK_WAIT_SECONDS
+    return rank < PAYERS and age >= rank * RANK_WAIT_SECONDS
 
 
 def differing(
