--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 from contextlib import ExitStack
 from random import Random
 from types import TracebackType
@@ -24,6 +25,8 @@
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
 from godwitrudder.process.console import Console
+from godwitrudder.process.exchanges import ExchangeDesk
+from godwitrudder.process.homes import Homes
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
@@ -35,6 +38,7 @@
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
 from godwitrudder.process.spread import Spread
+from godwitrudder.process.takeover import Takeover
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
@@ -42,6 +46,7 @@
 from godwitrudder.version.document import BudgetModel
 
 DRAIN_STEP_SECONDS: Final = 0.05
+CUT_SECONDS: Final = 3.0
 
 logger = logging.getLogger(__name__)
 
@@ -110,6 +115,9 @@
             settings.ledger_partitions,
             self.metrics,
             self.random,
+            self.clock,
+            lambda: len(self.members.routers_by_id),
+            settings.log_retention_seconds,
         )
         self.budgets = BudgetDesk(
             self.ledger,
@@ -151,6 +159,17 @@
             self.clock,
             self.runners,
         )
+        self.exchanges = ExchangeDesk(self.clock)
+        self.takeover = Takeover(
+            self.exchanges,
+            Homes(settings.host, self.incarnation, self.members, self.peers),
+            self.peers,
+            self.links,
+            self.members,
+            self.ledger,
+            self.witness,
+        )
+        self.takeover.register(self.handlers)
         self.router = Router(
             self.configuration,
             self.turns,
@@ -158,6 +177,8 @@
             self.budgets,
             ClaimDesk(self.ledger, self.incarnation),
             self.links,
+            self.exchanges,
+            self.takeover,
             self.timeline,
             self.metrics,
             self.clock,
@@ -272,24 +293,53 @@
         """Stop all tasks at once; ``drain`` comes first for a graceful stop."""
         self._stack.close()
 
-    def drain(self) -> int:
+    def drain(self, grace_seconds: float | None = None) -> int:
         """Finish what is in flight, give grants back, settle bills.
 
+        Health turns bad at once.  New requests are taken for the grace period,
+        because the balancer sees that late; then they are refused as not run.
+
+        Parameters
+        ----------
+        grace_seconds : float, optional
+            Instead of the grace period of the settings.
+
         Returns
         -------
         int
-            Requests that were still in flight at the deadline.
+            Requests that were cut at the deadline.
         """
+        grace = self.settings.drain_grace_seconds
+        grace = grace if grace_seconds is None else grace_seconds
         self.draining = True
         deadline = self.clock.now() + self.settings.drain_seconds
-        while self.router.in_flight and self.clock.now() < deadline:
-            gevent.sleep(DRAIN_STEP_SECONDS)
-        self.budgets.return_idle()
-        while not self.ledger.settled() and self.clock.now() < deadline:
-            gevent.sleep(DRAIN_STEP_SECONDS)
+        gevent.sleep(min(grace, self.settings.drain_seconds))
+        self.router.closed = True
+        self._wait(lambda: not self.router.in_flight, deadline)
+        cut = self.cut()
+        self._wait(self._settled, max(deadline, self.clock.now() + CUT_SECONDS))
         if not self.router.in_flight and self.ledger.settled():
             self.budgets.leave()
-        return self.router.in_flight
+        return cut
+
+    def cut(self) -> int:
+        """End the requests in flight, name them, and wait for their bills."""
+        self.router.closed = True
+        requests = self.exchanges.stop_all()
+        if requests:
+            logger.warning("%d requests cut: %s", len(requests), ", ".join(requests))
+        deadline = self.clock.now() + CUT_SECONDS
+        self._wait(lambda: not self.router.in_flight, deadline)
+        return len(requests)
+
+    def _settled(self) -> bool:
+        """Give back what came free; whether the log has it all."""
+        self.budgets.return_idle()
+        return self.budgets.holder.allotment.empty and self.ledger.settled()
+
+    def _wait(self, done: Callable[[], bool], deadline: float) -> None:
+        while not done() and self.clock.now() < deadline:
+            gevent.sleep(DRAIN_STEP_SECONDS)
 
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -71,6 +71,7 @@
         self._sizing = sizing
         self._new_op = new_op
         self._number = 0
+        self._stopping = False
         self.wallets_by_budget: OrderedDict[str, Wallet] = OrderedDict()
         self.reservations_by_request: dict[str, Reservation] = {}
         self._former_by_budget: Counter[str] = Counter()
@@ -83,6 +84,12 @@
         """The id under which grants are drawn now."""
         return f"{self._incarnation}+{self._number}"
 
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is held, nor on its way."""
+        wallets = self.wallets_by_budget.values()
+        return not any(wallet.idle or not wallet.unused for wallet in wallets)
+
     @property
     def next_holder(self) -> str:
         """The id that a new set of witnesses is for."""
@@ -116,7 +123,8 @@
         return ended + self.handle(wanted, now)
 
     def give_back_all(self) -> list[Action]:
-        """Return every idle token, for a graceful stop."""
+        """Return every idle token, for a graceful stop; draw ahead no more."""
+        self._stopping = True
         wallets = list(self.wallets_by_budget.values())
         return [action for wallet in wallets for action in self._give_back(wallet)]
 
@@ -350,7 +358,7 @@
     def _draw(
         self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> Iterator[Action]:
-        if wallet.drawing:
+        if wallet.drawing or (self._stopping and missing <= 0):
             return
         size = self._sizing(wallet.budget).size(
             missing, wallet.rate_at(now), wallet.idle, wallet.isolated.held, view
