Pass on an answer that was whole before its reader first looked

A streamed answer could end after its opening event with status 200: the reader looked ahead for the first piece, got all of them with the end, and then read no batch because the end had been seen.

--- a/godwitrudder/request/exchange.py
+++ b/godwitrudder/request/exchange.py
@@ -181,7 +181,7 @@
 
     def batches(self) -> Iterator[list[Piece]]:
         """Yield what is there, again and again, to the outcome."""
-        while not self._done:
+        while self._ahead or not self._done:
             pieces = self._ahead or self._take()
             self._ahead = []
             if not pieces:
