Parse callers' headers strictly and without the e-mail parser

Cause: the profile of 3,000 requests shows the e-mail parser of the WSGI server with 0.8 of 9.7 s; it also takes folded lines, blanks in names and two lengths for one body, which another hop may read differently.

Four new kinds of bad input are refused.

--- /dev/null
+++ b/godwitrudder/connection/headers.py
@@ -0,0 +1,86 @@
+"""Header lines of callers' requests, parsed strictly and cheaply.
+
+The e-mail parser that the WSGI server uses by default takes folded lines, names
+with blanks and two lengths for one body, which proxies read in different ways.
+Here such a request is refused.
+"""
+
+from __future__ import annotations
+
+import re
+from http.client import HTTPException
+from typing import Any, Final
+
+MAX_HEADER_BYTES: Final = 32 * 1024
+MAX_HEADERS: Final = 100
+_LINE: Final = re.compile(
+    r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):[ \t]*([^\r\n\0]*?)[ \t]*\r?\n"
+)
+
+
+class HeadersTooLarge(HTTPException):
+    """The headers of a request exceed the limit."""
+
+
+class BadHeaders(ValueError):
+    """A header line is malformed."""
+
+
+class RequestHeaders:
+    """The headers of one request, in the form that the WSGI server reads.
+
+    Parameters
+    ----------
+    source : file
+        Stands at the first header line; is read to the empty line.
+    """
+
+    status = ""
+
+    def __init__(self, source: Any) -> None:
+        self.headers: list[str] = []
+        self._value_by_name: dict[str, str] = {}
+        left = MAX_HEADER_BYTES
+        while True:
+            line = source.readline(left + 1)
+            left -= len(line)
+            if left < 0 or len(self.headers) > MAX_HEADERS:
+                raise HeadersTooLarge
+            if line in (b"\r\n", b"\n", b""):
+                break
+            self._add(line.decode("latin-1"))
+        self._check_length()
+
+    @property
+    def typeheader(self) -> str | None:
+        """The content type."""
+        return self.get("content-type")
+
+    def get(self, name: str, default: str | None = None) -> str | None:
+        """Return the value of a header."""
+        return self._value_by_name.get(name.lower(), default)
+
+    getheader = get
+
+    def __delitem__(self, name: str) -> None:
+        """Forget a header."""
+        del self._value_by_name[name.lower()]
+
+    def _add(self, line: str) -> None:
+        match = _LINE.fullmatch(line)
+        if match is None:
+            raise BadHeaders("malformed header line")
+        name = match[1].lower()
+        if name in self._value_by_name and name in ("content-length", "host"):
+            raise BadHeaders(f"two headers {name}")
+        self._value_by_name.setdefault(name, match[2])
+        self.headers.append(line)
+
+    def _check_length(self) -> None:
+        """Refuse a body whose length can be read in two ways."""
+        coding = self.get("transfer-encoding")
+        length = self.get("content-length")
+        if coding is not None and (coding.lower() != "chunked" or length is not None):
+            raise BadHeaders("ambiguous length")
+        if length is not None and not (length.isascii() and length.isdigit()):
+            raise BadHeaders("Content-Length is not a number")
--- a/godwitrudder/connection/server.py
+++ b/godwitrudder/connection/server.py
@@ -9,7 +9,6 @@
 
 import logging
 from collections.abc import Callable
-from http.client import HTTPException
 from types import TracebackType
 from typing import Any, Final, Self
 
@@ -18,6 +17,11 @@
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
+from godwitrudder.connection.headers import (
+    MAX_HEADER_BYTES,
+    HeadersTooLarge,
+    RequestHeaders,
+)
 from godwitrudder.connection.shape import STATUS_BY_REASON, error_body
 from godwitrudder.request.outcome import Reason, Refused, refuse
 from godwitrudder.sections import Address
@@ -25,7 +29,6 @@
 IDLE_SECONDS: Final = 75.0
 HEADER_SECONDS: Final = 10.0
 SEND_SECONDS: Final = 30.0
-MAX_HEADER_BYTES: Final = 32 * 1024
 MAX_CONNECTIONS: Final = 2000
 SOCKET_KEY: Final = "godwitrudder.socket"
 READABLE: Final = 1
@@ -33,26 +36,6 @@
 logger = logging.getLogger(__name__)
 
 
-class HeadersTooLarge(HTTPException):
-    """The headers of a request exceed the limit."""
-
-
-class BoundedLines:
-    """A file whose lines may not exceed ``MAX_HEADER_BYTES`` together."""
-
-    def __init__(self, source: Any) -> None:
-        self._source = source
-        self._left = MAX_HEADER_BYTES
-
-    def readline(self, size: int = -1) -> bytes:
-        """Return the next line."""
-        line = bytes(self._source.readline(size))
-        self._left -= len(line)
-        if self._left < 0:
-            raise HeadersTooLarge
-        return line
-
-
 class CallerHandler(WSGIHandler):  # type: ignore[misc]
     """One connection of a caller."""
 
@@ -69,9 +52,9 @@
         finally:
             server.connections -= 1
 
-    def MessageClass(self, source: Any, *rest: Any) -> Any:  # noqa: N802
+    def MessageClass(self, source: Any, *rest: Any) -> RequestHeaders:  # noqa: N802
         """Parse the headers within their bounds."""
-        return super().MessageClass(BoundedLines(source), *rest)
+        return RequestHeaders(source)
 
     def read_request(self, line: str) -> bool:
         """Parse a request; all of its headers have to come in time."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -177,6 +177,15 @@
         "Idempotency-Key",
     ),
     ("long headers", request(b"", more=f"X: {'y' * 8000}\r\n" * 5), 431, None),
+    ("folded header", request(b"", more="X: a\r\n b\r\n"), 400, None),
+    ("blank in a name", request(b"", more="X : a\r\n"), 400, None),
+    ("two lengths", request(b"", more="Content-Length: 3\r\n"), 400, None),
+    (
+        "length and chunks",
+        request(b"", more="Transfer-Encoding: chunked\r\n"),
+        400,
+        None,
+    ),
     ("not HTTP", b"\x16\x03\x01\r\n\r\n", 400, None),
     (
         "bad length",
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -36,7 +36,7 @@
 TOKENS = LENGTH + count_tokens(PROMPT)
 KEY = "penghu-registry-key"
 TRANSFER = "/services/registry-app/transfers"
-SLOW = 40.0
+SLOW = 20.0
 MOST_SECONDS = 60.0
 
 
