--- a/bench/engines.py
+++ b/bench/engines.py
@@ -24,6 +24,8 @@
 class Owner(Protocol):
     """What a runner tells the router of a request."""
 
+    name: str
+
     def first(self, job: Job, engine: str) -> None:
         """Hear of a first token."""
 
@@ -69,7 +71,7 @@
         self.events: deque[tuple[float, bool, int]] = deque(maxlen=4096)
         self.loads: deque[tuple[float, int]] = deque(maxlen=64)
         self.steps: list[tuple[float, int]] = []
-        self.made_by_workspace: dict[tuple[str, int], int] = {}
+        self.made_by_key: dict[tuple[str, str, int], int] = {}
         self._sequence = 0
         self._stepping = False
 
@@ -166,8 +168,8 @@
             job.prefill -= 1
             return False
         job.made += 1
-        key = (job.workspace, int(now))
-        self.made_by_workspace[key] = self.made_by_workspace.get(key, 0) + 1
+        key = (router.name, job.workspace, int(now))
+        self.made_by_key[key] = self.made_by_key.get(key, 0) + 1
         if job.first_at < 0:
             job.first_at = now
             router.first(job, self.name)
--- a/bench/measure_turns.py
+++ b/bench/measure_turns.py
@@ -17,6 +17,7 @@
 ENGINES: Final = 9
 TOKENS: Final = 60
 WARM_SECONDS: Final = 20
+SEEDS: Final = (2, 3, 4)
 WINDOW_SECONDS: Final = 10
 BIG: Final = "big"
 SMALL: Final = tuple(f"small-{number}" for number in range(6))
@@ -51,12 +52,13 @@
         for router in self.routers.values():
             router.join(self.routers)
         self._number = 0
+        self._seed = seed
 
     def load(
         self, workspace: str, rate: float, entries: list[str], tokens: int = TOKENS
     ) -> None:
         """Send requests of a workspace, at random times, through its routers."""
-        random = Random(workspace)
+        random = Random(f"{workspace} {self._seed}")
 
         def arrive() -> None:
             self._number += 1
@@ -69,27 +71,34 @@
 
         self.world.after(random.expovariate(rate), arrive)
 
-    def served(
-        self, start: int, end: int, workspaces: tuple[str, ...]
-    ) -> dict[str, int]:
-        """Return the tokens that workspaces got in some seconds."""
-        totals = dict.fromkeys(workspaces, 0)
+    def jain(self, start: int, workspaces: tuple[str, ...], routers: set[str]) -> float:
+        """Return the Jain index of the tokens made in the window from ``start``."""
+        totals = dict.fromkeys(workspaces, 0.0)
         for engine in self.engines:
-            for (workspace, second), made in engine.made_by_workspace.items():
-                if start <= second < end and workspace in totals:
+            for (router, workspace, second), made in engine.made_by_key.items():
+                if start <= second < start + WINDOW_SECONDS and router in routers:
                     totals[workspace] += made
-        return totals
+        return jain([*totals.values()])
+
+    def made(self) -> int:
+        """Return the tokens made after the warm-up."""
+        return sum(
+            made
+            for engine in self.engines
+            for (_, _, second), made in engine.made_by_key.items()
+            if second >= WARM_SECONDS
+        )
 
     def waits(self, workspaces: tuple[str, ...]) -> list[float]:
-        """Return the seconds to the first token, sorted."""
-        return sorted(
+        """Return the seconds to the first token."""
+        return [
             job.first_at - job.arrived
             for router in self.routers.values()
             for job in router.jobs
             if job.workspace in workspaces
             and job.first_at >= 0
             and job.arrived > WARM_SECONDS
-        )
+        ]
 
 
 def capacity() -> float:
@@ -132,41 +141,42 @@
     scene.load(BIG, share * 1.3 * 20, _big_entries(entry))
     end = 80
     scene.world.run(end)
-    yield from _jain_rows(scene, f"turns jain 20x at {entry} {policy}", policy, end)
+    yield _jain_row(scene, f"turns jain 20x at {entry} {policy}", policy, end)
 
 
-def _jain_rows(scene: Scene, name: str, policy: str, end: int) -> Iterator[Row]:
+def _jain_row(scene: Scene, name: str, policy: str, end: int) -> Row:
     starts = range(WARM_SECONDS, end, WINDOW_SECONDS)
-    windows = [
-        jain(
-            [
-                float(v)
-                for v in scene.served(
-                    start, start + WINDOW_SECONDS, (BIG, *SMALL)
-                ).values()
-            ]
-        )
-        for start in starts
-    ]
+    worst = min(scene.jain(at, (BIG, *SMALL), set(scene.routers)) for at in starts)
     bound = JAIN_LEAST if policy == "fleet" else None
-    yield Row(f"{name} worst window", min(windows), "index", bound, "higher")
+    return Row(f"{name} worst window", worst, "index", bound, "higher")
 
 
 def _waits(policy: str, entry: str) -> Iterator[Row]:
     """Small workspaces want half their share, with and without the big one."""
-    p95 = {}
-    for big in (False, True):
-        scene = Scene(policy, 2)
-        share = capacity() / (1 + len(SMALL))
-        for number, name in enumerate(SMALL):
-            scene.load(name, share * 0.5, [f"r{1 + number % (ROUTERS - 1)}"])
-        if big:
-            scene.load(BIG, share * 0.5 * 20, _big_entries(entry))
-        scene.world.run(80)
-        p95[big] = percentile(scene.waits(SMALL), 0.95)
+    share = capacity() / (1 + len(SMALL))
+    waits: dict[bool, list[float]] = {False: [], True: []}
+    made = 0
+    for seed in SEEDS:
+        for big in (False, True):
+            scene = Scene(policy, seed)
+            for number, name in enumerate(SMALL):
+                scene.load(name, share * 0.5, [f"r{1 + number % (ROUTERS - 1)}"])
+            if big:
+                scene.load(BIG, share * 0.5 * 20, _big_entries(entry))
+            scene.world.run(80)
+            waits[big] += scene.waits(SMALL)
+        made += scene.made()
+    beside, alone = (percentile(sorted(waits[big]), 0.95) for big in (True, False))
     bound = WAIT_RATIO_MOST if policy == "fleet" else None
-    name = f"turns small wait ratio 20x at {entry} {policy}"
-    yield Row(name, p95[True] / p95[False], "ratio", bound)
+    yield Row(
+        f"turns small wait ratio 20x at {entry} {policy}",
+        beside / alone,
+        "ratio",
+        bound,
+    )
+    full = capacity() * TOKENS * (80 - WARM_SECONDS) * len(SEEDS)
+    name = f"turns tokens over full batches 20x at {entry} {policy}"
+    yield Row(name, made / full, "ratio")
 
 
 def _requests() -> Iterator[Row]:
@@ -198,11 +208,13 @@
     scene.network.cut(names[:3], names[3:])
     end = 30 + PARTITION_SECONDS
     scene.world.run(end)
-    sides = {"left": names[:3], "right": names[3:]}
-    for side, routers in sides.items():
-        index = _side_jain(scene, routers, 60, end)
-        name = f"turns jain within side {side} of a partition"
-        yield Row(name, index, "index", JAIN_LEAST, "higher")
+    for side, routers in {"left": names[:3], "right": names[3:]}.items():
+        smalls = [name for n, name in enumerate(SMALL) if f"r{1 + n % 6}" in routers]
+        workspaces = (BIG, *smalls)
+        windows = range(60, end - WINDOW_SECONDS, WINDOW_SECONDS)
+        worst = min(scene.jain(at, workspaces, set(routers)) for at in windows)
+        name = f"turns jain within side {side} of a partition worst window"
+        yield Row(name, worst, "index", JAIN_LEAST, "higher")
     running = sum(router.slots.slots for router in scene.routers.values())
     total = len(scene.engines) * SLOTS
     yield Row("turns slots over capacity in a partition", running / total, "ratio")
@@ -215,16 +227,6 @@
     )
 
 
-def _side_jain(scene: Scene, routers: list[str], start: float, end: float) -> float:
-    """Return the index over the workspaces that enter only at this side."""
-    shares: dict[str, float] = defaultdict(float)
-    for name in routers:
-        for job in scene.routers[name].jobs:
-            if start < job.ended_at < end:
-                shares[job.workspace] += job.tokens
-    return jain([*shares.values()])
-
-
 def _recovery(scene: Scene, healed: float) -> float:
     """Return the seconds until all routers ask one aggregator again."""
     for step in range(1, 400):
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -12,7 +12,7 @@
 from godwitrudder.connection.shares import ShareAnswer, ShareReport
 from godwitrudder.process.members import PROBE_SECONDS, PROBES_MOST
 from godwitrudder.process.runners import POLLS_PER_SECOND
-from godwitrudder.request.board import Board
+from godwitrudder.request.board import Board, hear
 from godwitrudder.request.choice import REPORT_LAG_SECONDS, Runner
 from godwitrudder.request.report import Reports
 from godwitrudder.request.share import (
@@ -181,7 +181,7 @@
             return min(runners, key=lambda r: self._true_score(r, job))
         everyone = list(self.runners_by_id.values())
         self.board.eject_outliers(everyone, now)
-        return self.board.choose(TARGET, everyone, job.names, job.excluded, now)
+        return self.board.choose(TARGET, everyone, job.names, job.excluded, now, SLOTS)
 
     def _true_score(self, runner: Runner, job: Job) -> tuple[bool, float]:
         """Return what perfect knowledge says: work ahead, in steps."""
@@ -220,7 +220,8 @@
 
         def answer() -> None:
             got = peer.take(report)
-            self.network.send(host, self.name, lambda: self._answered(got))
+            whole = report.number == 0
+            self.network.send(host, self.name, lambda: self._answered(got, whole))
 
         self.network.send(self.name, host, answer)
 
@@ -231,15 +232,14 @@
         routers = len(self.liveness.reachable())
         return self.book.take(report, slots, {}, routers, now)
 
-    def _answered(self, answer: ShareAnswer) -> None:
+    def _answered(self, answer: ShareAnswer, whole: bool) -> None:
         if answer.whole:
             self.reports.restart()
             return
         now = self.world.clock.now()
         self._heard_at = now
         self.slots.take_shares(answer)
-        for flight in answer.flights:
-            self.runners_by_id[flight.runner].told_load(flight.count, now)
+        hear(self.runners_by_id.values(), answer, whole, now)
         self._start()
 
     def _probe_some(self) -> None:
--- a/godwitrudder/connection/shares.py
+++ b/godwitrudder/connection/shares.py
@@ -80,7 +80,9 @@
     level : float
         Slots per unit of weight for a held workspace; 0 where none is held.
     flights : tuple of Flight
-        What the other routers have in flight.
+        What changed in the other routers' work since the last answer.
+    current : bool
+        Whether ``flights`` holds all changes.
     leaving : tuple of str
         Runners that told any router that they take no new work.
     """
@@ -91,3 +93,4 @@
     held: tuple[Held, ...] = ()
     flights: tuple[Flight, ...] = ()
     leaving: tuple[str, ...] = ()
+    current: bool = False
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -140,6 +140,9 @@
             self.clock,
             self.random,
             settings.failure_domain,
+            lambda target: self.configuration.document.targets_by_id[
+                target
+            ].slots_per_runner,
         )
         self.turns = TurnDesk(
             self.incarnation,
--- a/godwitrudder/process/runners.py
+++ b/godwitrudder/process/runners.py
@@ -9,7 +9,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection
 from random import Random
 from types import TracebackType
 from typing import Final, Self
@@ -20,10 +20,10 @@
 from godwitrudder.clock import Clock
 from godwitrudder.connection import probe
 from godwitrudder.connection.probe import CacheEvents, Unanswered
-from godwitrudder.connection.shares import Flight
+from godwitrudder.connection.shares import ShareAnswer
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
-from godwitrudder.request.board import Board
+from godwitrudder.request.board import Board, hear
 from godwitrudder.request.choice import (
     LEAVING_SECONDS,
     NEVER,
@@ -45,6 +45,8 @@
     ----------
     failure_domain : str
         Of this daemon.
+    slots_of : callable
+        Returns the slots that a runner of a target has.
     """
 
     def __init__(
@@ -54,10 +56,12 @@
         clock: Clock,
         random: Random,
         failure_domain: str,
+        slots_of: Callable[[str], int],
     ) -> None:
         self._members = members
         self._metrics = metrics
         self._clock = clock
+        self._slots_of = slots_of
         self._board = Board(failure_domain, random)
         self._used_at_by_target: dict[str, float] = {}
         self._polled_at_by_runner: dict[str, float] = {}
@@ -93,7 +97,8 @@
         for slow in self._board.eject_outliers(runners, now):
             self._metrics.ejections.labels(slow.target, "slow").inc()
         names = prefix_names(prompt_text)
-        return self._board.choose(target, runners, names, excluded, now)
+        slots = self._slots_of(target)
+        return self._board.choose(target, runners, names, excluded, now, slots)
 
     def started(self, runner: Runner) -> None:
         """Note that a request goes to a runner."""
@@ -123,16 +128,13 @@
         runners = self._members.runners_of(target)
         return [runner.id for runner in runners if now < runner.left_until]
 
-    def hear(self, flights: Iterable[Flight], leaving: Iterable[str]) -> None:
-        """Take what the other routers know."""
+    def hear(self, target: str, answer: ShareAnswer, whole: bool) -> None:
+        """Take what the other routers know, from an aggregator's answer."""
         now = self._clock.now()
-        for flight in flights:
-            runner = self._members.runners_by_id.get(flight.runner)
-            if runner is not None:
-                runner.told_load(flight.count, now)
-        for name in leaving:
-            runner = self._members.runners_by_id.get(name)
-            if runner is not None and now >= runner.left_until:
+        runners = self._members.runners_of(target)
+        hear(runners, answer, whole, now)
+        for runner in runners:
+            if runner.id in answer.leaving and now >= runner.left_until:
                 self.left(runner)
 
     def _poll_all(self) -> None:
--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -115,14 +115,16 @@
                 heard_at = self._clock.now()
                 gate.take_shares(ShareAnswer(False, self._own_part(gate.slots.target)))
                 continue
+            whole = reports.whole
             answer = self._ask(host, self._report(gate, reports))
             if answer is not None and answer.whole:
                 reports.restart()
+                whole = True
                 answer = self._ask(host, self._report(gate, reports))
             if answer is not None and not answer.whole:
                 heard_at = self._clock.now()
                 gate.take_shares(answer)
-                self._runners.hear(answer.flights, answer.leaving)
+                self._runners.hear(gate.slots.target, answer, whole)
                 continue
             reports.restart()
             if self._clock.now() - heard_at > STALE_PERIODS * period:
--- a/godwitrudder/request/board.py
+++ b/godwitrudder/request/board.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from random import Random
 
+from godwitrudder.connection.shares import ShareAnswer
 from godwitrudder.request.choice import Runner, choose, outliers
 from godwitrudder.request.prefix import PrefixIndex
 from godwitrudder.request.retry import RetryBudget
@@ -32,6 +33,7 @@
         names: list[int],
         excluded: Collection[str],
         now: float,
+        slots: int,
     ) -> Runner | None:
         """Return the runner for a request, None where there is none left.
 
@@ -41,6 +43,8 @@
         ----------
         names : list of int
             Names of the prompt's prefixes, shortest first.
+        slots : int
+            Requests that a runner works on at once.
         """
         budget = self._retries_by_target.setdefault(target, RetryBudget())
         if excluded and not budget.take():
@@ -50,7 +54,7 @@
         ids = [runner.id for runner in runners if runner.usable(now)]
         matches = self.prefixes.matches(names, ids, now)
         chosen = choose(
-            runners, self._failure_domain, excluded, self._random, now, matches
+            runners, self._failure_domain, excluded, self._random, now, matches, slots
         )
         if chosen is not None:
             self.prefixes.stored(chosen.id, names, now)
@@ -62,3 +66,24 @@
         for runner in slow:
             runner.eject(now)
         return slow
+
+
+def hear(
+    runners: Collection[Runner], answer: ShareAnswer, whole: bool, now: float
+) -> None:
+    """Take the others' work from an aggregator's answer.
+
+    Parameters
+    ----------
+    runners : collection of Runner
+        All runners of the target.
+    whole : bool
+        Whether it answers a whole report: its changes start from nothing.
+    """
+    count_by_runner = {flight.runner: flight.count for flight in answer.flights}
+    for runner in runners:
+        if whole:
+            runner.told = 0
+        runner.told = count_by_runner.get(runner.id, runner.told)
+        if answer.current or runner.id in count_by_runner:
+            runner.told_load(runner.told, now)
--- a/godwitrudder/request/choice.py
+++ b/godwitrudder/request/choice.py
@@ -3,11 +3,12 @@
 A runner's score is its estimated work plus penalties, in requests: own work in
 flight, exactly known; the work of others, from the aggregator's answers or the
 runner's own load report, whichever is newer, drawn towards the mean as it ages;
-less what a cached prompt prefix saves; plus a little for another failure domain.
-The better of two random runners among the best half wins, so that daemons with the
-same late news don't all run to one place (Mitzenmacher, 2001).  A runner that
-fails or falls far behind its peers is ejected for a while, and comes back through
-single probes.
+more where its slots are full; less what a cached prompt prefix saves; plus a little
+for another failure domain.  While all news are fresh, one of those that are about
+as good as the best is drawn; with older news the better of two random ones among
+the best half, so that daemons with the same late news don't all run to one place
+(Mitzenmacher, 2001).  A runner that fails or falls far behind its peers is ejected
+for a while, and comes back through single probes.
 """
 
 from __future__ import annotations
@@ -25,12 +26,16 @@
 NEWS_AGE_SECONDS: Final = 3.0
 REPORT_LAG_SECONDS: Final = 1.5
 DISTANCE_REQUESTS: Final = 0.25
-PREFIX_REQUESTS: Final = 4.0
+PREFIX_REQUESTS: Final = 8.0
 BEST_SHARE: Final = 0.5
+FRESH_SECONDS: Final = 0.5
+TIE_REQUESTS: Final = 1.0
+SLOTS_DEFAULT: Final = 8
+FULL_REQUESTS: Final = 4.0
 LATENCY_GAIN: Final = 0.2
 SLOW_FACTOR: Final = 3.0
 SLOW_SAMPLES_LEAST: Final = 3
-SLOW_SECONDS_LEAST: Final = 2.0
+SLOW_SECONDS_LEAST: Final = 0.5
 FAILURES_MOST: Final = 2
 EJECTED_SECONDS: Final = 2.0
 EJECTED_MOST_SECONDS: Final = 30.0
@@ -49,6 +54,8 @@
         Requests of this daemon that it works on.
     others : float
         Requests of others that it works on, as of ``others_at``.
+    told : int
+        The same as the aggregator's answers last said, to which they add changes.
     leaving : bool
         Gets no new work, says the host list.
     left_until : float
@@ -66,6 +73,7 @@
     in_flight: int = 0
     others: float = 0.0
     others_at: float = NEVER
+    told: int = 0
     leaving: bool = False
     left_until: float = NEVER
     latency_seconds: float = 0.0
@@ -144,6 +152,7 @@
     random: Random,
     now: float,
     match_by_runner: dict[str, float] | None = None,
+    slots: int = SLOTS_DEFAULT,
 ) -> Runner | None:
     """Return the runner for a new request, None where there is none.
 
@@ -157,6 +166,8 @@
         Runners that failed this request.
     match_by_runner : dict, optional
         Share of the prompt that a runner has cached, 0 to 1.
+    slots : int
+        Requests that a runner works on at once; more wait there.
     """
     stay = [
         runner
@@ -172,21 +183,32 @@
     matches = match_by_runner or {}
     mean = sum(runner.others for runner in usable) / len(usable)
     scored = sorted(
-        (score(runner, home, mean, now, matches.get(runner.id, 0.0)), random.random())
-        + (index,)
+        (
+            score(runner, home, mean, now, matches.get(runner.id, 0.0), slots),
+            random.random(),
+            index,
+        )
         for index, runner in enumerate(usable)
     )
+    oldest = min(runner.others_at for runner in usable)
+    if now - oldest <= FRESH_SECONDS:
+        most = scored[0][0] + TIE_REQUESTS
+        return usable[random.choice([i for value, _, i in scored if value <= most])]
     best = scored[: max(2, math.ceil(len(scored) * BEST_SHARE))]
     pair = random.sample(best, min(2, len(best)))
     return usable[min(pair)[2]]
 
 
-def score(runner: Runner, home: str, mean: float, now: float, match: float) -> float:
+def score(
+    runner: Runner, home: str, mean: float, now: float, match: float, slots: int
+) -> float:
     """Return the estimated work of a runner, in requests; less is better."""
     trust = math.exp(-(now - runner.others_at) / NEWS_AGE_SECONDS)
     others = mean + (runner.others - mean) * trust
     distance = 0.0 if runner.failure_domain == home else DISTANCE_REQUESTS
-    return runner.in_flight + others + distance - PREFIX_REQUESTS * match
+    work = runner.in_flight + others
+    waiting = max(0.0, work - slots)
+    return work + FULL_REQUESTS * waiting + distance - PREFIX_REQUESTS * match
 
 
 def outliers(runners: Collection[Runner], now: float) -> list[Runner]:
--- a/godwitrudder/request/report.py
+++ b/godwitrudder/request/report.py
@@ -30,6 +30,11 @@
         slots = self._slots
         return not (slots.running or len(slots.queue) or self._told_by_workspace)
 
+    @property
+    def whole(self) -> bool:
+        """Whether the next report is a whole one."""
+        return self._number == 0
+
     def restart(self) -> None:
         """Make the next report a whole one."""
         self._number = 0
--- a/godwitrudder/request/share.py
+++ b/godwitrudder/request/share.py
@@ -27,7 +27,7 @@
 PACE_HALF_LIFE_SECONDS: Final = 10.0
 PACE_SPREAD_MOST: Final = 8.0
 RESERVE_LEAST_SHARE: Final = 0.03
-RESERVE_DEVIATIONS: Final = 2.5
+RESERVE_DEVIATIONS: Final = 3.0
 RESERVE_MOST_SHARE: Final = 0.25
 FLIGHTS_TOLD_ROUTERS: Final = 2048
 FLIGHTS_TOLD_LEAST: Final = 4
@@ -249,15 +249,23 @@
         spare = max(0.0, slots - sum(self._demand_by_workspace.values()))
         mine += spare / max(1, routers)
         level = 0.0 if self._level == float("inf") else self._level
-        flights = self._flights(reporter, routers)
+        flights, current = self._flights(reporter, routers)
         told = (one.leaving for one in self.reporters_by_router.values())
         leaving = tuple(sorted(set(chain.from_iterable(told))))
         return ShareAnswer(
-            False, round(mine, 2), round(level, 3), tuple(held), flights, leaving
+            whole=False,
+            slots=round(mine, 2),
+            level=round(level, 3),
+            held=tuple(held),
+            flights=flights,
+            leaving=leaving,
+            current=current,
         )
 
-    def _flights(self, reporter: Reporter, routers: int) -> tuple[Flight, ...]:
-        """Return what changed in the others' work, at most a few runners at once."""
+    def _flights(
+        self, reporter: Reporter, routers: int
+    ) -> tuple[tuple[Flight, ...], bool]:
+        """Return what changed in the others' work, and whether that is all."""
         own = reporter.count_by_runner
         told = reporter.told_by_runner
         changes = []
@@ -269,4 +277,4 @@
         changes.sort(key=lambda one: -abs(one.count - told.get(one.runner, 0)))
         for change in changes[:most]:
             told[change.runner] = change.count
-        return tuple(changes[:most])
+        return tuple(changes[:most]), len(changes) <= most
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -89,7 +89,7 @@
             runner.ended(True, 0.2)
     runners["b"].started(1.0)
     assert outliers(runners.values(), 1.1) == []
-    assert outliers(runners.values(), 4.0) == [runners["b"]]
+    assert outliers(runners.values(), 2.0) == [runners["b"]]
 
 
 def test_names_agree_with_the_engines() -> None:
