--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -101,10 +101,17 @@
 
 
 class Beat(msgspec.Struct, frozen=True, array_like=True, tag="beat"):
-    """The holder is alive, or leaves for good; answered by ``Standing``."""
+    """The holder is alive, or leaves for good; answered by ``Standing``.
+
+    Attributes
+    ----------
+    named : bool
+        Whether the holder has named the host as a witness, or only may.
+    """
 
     holder: str
     leaving: bool = False
+    named: bool = True
 
 
 class Standing(msgspec.Struct, frozen=True, array_like=True, tag="standing"):
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -306,14 +306,14 @@
     def _beat_all(self) -> None:
         while True:
             holder = self.holder.allotment.holder
-            hosts = self.holder.witness_set.to_beat()
+            hosts = self.holder.witness_set.to_beat(self._clock.now())
             gevent.joinall([gevent.spawn(self._beat, holder, host) for host in hosts])
             gevent.sleep(BEAT_SECONDS)
 
     def _beat(self, holder: str, host: str) -> None:
-        answer = self._peers.ask(host, Beat(holder), ANSWER_SECONDS)
+        beat = Beat(holder, named=self.holder.witness_set.names(host))
+        answer = self._peers.ask(host, beat, ANSWER_SECONDS)
         if not isinstance(answer, Standing):
-            self.holder.witness_set.missed(host)
             return
         steps = self.holder.stood(
             host, answer.incarnation, answer.fenced, self._clock.now()
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -128,6 +128,8 @@
         if message.leaving:
             self.witness.leave(message.holder)
             return Standing(self.witness.incarnation, True)
+        if not message.named:
+            return Standing(self.witness.incarnation, False)
         alive = self.witness.beat(message.holder, self._clock.now())
         return Standing(self.witness.incarnation, not alive)
 
--- a/godwitrudder/request/admission.py
+++ b/godwitrudder/request/admission.py
@@ -93,6 +93,8 @@
 
     Attributes
     ----------
+    unread : int
+        Received by hand-overs that the log does not show yet.
     drawing : str
         Operation id of the draw under way; empty for none.
     rate : float
@@ -104,6 +106,7 @@
     budget: str
     witnessed: Part = field(default_factory=Part)
     isolated: Part = field(default_factory=Part)
+    unread: int = 0
     drawing: str = ""
     rate: float = 0.0
     rated_at: float = 0.0
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -77,16 +77,16 @@
         self._short: dict[str, None] = {}
         self._credited_at_by_op: dict[str, float] = {}
         self._drawn_at_by_op: dict[str, float] = {}
+        self._unread_by_op: dict[str, events.Received] = {}
 
     @property
     def holder(self) -> str:
         """The id under which grants are drawn now."""
-        return f"{self._incarnation}+{self._number}"
+        return self.name(self._number)
 
-    @property
-    def next_holder(self) -> str:
-        """The id that a new set of witnesses is for."""
-        return f"{self._incarnation}+{self._number + 1}"
+    def name(self, number: int) -> str:
+        """Return the holder id of a number; each number has one witness set."""
+        return f"{self._incarnation}+{number}"
 
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event at a clock reading and return what to do, in order."""
@@ -144,10 +144,9 @@
                 if event.budget in self._short:
                     yield from self._pump(self.wallets_by_budget[event.budget], now)
             case events.Closed():
-                if event.holder == self.holder:
-                    yield from self._renew(now, closed=True)
+                yield from self._renew(event.number, now, closed=True)
             case events.Renewed():
-                yield from self._renew(now, closed=False)
+                yield from self._renew(event.number, now, closed=False)
             case events.Tick():
                 yield from self._tick(now)
 
@@ -222,7 +221,8 @@
         if ranks and min(ranks) < event.rank:
             yield events.Reply(event.budget, busy + max(1, wallet.idle))
             return
-        idle = wallet.witnessed.idle
+        # The log must know that a donor holds what it hands over.
+        idle = max(0, min(wallet.witnessed.idle, wallet.witnessed.held - wallet.unread))
         given = min(idle, max(event.tokens, idle // 2))
         if given > 0:
             wallet.witnessed.held -= given
@@ -246,6 +246,8 @@
         yield from self._pump(wallet, now)
 
     def _received(self, event: events.Received, now: float) -> Iterator[Action]:
+        if event.read and event.op in self._unread_by_op:
+            self._read(self._unread_by_op.pop(event.op))
         if event.op in self._credited_at_by_op:
             return
         self._credited_at_by_op[event.op] = now
@@ -255,8 +257,16 @@
             return
         wallet = self._wallet(event.budget, now)
         wallet.witnessed.held += event.tokens
+        if not event.read:
+            self._unread_by_op[event.op] = event
+            wallet.unread += event.tokens
         yield from self._pump(wallet, now)
 
+    def _read(self, event: events.Received) -> None:
+        wallet = self.wallets_by_budget.get(event.budget)
+        if wallet is not None and event.receiver == self.holder:
+            wallet.unread -= event.tokens
+
     def _undone(self, event: events.Undone, now: float) -> Iterator[Action]:
         if event.holder != self.holder:
             yield from self._return(event.budget, event.holder, event.tokens, 0)
@@ -265,7 +275,7 @@
         wallet.witnessed.held += event.tokens
         yield from self._pump(wallet, now)
 
-    def _renew(self, now: float, closed: bool) -> Iterator[Action]:
+    def _renew(self, number: int, now: float, closed: bool) -> Iterator[Action]:
         """Go on as a new holder; a closing has returned the witnessed part."""
         for wallet in self.wallets_by_budget.values():
             self._former_by_budget[wallet.budget] += wallet.reserved
@@ -274,9 +284,10 @@
             yield from self._give_back(wallet)
             for part in (wallet.witnessed, wallet.isolated):
                 part.held = part.reserved = 0
+            wallet.unread = 0
             wallet.drawing = ""
         self._former_by_budget += Counter()
-        self._number += 1
+        self._number = number
         for budget in list(self._short):
             yield from self._pump(self.wallets_by_budget[budget], now)
 
--- a/godwitrudder/request/events.py
+++ b/godwitrudder/request/events.py
@@ -74,13 +74,20 @@
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """Tokens were handed over, as the donor or the log says; counts once."""
+    """Tokens were handed over, as the donor or the log says; counts once.
+
+    Attributes
+    ----------
+    read : bool
+        Whether the log shows it.
+    """
 
     op: str
     budget: str
     donor: str
     receiver: str
     tokens: int
+    read: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,14 +108,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Closed:
-    """A closing of this holder was read."""
+    """The holder was closed: go on under a new, unused number."""
 
-    holder: str
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
 class Renewed:
-    """The witnesses change: go on under a new holder id."""
+    """The witnesses change: go on under the number that they were read for."""
+
+    number: int
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import Final
+from itertools import count
 
 from msgspec import structs
 
@@ -25,8 +25,6 @@
 from godwitrudder.version.fold import Applied, Effect, Void, Voided
 from godwitrudder.version.records import Entry
 
-PROPOSAL_SECONDS: Final = 5.0
-
 
 @dataclass(frozen=True, slots=True)
 class Go:
@@ -98,7 +96,8 @@
         self._dispatch_by_request: dict[str, Dispatch] = {}
         self._handing_by_op: dict[str, Handing] = {}
         self._announced: set[str] = set()
-        self._proposed_at: float | None = None
+        self._numbers = count(1)
+        self._proposed: int | None = None
         self.announcements.name(allotment.holder, ())
 
     def handle(self, event: Event, now: float) -> list[Step]:
@@ -181,6 +180,7 @@
                 message.donor,
                 message.asker,
                 message.tokens,
+                False,
             )
             steps += self.handle(received, now)
         answered = events.Answered(message.budget, message.asked, message.busy)
@@ -190,7 +190,7 @@
         self, host: str, incarnation: str, fenced: bool, now: float
     ) -> list[Step]:
         """Note a sign of life of a host that witnesses, or may."""
-        self.witness_set.stood(host, incarnation, fenced)
+        self.witness_set.stood(host, incarnation, fenced, now)
         if fenced:
             return []
         self.announcements.found(incarnation)
@@ -324,26 +324,26 @@
                 yield from self._announce(request, now)
 
     def _propose(self, now: float) -> Iterator[Step]:
-        """Propose a set of witnesses; a lost proposal is made again later."""
-        if self._proposed_at is not None:
-            if now - self._proposed_at < PROPOSAL_SECONDS:
-                return
-        witnesses = self.witness_set.proposal()
+        """Propose a set of witnesses under a number that was never used."""
+        if self._proposed is not None:
+            return
+        witnesses = self.witness_set.proposal(now)
         if witnesses is not None:
-            self._proposed_at = now
-            yield Propose(self._new_op(), self.allotment.next_holder, witnesses)
+            self._proposed = next(self._numbers)
+            name = self.allotment.name(self._proposed)
+            yield Propose(self._new_op(), name, witnesses)
 
     def _read_witnesses(
         self, effect: Effect, entry: records.Witnesses, now: float
     ) -> list[Step]:
         """Go on as the holder that the set was read back for."""
-        if (
-            isinstance(effect, Voided)
-            or entry.incarnation != self.allotment.next_holder
-        ):
+        number = self._proposed
+        if number is None or entry.incarnation != self.allotment.name(number):
+            return []
+        self._proposed = None
+        if isinstance(effect, Voided):
             return []
-        self._proposed_at = None
-        steps = self.handle(events.Renewed(), now)
+        steps = self.handle(events.Renewed(number), now)
         return steps + self._renamed(entry.witnesses, now)
 
     def _renamed(self, witnesses: tuple[str, ...], now: float) -> list[Step]:
@@ -356,7 +356,7 @@
         """Note a closing: what this process held came back without it."""
         if holder != self.allotment.holder:
             return []
-        steps = self.handle(events.Closed(holder), now)
+        steps = self.handle(events.Closed(next(self._numbers)), now)
         return steps + self._renamed(self.witness_set.witnesses, now)
 
 
@@ -375,7 +375,7 @@
             )
         case records.Handover() if entry.receiver.startswith(mine):
             yield events.Received(
-                entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens
+                entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens, True
             )
     budget = getattr(entry, "budget", None)
     if budget is not None:
--- a/godwitrudder/request/witnesses.py
+++ b/godwitrudder/request/witnesses.py
@@ -1,8 +1,9 @@
 """Which witnesses a holder names: the first hosts in rendezvous order that answer.
 
-Holders ask a few candidates for a sign of life each second.  A witness that
-missed ``MISSES`` of them, runs as a new incarnation or has fenced the holder is
-replaced; a new set is proposed to the log and counts once read back.
+Holders ask their witnesses for a sign of life each second.  One that gave none for
+``GOOD_SECONDS``, runs as a new incarnation or has fenced the holder is replaced:
+a few further hosts are asked, a new set is proposed to the log and counts once it
+was read back.
 """
 
 from __future__ import annotations
@@ -12,7 +13,7 @@
 
 from godwitrudder.request.witness import WITNESSES
 
-MISSES: Final = 3
+GOOD_SECONDS: Final = 3.0
 CANDIDATES_MOST: Final = 4
 
 
@@ -21,17 +22,12 @@
     return incarnation.rsplit("/", 1)[0]
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class Candidate:
-    """What a host answered last."""
+    """What a host answered last, and when, in seconds."""
 
-    incarnation: str = ""
-    misses: int = MISSES
-
-    @property
-    def good(self) -> bool:
-        """Whether the host would witness now."""
-        return bool(self.incarnation) and self.misses < MISSES
+    incarnation: str
+    heard_at: float
 
 
 class WitnessSet:
@@ -50,29 +46,28 @@
         for host in gone:
             del self._candidates_by_host[host]
 
-    def to_beat(self) -> list[str]:
+    def to_beat(self, now: float) -> list[str]:
         """Return the hosts to ask for a sign of life now."""
-        named = {host_of(name) for name in self.witnesses}
-        hosts = [host for host in self._order if host in named]
-        if self.fenced or len(self._current()) < WITNESSES:
-            more = [host for host in self._order if host not in named]
+        hosts = [host for host in self._order if self.names(host)]
+        if self.fenced or len(self._current(now)) < WITNESSES:
+            more = [host for host in self._order if not self.names(host)]
             hosts += more[: max(0, CANDIDATES_MOST - len(hosts))]
         return hosts
 
-    def stood(self, host: str, incarnation: str, fenced: bool) -> None:
+    def names(self, host: str) -> bool:
+        """Whether a witness in force ran on the host when it was named."""
+        return any(host_of(name) == host for name in self.witnesses)
+
+    def stood(self, host: str, incarnation: str, fenced: bool, now: float) -> None:
         """Note a sign of life; ``fenced`` if the host has fenced this holder."""
-        self._candidates_by_host[host] = Candidate(incarnation, 0)
+        self._candidates_by_host[host] = Candidate(incarnation, now)
         if fenced and incarnation in self.witnesses:
             self.fenced = True
 
-    def missed(self, host: str) -> None:
-        """Note that a host did not answer."""
-        self._candidates_by_host.setdefault(host, Candidate()).misses += 1
-
-    def proposal(self) -> tuple[str, ...] | None:
+    def proposal(self, now: float) -> tuple[str, ...] | None:
         """Return the set to propose; None to keep the one in force."""
-        current = self._current()
-        others = [host for host in self._good() if host not in current]
+        current = self._current(now)
+        others = [host for host in self._good(now) if host not in current]
         chosen = (current + others)[:WITNESSES]
         names = tuple(self._candidates_by_host[host].incarnation for host in chosen)
         if not names or (set(names) == set(self.witnesses) and not self.fenced):
@@ -84,12 +79,16 @@
         self.witnesses = witnesses
         self.fenced = False
 
-    def _good(self) -> list[str]:
+    def _good(self, now: float) -> list[str]:
         """Return the hosts that would witness now, in order."""
         known = self._candidates_by_host
-        return [host for host in self._order if host in known and known[host].good]
+        return [
+            host
+            for host in self._order
+            if host in known and now - known[host].heard_at <= GOOD_SECONDS
+        ]
 
-    def _current(self) -> list[str]:
+    def _current(self, now: float) -> list[str]:
         """Return the hosts whose incarnation is in the set in force."""
         known = self._candidates_by_host
-        return [h for h in self._good() if known[h].incarnation in self.witnesses]
+        return [h for h in self._good(now) if known[h].incarnation in self.witnesses]
