--- /dev/null
+++ b/bench/budget_baselines.py
@@ -0,0 +1,97 @@
+"""Baseline of the budget benches: each router gets an even share for good."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from bench.simulation import Action, World
+from godwitrudder.request.admission import Reservation
+from godwitrudder.request.events import Refuse, Serve
+from godwitrudder.request.holder import Go, Step
+
+
+class EvenSplit:
+    """A router with a fixed share of every budget, the same for each.
+
+    Parameters
+    ----------
+    share_by_budget : dict
+        Tokens of this router.
+    routers : int
+        Among how many a top-up is split.
+    """
+
+    def __init__(
+        self, world: World, share_by_budget: dict[str, int], routers: int
+    ) -> None:
+        self._world = world
+        self._left_by_budget = dict(share_by_budget)
+        self._routers = routers
+        self._reserved_by_request: dict[str, tuple[str, int]] = {}
+        self.dead = False
+        self._paused: list[Action] | None = None
+
+    def enter(self, action: Action) -> None:
+        """Run an action here: now, after a pause, or never."""
+        if self.dead:
+            return
+        if self._paused is not None:
+            self._paused.append(action)
+            return
+        action()
+
+    def pause(self) -> None:
+        """Stop."""
+        self._paused = []
+
+    def resume(self) -> None:
+        """Go on."""
+        waiting, self._paused = self._paused or [], None
+        for action in waiting:
+            action()
+
+    def want(
+        self,
+        request: str,
+        budget: str,
+        tokens: int,
+        deadline: float,
+        woken: Callable[[Step], None],
+    ) -> None:
+        """Reserve, or refuse once the deadline passed."""
+        if tokens <= self._left_by_budget[budget]:
+            self._left_by_budget[budget] -= tokens
+            self._reserved_by_request[request] = (budget, tokens)
+            woken(Serve(Reservation(request, budget, "", tokens)))
+        elif self._world.clock.now() >= deadline or not self._reserved(budget):
+            woken(Refuse(request, budget, tokens, True, None))
+        else:
+            self._world.after(
+                1.0,
+                lambda: self.enter(
+                    lambda: self.want(request, budget, tokens, deadline, woken)
+                ),
+            )
+
+    def announce(
+        self, request: str, deadline: float, woken: Callable[[Step], None]
+    ) -> None:
+        """Dispatch at once."""
+        woken(Go(request))
+
+    def end(self, request: str, used: int) -> None:
+        """Put the unused part back."""
+        budget, tokens = self._reserved_by_request.pop(request)
+        self._left_by_budget[budget] += tokens - used
+
+    def top_up(self, budget: str, tokens: int) -> None:
+        """Take this router's part of a top-up."""
+        self._left_by_budget[budget] += tokens // self._routers
+
+    def left(self, budget: str) -> int:
+        """Tokens that only this router can spend."""
+        return self._left_by_budget[budget]
+
+    def _reserved(self, budget: str) -> bool:
+        held = self._reserved_by_request.values()
+        return any(name == budget for name, _ in held)
--- a/bench/budget_run.py
+++ b/bench/budget_run.py
@@ -239,7 +239,12 @@
         self.truth.requests += 1
         request = f"{budget}/{self.truth.requests}"
         router = self.desks[desk]
-        deadline = self.world.clock.now() + DEADLINE_SECONDS
+        deadline = 0.0
+
+        def arrive() -> None:
+            nonlocal deadline
+            deadline = self.world.clock.now() + DEADLINE_SECONDS
+            router.want(request, budget, bound, deadline, reserved)
 
         def reserved(step: Step) -> None:
             if isinstance(step, Refuse):
@@ -255,7 +260,7 @@
                 self.truth.refuse(budget, bound, self.world.clock.now())
                 router.end(request, 0)
 
-        router.enter(lambda: router.want(request, budget, bound, deadline, reserved))
+        router.enter(arrive)
 
     def _dispatch(self, request: str, budget: str, used: int, router: Desk) -> None:
         """The engine generates, whatever becomes of the router."""
--- /dev/null
+++ b/bench/measure_budgets.py
@@ -0,0 +1,222 @@
+"""Budgets under every fault, at both deployments' sizes, beside two baselines.
+
+Faults last from ``FAULT_SECONDS`` on.  The even split gives every router a fixed
+share; the grants alone are the product's draws with no call-back and no witness.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Final
+
+from bench.budget_baselines import EvenSplit
+from bench.budget_run import (
+    LOAD_SECONDS,
+    PENGHU,
+    SERRA,
+    SETTLE_SECONDS,
+    Deployment,
+    Run,
+)
+from bench.report import Row
+
+SEED: Final = 4
+FAULT_SECONDS: Final = 150.0
+LONG_SECONDS: Final = 600.0
+PAUSE_SECONDS: Final = 60.0
+LOST_ANSWERS: Final = 0.2
+ENDURANCE: Final = 0.5
+STRANDED_AFTER_SECONDS: Final = 60.0
+FALSE_MOST: Final = 0.001
+STRANDED_MOST: Final = 0.01
+CONTROL_BYTES_MOST: Final = 14_000.0
+
+Fault = Callable[[Run], None]
+
+
+def no_fault(run: Run) -> None:
+    """Leave everything alone."""
+
+
+def partition(run: Run) -> None:
+    """Cut half of the domains off from the others and from the log."""
+    names = set(run.deployment.domains[len(run.deployment.domains) // 2 :])
+    _cut(run, names)
+
+
+def domain_cut_off(run: Run) -> None:
+    """Cut one domain off from the others and from the log."""
+    _cut(run, {run.deployment.domains[-1]})
+
+
+def log_outage(run: Run) -> None:
+    """Take the log away."""
+    run.world.after(FAULT_SECONDS, lambda: setattr(run.log, "down", True))
+    ends = FAULT_SECONDS + LONG_SECONDS
+    run.world.after(ends, lambda: setattr(run.log, "down", False))
+
+
+def lost_answers(run: Run) -> None:
+    """Lose answers of appends that took effect, all the time."""
+    run.log.lost_answers = LOST_ANSWERS
+
+
+def router_killed(run: Run) -> None:
+    """Kill one router for good."""
+    desk = run.desks[2]
+    run.world.after(FAULT_SECONDS, lambda: setattr(desk, "dead", True))
+
+
+def router_paused(run: Run) -> None:
+    """Pause one router longer than its witnesses wait, then resume it."""
+    desk = run.desks[2]
+    run.world.after(FAULT_SECONDS, desk.pause)
+    run.world.after(FAULT_SECONDS + PAUSE_SECONDS, desk.resume)
+
+
+def _cut(run: Run, names: set[str]) -> None:
+    there = [host for host, name in run.domain_by_host.items() if name in names]
+    here = [host for host in run.domain_by_host if host not in there]
+    nodes = [*here, run.log.NODE]
+    run.world.after(FAULT_SECONDS, lambda: run.network.cut(nodes, there))
+    run.world.after(FAULT_SECONDS + LONG_SECONDS, run.network.heal)
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A fault; ``false_bound`` caps false refusals with plenty left."""
+
+    name: str
+    fault: Fault
+    false_bound: float | None = None
+
+
+SCENARIOS: Final = (
+    Scenario("no fault", no_fault, 0.0),
+    Scenario("10-min half partition", partition, FALSE_MOST),
+    Scenario("10-min domain cut off", domain_cut_off, FALSE_MOST),
+    Scenario("10-min log outage", log_outage, FALSE_MOST),
+    Scenario("lost answers", lost_answers),
+    Scenario("router killed", router_killed),
+    Scenario("router paused", router_paused),
+)
+
+
+def rows() -> Iterator[Row]:
+    """Yield the figures of both deployments, scenario by scenario."""
+    for deployment in (PENGHU, SERRA):
+        for scenario in SCENARIOS:
+            prefix = f"budgets {deployment.name}, {scenario.name}"
+            yield from _product(prefix, deployment, scenario)
+            yield from _grants_alone(prefix, deployment, scenario)
+            yield from _even_split(prefix, deployment, scenario)
+    yield from _enduring()
+
+
+def _product(prefix: str, deployment: Deployment, scenario: Scenario) -> Iterator[Row]:
+    run = Run(deployment, SEED).with_nodes(ENDURANCE)
+    stranded: list[float] = []
+    _watch_dead(run, scenario, stranded)
+    scenario.fault(run)
+    truth = run.play()
+    twice, never = run.billed_wrongly()
+    yield Row(f"{prefix}: served beyond paid", truth.overspent, "tokens", 0)
+    yield Row(f"{prefix}: billed twice", twice, "requests", 0)
+    yield Row(f"{prefix}: served, never billed", never, "requests", 0)
+    yield _false_row(prefix, run, scenario, scenario.false_bound)
+    for share in stranded:
+        name = f"{prefix}: stranded after 60 s"
+        yield Row(name, share, "of paid", STRANDED_MOST)
+    if scenario.fault is no_fault:
+        yield Row(f"{prefix}: false refusals, any", truth.false_refusals, "", 0)
+        yield Row(f"{prefix}: stranded at the end", truth.stranded, "tokens", 0)
+        yield from _traffic(prefix, run)
+
+
+def _traffic(prefix: str, run: Run) -> Iterator[Row]:
+    seconds = LOAD_SECONDS + 2 * SETTLE_SECONDS
+    sent = sum(node.bytes for node in run.shared.nodes)
+    per_daemon = sent / seconds / len(run.shared.nodes)
+    yield Row(
+        f"{prefix}: control bytes per daemon", per_daemon, "B/s", CONTROL_BYTES_MOST
+    )
+    per_request = sent / run.truth.requests
+    yield Row(f"{prefix}: control bytes per request", per_request, "B")
+    appends = run.log.appends / seconds
+    yield Row(f"{prefix}: appends of budgets, no owners", appends, "1/s")
+
+
+def _false_row(prefix: str, run: Run, scenario: Scenario, bound: float | None) -> Row:
+    truth = run.truth
+    share = truth.false_with_plenty / truth.requests
+    return Row(f"{prefix}: false refusals with 20% left", share, "of requests", bound)
+
+
+def _watch_dead(run: Run, scenario: Scenario, stranded: list[float]) -> None:
+    """Look at what is stuck with the killed router after a minute."""
+    if scenario.fault is not router_killed:
+        return
+    dead = run.shared.nodes[2]
+    after = FAULT_SECONDS + STRANDED_AFTER_SECONDS
+    run.world.after(after, lambda: stranded.append(run.stranded_share(dead)))
+
+
+def _grants_alone(
+    prefix: str, deployment: Deployment, scenario: Scenario
+) -> Iterator[Row]:
+    run = Run(deployment, SEED).with_nodes(ENDURANCE, witnessed=False)
+    stranded: list[float] = []
+    _watch_dead(run, scenario, stranded)
+    scenario.fault(run)
+    truth = run.play()
+    name = f"{prefix}, baseline grants alone"
+    yield _false_row(name, run, scenario, None)
+    yield Row(f"{name}: served beyond paid", truth.overspent, "tokens")
+    for share in stranded:
+        yield Row(f"{name}: stranded after 60 s", share, "of paid")
+    if scenario.fault is no_fault:
+        yield Row(f"{name}: stranded at the end", truth.stranded, "tokens")
+
+
+def _even_split(
+    prefix: str, deployment: Deployment, scenario: Scenario
+) -> Iterator[Row]:
+    run = Run(deployment, SEED)
+    count = deployment.routers
+    paid = run.truth.paid_by_budget
+    shares = {budget: tokens // count for budget, tokens in paid.items()}
+    splits = [EvenSplit(run.world, shares, count) for _ in range(count)]
+    run.desks = list(splits)
+    scenario.fault(run)
+    truth = run.play()
+    name = f"{prefix}, baseline even split"
+    yield _false_row(name, run, scenario, None)
+    yield Row(f"{name}: served beyond paid", truth.overspent, "tokens")
+    if scenario.fault is router_killed:
+        shares_stuck = [splits[2].left(b) / tokens for b, tokens in paid.items()]
+        yield Row(f"{name}: stranded after 60 s", max(shares_stuck), "of paid")
+    if scenario.fault is no_fault:
+        yield Row(f"{name}: stranded at the end", truth.stranded, "tokens")
+
+
+def _enduring() -> Iterator[Row]:
+    """The other end of the setting: endurance 1 against stranded tokens."""
+    for scenario in SCENARIOS[1:3]:
+        run = Run(PENGHU, SEED).with_nodes(1.0)
+        scenario.fault(run)
+        run.play()
+        prefix = f"budgets penghu, {scenario.name}, endurance 1"
+        yield _false_row(prefix, run, scenario, None)
+        yield Row(f"{prefix}: served beyond paid", run.truth.overspent, "tokens", 0)
+    run = Run(PENGHU, SEED).with_nodes(1.0)
+    stranded: list[float] = []
+    killed = SCENARIOS[5]
+    _watch_dead(run, killed, stranded)
+    killed.fault(run)
+    run.play()
+    yield Row(
+        "budgets penghu, router killed, endurance 1: stranded after 60 s",
+        stranded[0],
+        "of paid",
+    )
--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -25,6 +25,16 @@
     rank: int
 
 
+class Transfer(msgspec.Struct, frozen=True, array_like=True):
+    """A hand-over that was credited and that the log may not show yet."""
+
+    op: str
+    budget: str
+    donor: str
+    receiver: str
+    tokens: int
+
+
 class Given(msgspec.Struct, frozen=True, array_like=True, tag="given"):
     """What a holder handed over, and what may still come free there.
 
@@ -32,19 +42,22 @@
     ----------
     asked, donor, asker : str
         The holder as it was asked and as it spends now, and who asked.
-    op : str
-        Operation id of the hand-over; empty for none.
+    transfers : tuple of Transfer
+        The hand-over, after those that the donor's tokens came by and that the
+        log may not show yet; empty for none.
     busy : int
         Tokens reserved, or kept for requests that wait there.
+    idle : int
+        Tokens that are still idle there.
     """
 
     budget: str
     asked: str
     donor: str
     asker: str
-    op: str
-    tokens: int
+    transfers: tuple[Transfer, ...]
     busy: int
+    idle: int
 
 
 class OpenIntent(msgspec.Struct, frozen=True, array_like=True):
@@ -67,15 +80,6 @@
     attempt: str = ""
 
 
-class Transfer(msgspec.Struct, frozen=True, array_like=True):
-    """A hand-over that the holder credited and the log may not show yet."""
-
-    op: str
-    budget: str
-    donor: str
-    tokens: int
-
-
 class Announce(msgspec.Struct, frozen=True, array_like=True, tag="announce"):
     """Open intents of a holder; answered by ``Acked``.
 
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -33,7 +33,7 @@
 from godwitrudder.request.allotment import Allotment
 from godwitrudder.request.announcement import Tell
 from godwitrudder.request.events import Refuse, Serve
-from godwitrudder.request.holder import Go, Holder, Send, Step, record_of
+from godwitrudder.request.holder import Go, Holder, Send, Step, records_of
 from godwitrudder.request.outcome import Reason, Refused, refuse
 from godwitrudder.request.sizing import WHOLE_PERMILLE, Sizing, View
 from godwitrudder.request.witnesses import host_of
@@ -247,8 +247,8 @@
 
     def _append(self, step: Step) -> None:
         share = WHOLE_PERMILLE // max(1, self._live())
-        entry = record_of(step, self.holder.announcements.witnesses, share)
-        if entry is not None:
+        witnesses = self.holder.announcements.witnesses
+        for entry in records_of(step, witnesses, share):
             key = getattr(entry, "budget", None) or self.holder.allotment.holder
             self._ledger.submit(key, entry)
 
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -27,6 +27,7 @@
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.holder import handover_of
 from godwitrudder.request.witness import (
     BillOrphan,
     CloseHolder,
@@ -173,17 +174,7 @@
         bill = records.Bill(intent.request, intent.budget, action.holder, intent.tokens)
         return [(intent.budget, bill)]
     entries: list[tuple[str | None, Entry]] = [
-        (
-            transfer.budget,
-            records.Handover(
-                transfer.op,
-                transfer.budget,
-                transfer.donor,
-                action.holder,
-                transfer.tokens,
-            ),
-        )
-        for transfer in action.transfers
+        (transfer.budget, handover_of(transfer)) for transfer in action.transfers
     ]
     intents = tuple(_intent(intent) for intent in action.intents)
     closing = records.Closing(uuid4().hex, action.holder, witness, intents)
--- a/godwitrudder/request/admission.py
+++ b/godwitrudder/request/admission.py
@@ -12,7 +12,10 @@
 from math import log
 from typing import Final
 
-RATE_HALF_LIFE_SECONDS: Final = 30.0
+from godwitrudder.connection.escrow import Transfer
+
+RATE_HALF_LIFE_SECONDS: Final = 300.0
+RATE_AGE_LEAST_SECONDS: Final = 30.0
 _RATE_GAIN_PER_SECOND: Final = log(2) / RATE_HALF_LIFE_SECONDS
 
 
@@ -52,13 +55,14 @@
 
     Attributes
     ----------
-    busy : int
-        Tokens reserved there for requests under way or kept for waiting ones.
+    busy, idle : int
+        Tokens reserved there or kept for waiting requests, and tokens left over.
     at : float
         Clock reading in seconds.
     """
 
     busy: int
+    idle: int
     at: float
 
 
@@ -93,26 +97,32 @@
 
     Attributes
     ----------
-    unread : int
-        Received by hand-overs that the log does not show yet.
+    unread_by_op : dict
+        Hand-overs that brought tokens here and that the log does not show yet.
     drawing : str
         Operation id of the draw under way; empty for none.
     rate : float
-        Billed tokens a second, an exponentially aged mean.
-    ask_at, asking_until : float
-        Earliest next call-back, and when those under way count as lost.
+        Billed tokens a second, an exponentially aged sum; see ``rate_at``.
+    rated_since, rated_at : float
+        First and last time it was measured, in seconds.
+    ask_at, ask_backoff : float
+        Earliest next round of call-backs, and the pause after it, in seconds.
+    ask_width : int
+        Holders to ask in the next round.
     """
 
     budget: str
     witnessed: Part = field(default_factory=Part)
     isolated: Part = field(default_factory=Part)
-    unread: int = 0
+    unread_by_op: dict[str, Transfer] = field(default_factory=dict)
     drawing: str = ""
     rate: float = 0.0
+    rated_since: float = 0.0
     rated_at: float = 0.0
     used_at: float = 0.0
     ask_at: float = 0.0
     ask_backoff: float = 0.0
+    ask_width: int = 1
     waiters_by_request: dict[str, Waiter] = field(default_factory=dict)
     heard_by_holder: dict[str, Heard] = field(default_factory=dict)
     asked_by_holder: dict[str, float] = field(default_factory=dict)
@@ -142,11 +152,21 @@
         return self.isolated if isolated else self.witnessed
 
     def rate_at(self, now: float) -> float:
-        """Return the aged rate in tokens a second."""
-        elapsed = max(0.0, now - self.rated_at)
-        return self.rate * float(0.5 ** (elapsed / RATE_HALF_LIFE_SECONDS))
+        """Return the aged mean in tokens a second, right from the first on."""
+        age = max(RATE_AGE_LEAST_SECONDS, now - self.rated_since)
+        return self._aged(now) / (1.0 - _kept(age))
+
+    def _aged(self, now: float) -> float:
+        return self.rate * _kept(max(0.0, now - self.rated_at))
 
     def measure(self, tokens: int, now: float) -> None:
         """Count billed tokens towards the rate."""
-        self.rate = self.rate_at(now) + tokens * _RATE_GAIN_PER_SECOND
+        if not self.rate:
+            self.rated_since = now
+        self.rate = self._aged(now) + tokens * _RATE_GAIN_PER_SECOND
         self.rated_at = now
+
+
+def _kept(seconds: float) -> float:
+    """Return what is left of a mean after ``seconds``."""
+    return float(0.5 ** (seconds / RATE_HALF_LIFE_SECONDS))
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -24,6 +24,7 @@
 
 import xxhash
 
+from godwitrudder.connection.escrow import Transfer
 from godwitrudder.request import events
 from godwitrudder.request.admission import Heard, Reservation, Waiter, Wallet
 from godwitrudder.request.events import Action, Event
@@ -37,6 +38,8 @@
 ASK_FIRST_SECONDS: Final = 0.02
 ASK_MOST_SECONDS: Final = 1.0
 CREDIT_MEMORY_SECONDS: Final = 7200.0
+TRANSFERS_MOST: Final = 64
+HEARD_MOST: Final = 400
 
 
 def rank_of(request: str) -> int:
@@ -77,7 +80,6 @@
         self._short: dict[str, None] = {}
         self._credited_at_by_op: dict[str, float] = {}
         self._drawn_at_by_op: dict[str, float] = {}
-        self._unread_by_op: dict[str, events.Received] = {}
 
     @property
     def holder(self) -> str:
@@ -138,6 +140,8 @@
                 yield from self._answered(event, now)
             case events.Received():
                 yield from self._received(event, now)
+            case events.Transferred():
+                yield from self._transferred(event.transfer, now)
             case events.Undone():
                 yield from self._undone(event, now)
             case events.Changed():
@@ -214,59 +218,74 @@
         former = self._former_by_budget[event.budget]
         wallet = self.wallets_by_budget.get(event.budget)
         if wallet is None:
-            yield events.Reply(event.budget, former)
+            yield events.Reply(event.budget, former, 0)
             return
         busy = wallet.reserved + former + (1 if wallet.drawing else 0)
         ranks = [rank_of(request) for request in wallet.waiters_by_request]
         if ranks and min(ranks) < event.rank:
-            yield events.Reply(event.budget, busy + max(1, wallet.idle))
+            yield events.Reply(event.budget, busy + max(1, wallet.idle), 0)
             return
-        # The log must know that a donor holds what it hands over.
-        idle = max(0, min(wallet.witnessed.idle, wallet.witnessed.held - wallet.unread))
+        idle = wallet.witnessed.idle
         given = min(idle, max(event.tokens, idle // 2))
-        if given > 0:
+        before = tuple(wallet.unread_by_op.values())
+        if given > 0 and len(before) < TRANSFERS_MOST:
             wallet.witnessed.held -= given
-            yield events.HandOver(
+            last = Transfer(
                 self._new_op(), event.budget, self.holder, event.asker, given
             )
+            yield events.HandOver((*before, last))
+        elif given > 0:
+            busy += given
         isolated = wallet.isolated.idle
         if given < event.tokens and isolated > 0:
             wallet.isolated.held -= isolated
             yield from self._return(event.budget, self.holder, isolated, isolated)
             busy += isolated
-        yield events.Reply(event.budget, busy)
+        yield events.Reply(event.budget, busy, wallet.witnessed.idle)
 
     def _answered(self, event: events.Answered, now: float) -> Iterator[Action]:
         wallet = self.wallets_by_budget.get(event.budget)
         if wallet is None:
             return
+        if len(wallet.heard_by_holder) >= HEARD_MOST:
+            wallet.heard_by_holder.clear()
         asked_at = wallet.asked_by_holder.pop(event.holder, None)
         if asked_at is not None:
-            wallet.heard_by_holder[event.holder] = Heard(event.busy, asked_at)
+            wallet.heard_by_holder[event.holder] = Heard(
+                event.busy, event.idle, asked_at
+            )
         yield from self._pump(wallet, now)
 
     def _received(self, event: events.Received, now: float) -> Iterator[Action]:
-        if event.read and event.op in self._unread_by_op:
-            self._read(self._unread_by_op.pop(event.op))
-        if event.op in self._credited_at_by_op:
+        """Credit a donor's word, and append what shows that it held the tokens."""
+        transfer = event.transfers[-1]
+        if transfer.op in self._credited_at_by_op:
             return
-        self._credited_at_by_op[event.op] = now
-        yield events.Credited(event)
-        if event.receiver != self.holder:
-            yield from self._return(event.budget, event.receiver, event.tokens, 0)
+        yield events.Append(event.transfers)
+        if transfer.receiver == self.holder:
+            wallet = self._wallet(transfer.budget, now)
+            wallet.unread_by_op.update({t.op: t for t in event.transfers})
+        yield from self._credit(transfer, now)
+
+    def _transferred(self, transfer: Transfer, now: float) -> Iterator[Action]:
+        wallet = self.wallets_by_budget.get(transfer.budget)
+        if wallet is not None:
+            wallet.unread_by_op.pop(transfer.op, None)
+        mine = transfer.receiver.startswith(f"{self._incarnation}+")
+        if mine and transfer.op not in self._credited_at_by_op:
+            yield from self._credit(transfer, now)
+
+    def _credit(self, transfer: Transfer, now: float) -> Iterator[Action]:
+        self._credited_at_by_op[transfer.op] = now
+        if transfer.receiver != self.holder:
+            yield from self._return(
+                transfer.budget, transfer.receiver, transfer.tokens, 0
+            )
             return
-        wallet = self._wallet(event.budget, now)
-        wallet.witnessed.held += event.tokens
-        if not event.read:
-            self._unread_by_op[event.op] = event
-            wallet.unread += event.tokens
+        wallet = self._wallet(transfer.budget, now)
+        wallet.witnessed.held += transfer.tokens
         yield from self._pump(wallet, now)
 
-    def _read(self, event: events.Received) -> None:
-        wallet = self.wallets_by_budget.get(event.budget)
-        if wallet is not None and event.receiver == self.holder:
-            wallet.unread -= event.tokens
-
     def _undone(self, event: events.Undone, now: float) -> Iterator[Action]:
         if event.holder != self.holder:
             yield from self._return(event.budget, event.holder, event.tokens, 0)
@@ -284,7 +303,7 @@
             yield from self._give_back(wallet)
             for part in (wallet.witnessed, wallet.isolated):
                 part.held = part.reserved = 0
-            wallet.unread = 0
+            wallet.unread_by_op.clear()
             wallet.drawing = ""
         self._former_by_budget += Counter()
         self._number = number
@@ -330,7 +349,7 @@
         yield from self._draw(wallet, missing, view, now)
         if not wallet.waiters_by_request:
             wallet.ask_backoff = 0.0
-            wallet.heard_by_holder.clear()
+            wallet.ask_width = 1
             return
         yield from self._refuse(wallet, view, now)
         if wallet.waiters_by_request and view is not None:
@@ -396,34 +415,46 @@
                     None if view is None else view.left,
                 )
 
-    def _others(self, view: View) -> list[str]:
-        """Return the holders of other processes, largest first."""
+    def _others(self, wallet: Wallet, view: View) -> list[str]:
+        """Return the holders of other processes, those with most idle first."""
         mine = f"{self._incarnation}+"
-        remaining = view.remaining_by_holder
-        others = [holder for holder in remaining if not holder.startswith(mine)]
-        return sorted(others, key=lambda holder: -remaining[holder])
+        idle_by_holder = {
+            holder: remaining
+            for holder, remaining in view.remaining_by_holder.items()
+            if not holder.startswith(mine)
+        }
+        for holder, heard in wallet.heard_by_holder.items():
+            if holder in idle_by_holder:
+                idle_by_holder[holder] = heard.idle
+        return sorted(idle_by_holder, key=lambda holder: -idle_by_holder[holder])
 
     def _ask(
         self, wallet: Wallet, missing: int, view: View, now: float
     ) -> Iterator[Action]:
-        """Call idle tokens back: each holder once at first, then with back-off."""
+        """Call idle tokens back: from one holder first, then from more at once.
+
+        Once every holder has answered, they are asked again with back-off.
+        """
         if wallet.drawing and self._draw_may_do(wallet, missing, view, now):
             return
         waiters = list(wallet.waiters_by_request.values())
         since = max(waiter.since for waiter in waiters)
-        others = [h for h in self._others(view) if not self._asking(wallet, h, now)]
-        fresh = [h for h in others if not self._heard_since(wallet, h, since)]
-        if not fresh:
+        others = self._others(wallet, view)
+        if any(self._asking(wallet, holder, now) for holder in others):
+            return
+        chosen = [h for h in others if not self._heard_since(wallet, h, since)]
+        if not chosen:
             if now < wallet.ask_at:
                 return
-            fresh = sorted(others, key=lambda h: -wallet.heard_by_holder[h].busy)
+            chosen = others
             backoff = wallet.ask_backoff or ASK_FIRST_SECONDS
             wallet.ask_at = now + backoff
             wallet.ask_backoff = min(ASK_MOST_SECONDS, backoff * 2)
         rank = min(rank_of(waiter.request) for waiter in waiters)
-        for holder in fresh[:ASKS_AT_ONCE]:
+        for holder in chosen[: wallet.ask_width]:
             wallet.asked_by_holder[holder] = now
             yield events.Ask(wallet.budget, holder, self.holder, missing, rank)
+        wallet.ask_width = min(ASKS_AT_ONCE, wallet.ask_width * 2)
 
     def _draw_may_do(
         self, wallet: Wallet, missing: int, view: View | None, now: float
--- a/godwitrudder/request/announcement.py
+++ b/godwitrudder/request/announcement.py
@@ -91,11 +91,12 @@
             results.extend(self._send(witness))
         return results
 
-    def received(self, transfer: Transfer) -> None:
-        """Tell of a hand-over with the next announcement, before any spend of it."""
-        self._told_by_request[transfer.op] = self.witnesses
+    def received(self, transfers: tuple[Transfer, ...]) -> None:
+        """Tell of hand-overs with the next announcement, before any spend of them."""
+        for transfer in transfers:
+            self._told_by_request[transfer.op] = self.witnesses
         for outbox in self._outbox_by_witness.values():
-            outbox.received.append(transfer)
+            outbox.received.extend(transfers)
 
     def over(self, request: str) -> None:
         """Let the witnesses forget an intent with the next announcement.
--- a/godwitrudder/request/events.py
+++ b/godwitrudder/request/events.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass
 
+from godwitrudder.connection.escrow import Transfer
 from godwitrudder.request.admission import Reservation
 
 
@@ -70,24 +71,21 @@
     budget: str
     holder: str
     busy: int
+    idle: int
 
 
 @dataclass(frozen=True, slots=True)
 class Received:
-    """Tokens were handed over, as the donor or the log says; counts once.
+    """A donor handed tokens over by the last of ``transfers``; counts once."""
 
-    Attributes
-    ----------
-    read : bool
-        Whether the log shows it.
-    """
+    transfers: tuple[Transfer, ...]
 
-    op: str
-    budget: str
-    donor: str
-    receiver: str
-    tokens: int
-    read: bool
+
+@dataclass(frozen=True, slots=True)
+class Transferred:
+    """The log shows a hand-over that this process appended or receives."""
+
+    transfer: Transfer
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +132,7 @@
     | Asked
     | Answered
     | Received
+    | Transferred
     | Undone
     | Changed
     | Closed
@@ -167,20 +166,21 @@
 
 @dataclass(frozen=True, slots=True)
 class HandOver:
-    """Have it acknowledged by the witnesses, then append it and tell the asker."""
+    """Have the last transfer acknowledged, then append all and tell the asker."""
 
-    op: str
-    budget: str
-    donor: str
-    receiver: str
-    tokens: int
+    transfers: tuple[Transfer, ...]
+
+    @property
+    def last(self) -> Transfer:
+        """What this process hands over; the others brought it the tokens."""
+        return self.transfers[-1]
 
 
 @dataclass(frozen=True, slots=True)
-class Credited:
-    """Append the hand-over that was credited, before any bill paid from it."""
+class Append:
+    """Append hand-overs, before any bill paid from them."""
 
-    event: Received
+    transfers: tuple[Transfer, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -200,6 +200,7 @@
 
     budget: str
     busy: int
+    idle: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,4 +237,4 @@
     left: int | None
 
 
-Action = Draw | GiveBack | HandOver | Credited | Ask | Reply | Charge | Serve | Refuse
+Action = Draw | GiveBack | HandOver | Append | Ask | Reply | Charge | Serve | Refuse
--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -33,13 +33,6 @@
     request: str
 
 
-@dataclass(frozen=True, slots=True)
-class Transferred:
-    """The witnesses acknowledged a hand-over: append it."""
-
-    action: HandOver
-
-
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send a message to the process of a holder or a witness."""
@@ -74,7 +67,7 @@
     parked: bool = False
 
 
-Step = Action | Tell | Go | Transferred | Send | Propose
+Step = Action | Tell | Go | Send | Propose
 
 
 class Holder:
@@ -148,23 +141,24 @@
             message.budget, message.asker, message.tokens, message.rank
         )
         actions = self.allotment.handle(asked, now)
-        busy = sum(a.busy for a in actions if isinstance(a, events.Reply))
+        reply = next(a for a in actions if isinstance(a, events.Reply))
         answer = Given(
             message.budget,
             message.holder,
             self.allotment.holder,
             message.asker,
-            "",
-            0,
-            busy,
+            (),
+            reply.busy,
+            reply.idle,
         )
         steps: list[Step] = []
         handing = False
         for action in actions:
             if isinstance(action, HandOver):
                 handing = True
-                self._handing_by_op[action.op] = Handing(action, answer)
-                intent = OpenIntent(action.op, action.budget, action.tokens)
+                last = action.last
+                self._handing_by_op[last.op] = Handing(action, answer)
+                intent = OpenIntent(last.op, last.budget, last.tokens)
                 steps += self._results(self.announcements.announce(intent), now)
             elif not isinstance(action, events.Reply):
                 steps.append(action)
@@ -173,17 +167,11 @@
     def given(self, message: Given, now: float) -> list[Step]:
         """Take the answer to a call-back."""
         steps: list[Step] = []
-        if message.tokens:
-            received = events.Received(
-                message.op,
-                message.budget,
-                message.donor,
-                message.asker,
-                message.tokens,
-                False,
-            )
-            steps += self.handle(received, now)
-        answered = events.Answered(message.budget, message.asked, message.busy)
+        if message.transfers:
+            steps += self.handle(events.Received(message.transfers), now)
+        answered = events.Answered(
+            message.budget, message.asked, message.busy, message.idle
+        )
         return steps + self.handle(answered, now)
 
     def stood(
@@ -236,8 +224,8 @@
             match action:
                 case Serve() if action.reservation.request in self._dispatch_by_request:
                     yield from self._announce(action.reservation.request, now)
-                case events.Credited():
-                    self._received(action.event)
+                case events.Append():
+                    self.announcements.received(action.transfers)
                     yield action
                 case events.Ask():
                     message = CallBack(
@@ -264,13 +252,6 @@
             return
         yield from self._results(self.announcements.announce(dispatch.intent), now)
 
-    def _received(self, event: events.Received) -> None:
-        """Let the witnesses know, so that a closing can show the hand-over first."""
-        if event.receiver == self.allotment.holder:
-            self.announcements.received(
-                Transfer(event.op, event.budget, event.donor, event.tokens)
-            )
-
     def _results(
         self, results: list[announcement.Result], now: float
     ) -> Iterator[Step]:
@@ -286,10 +267,10 @@
     def _acknowledged(self, request: str) -> Iterator[Step]:
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
-            gone = handing.action
-            yield Transferred(gone)
-            answer = structs.replace(handing.answer, op=gone.op, tokens=gone.tokens)
-            yield Send(gone.receiver, answer)
+            transfers = handing.action.transfers
+            yield events.Append(transfers)
+            answer = structs.replace(handing.answer, transfers=transfers)
+            yield Send(answer.asker, answer)
         elif request in self._dispatch_by_request:
             yield from self._go(request)
         else:
@@ -304,7 +285,7 @@
         self.announcements.over(request)
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
-            kept = handing.action
+            kept = handing.action.last
             busy = handing.answer.busy + kept.tokens
             yield Send(kept.receiver, structs.replace(handing.answer, busy=busy))
             undone = events.Undone(kept.donor, kept.budget, kept.tokens)
@@ -373,10 +354,8 @@
             yield events.Granted(
                 entry.op, entry.incarnation, entry.budget, effect.tokens, isolated
             )
-        case records.Handover() if entry.receiver.startswith(mine):
-            yield events.Received(
-                entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens, True
-            )
+        case records.Handover():
+            yield events.Transferred(transfer_of(entry))
     budget = getattr(entry, "budget", None)
     if budget is not None:
         yield events.Changed(budget)
@@ -388,15 +367,33 @@
         case records.Grant() if entry.incarnation.startswith(mine):
             if effect.reason is not Void.REPEATED:
                 yield events.DrawVoid(entry.op, entry.budget)
+        case records.Handover() if effect.reason is Void.REPEATED:
+            yield events.Transferred(transfer_of(entry))
         case records.Handover() if entry.donor.startswith(mine):
             if effect.reason is Void.CLOSED:
                 yield events.Undone(entry.donor, entry.budget, entry.tokens)
 
 
-def record_of(
+def transfer_of(entry: records.Handover) -> Transfer:
+    """Return what a record hands over."""
+    return Transfer(entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens)
+
+
+def handover_of(transfer: Transfer) -> records.Handover:
+    """Return the record of a hand-over."""
+    return records.Handover(
+        transfer.op,
+        transfer.budget,
+        transfer.donor,
+        transfer.receiver,
+        transfer.tokens,
+    )
+
+
+def records_of(
     step: Step, witnesses: tuple[str, ...], share_permille: int
-) -> Entry | None:
-    """Return the record that carries an action out; None for other actions.
+) -> list[Entry]:
+    """Return the records that carry an action out; none for other actions.
 
     Parameters
     ----------
@@ -407,7 +404,7 @@
     """
     match step:
         case events.Draw():
-            return records.Grant(
+            grant = records.Grant(
                 step.op,
                 step.budget,
                 step.holder,
@@ -418,26 +415,21 @@
                 step.needed,
                 share_permille,
             )
+            return [grant]
         case events.GiveBack():
-            return records.Return(
+            returned = records.Return(
                 step.op, step.budget, step.holder, step.tokens, step.isolated
             )
+            return [returned]
         case events.Charge():
             spent = step.reservation
-            return records.Bill(
+            bill = records.Bill(
                 spent.request, spent.budget, spent.holder, step.used, spent.isolated
             )
-        case events.Credited():
-            seen = step.event
-            return records.Handover(
-                seen.op, seen.budget, seen.donor, seen.receiver, seen.tokens
-            )
-        case Transferred():
-            gone = step.action
-            return records.Handover(
-                gone.op, gone.budget, gone.donor, gone.receiver, gone.tokens
-            )
+            return [bill]
+        case events.Append():
+            return [handover_of(transfer) for transfer in step.transfers]
         case Propose():
-            return records.Witnesses(step.op, step.holder, 0, step.witnesses)
+            return [records.Witnesses(step.op, step.holder, 0, step.witnesses)]
         case _:
-            return None
+            return []
--- a/godwitrudder/request/sizing.py
+++ b/godwitrudder/request/sizing.py
@@ -11,7 +11,9 @@
 
 HORIZON_LEAST_SECONDS: Final = 20.0
 HORIZON_MOST_SECONDS: Final = 2400.0
-LOW_WATER_SHARE: Final = 0.5
+LOW_WATER_LEAST_SHARE: Final = 0.5
+LOW_WATER_MOST_SHARE: Final = 0.85
+DRAW_LEAST_SHARE: Final = 0.08
 ISOLATED_SECONDS: Final = 750.0
 ISOLATED_PAID_SHARE: Final = 0.012
 OPEN_LEAST_SHARE: Final = 0.5
@@ -74,6 +76,12 @@
         """Most of what is left that all routers draw ahead together."""
         return min(1.0, OPEN_LEAST_SHARE + self.endurance)
 
+    @property
+    def low_water_share(self) -> float:
+        """Share of the tokens in hand below which a new draw starts."""
+        spread = LOW_WATER_MOST_SHARE - LOW_WATER_LEAST_SHARE
+        return LOW_WATER_LEAST_SHARE + spread * min(1.0, 2 * self.endurance)
+
     def ahead(self, rate: float, left: int) -> int:
         """Return the tokens that should be in hand."""
         share = left * self.open_share / max(1, self.live)
@@ -104,10 +112,10 @@
         if view.free <= 0:
             return None
         ahead = self.ahead(rate, view.left)
-        if missing <= 0 and idle >= ahead * LOW_WATER_SHARE:
+        if missing <= 0 and idle >= ahead * self.low_water_share:
             return None
         more = max(0, min(ahead - idle, view.free // max(1, self.live)))
-        if missing <= 0 and more <= 0:
+        if missing <= 0 and more <= ahead * DRAW_LEAST_SHARE:
             return None
         wanted = self.isolated(rate, view.paid, ahead) - isolated
         return Size(max(0, missing), max(0, missing) + more, max(0, min(wanted, more)))
