--- a/godwitrudder/process/members.py
+++ b/godwitrudder/process/members.py
@@ -42,6 +42,8 @@
         self.runners_by_id: dict[str, Runner] = {}
         self.routers_by_id: dict[str, HostEntry] = {}
         self.liveness = Liveness(host)
+        self._leaving: set[str] = set()
+        self._drained: Callable[[Runner], bool] = lambda runner: False
         self._tasks = Group()
 
     def __enter__(self) -> Self:
@@ -58,6 +60,10 @@
         """Stop."""
         self._tasks.kill()
 
+    def drain_by(self, drained: Callable[[Runner], bool]) -> None:
+        """Count the runners that ``drained`` names as leaving."""
+        self._drained = drained
+
     def probe_with(self, probe: Callable[[str], object], random: Random) -> None:
         """Start to ask quiet routers for a sign of life.
 
@@ -101,6 +107,7 @@
             entries = self._hosts.fetch()
             if not isinstance(entries, Malformed):
                 self._refresh(entries)
+            self._mark_leaving()
             gevent.sleep(REFRESH_SECONDS)
 
     def _probe_all(self, probe: Callable[[str], object], random: Random) -> None:
@@ -135,4 +142,13 @@
         if runner is None:
             runner = Runner(entry.id, entry.target, address, entry.failure_domain)
             self.runners_by_id[entry.id] = runner
-        runner.leaving = entry.state == "leaving"
+        if entry.state == "leaving":
+            self._leaving.add(entry.id)
+        else:
+            self._leaving.discard(entry.id)
+
+    def _mark_leaving(self) -> None:
+        """Stop new work for runners that leave or are drained, also without a list."""
+        self._leaving &= self.runners_by_id.keys()
+        for runner in self.runners_by_id.values():
+            runner.leaving = runner.id in self._leaving or self._drained(runner)
