--- a/bench/budget_fleet.py
+++ b/bench/budget_fleet.py
@@ -102,3 +102,291 @@
     def _count(self, effect: Effect) -> None:
         if effect.violation:
             self.violations += 1
+        if isinstance(effect, Applied) and isinstance(effect.entry, records.Bill):
+            request = effect.entry.request
+            self.bills_by_request[request] = self.bills_by_request.get(request, 0) + 1
+
+
+class Node:
+    """One router.
+
+    Parameters
+    ----------
+    domain_by_host : dict
+        Every router of the fleet.
+    witnessed : bool
+        False for the baseline without call-back and witnesses.
+    """
+
+    def __init__(
+        self,
+        world: World,
+        network: Network,
+        shared: SharedLog,
+        host: str,
+        domain_by_host: dict[str, str],
+        endurance: float,
+        witnessed: bool = True,
+    ) -> None:
+        self.world = world
+        self.network = network
+        self.shared = shared
+        self.host = host
+        self.incarnation = f"{host}/1"
+        self.domain_by_host = domain_by_host
+        self.witnessed = witnessed
+        self.dead = False
+        self.bytes = 0
+        self.nodes_by_host: dict[str, Node] = {}
+        self._paused: list[Action] | None = None
+        self._position = 0
+        self._seen: dict[str, View | None] = {}
+        self._queue: list[Entry] = []
+        self._appending = False
+        self._ops = 0
+        self._waiting_by_request: dict[str, Callable[[Step], None]] = {}
+        sizing = Sizing(endurance, len(domain_by_host))
+        allotment = Allotment(self.incarnation, self.view, lambda _: sizing, self._op)
+        self.holder = Holder(allotment, self._op)
+        self.witness = Witness(self.incarnation)
+        if witnessed:
+            order = candidates(host, domain_by_host[host], domain_by_host)
+            self.holder.witness_set.listed(order)
+            self._every(BEAT_SECONDS, self._beat_all)
+            self._every(BEAT_SECONDS, self._watch)
+        self._every(TICK_SECONDS, self._tick)
+        self._every(PULL_SECONDS, self.pull)
+
+    def enter(self, action: Action) -> None:
+        """Run ``action`` here: now, after a pause, or never."""
+        if self.dead:
+            return
+        if self._paused is not None:
+            self._paused.append(action)
+            return
+        action()
+
+    def pause(self) -> None:
+        """Stop the process as SIGSTOP does."""
+        self._paused = []
+
+    def resume(self) -> None:
+        """Let the process go on; what had arrived is handled first."""
+        waiting, self._paused = self._paused or [], None
+        for action in waiting:
+            self.enter(action)
+
+    def want(
+        self,
+        request: str,
+        budget: str,
+        tokens: int,
+        deadline: float,
+        woken: Callable[[Step], None],
+    ) -> None:
+        """Reserve; ``woken`` gets ``Serve`` or ``Refuse``."""
+        self._waiting_by_request[request] = woken
+        wanted = events.Wanted(request, budget, tokens, deadline)
+        self.run(self.holder.handle(wanted, self.now))
+
+    def announce(
+        self, request: str, deadline: float, woken: Callable[[Step], None]
+    ) -> None:
+        """Announce a dispatch; ``woken`` gets ``Go`` or ``Refuse``."""
+        self._waiting_by_request[request] = woken
+        self.run(self.holder.announce(request, "runner", "attempt", deadline, self.now))
+
+    def end(self, request: str, used: int) -> None:
+        """End a request that was served or not."""
+        self.run(self.holder.ended(request, used, self.now))
+
+    def top_up(self, budget: str, tokens: int) -> None:
+        """Nothing to do: the log tells."""
+
+    def view(self, budget: str) -> View | None:
+        """Return what this node knows of a budget."""
+        if self.log_reachable:
+            self._seen[budget] = self.shared.view(budget)
+        return self._seen.get(budget)
+
+    @property
+    def now(self) -> float:
+        """The clock's reading in seconds."""
+        return self.world.clock.now()
+
+    @property
+    def log_reachable(self) -> bool:
+        """Whether the log answers this node."""
+        log = self.shared.log
+        return not log.down and self.network.connected(self.host, log.NODE)
+
+    def pull(self) -> None:
+        """Read what is new in the log."""
+        if self.dead or self._paused is not None or not self.log_reachable:
+            return
+        known = self.shared.effects_by_offset
+        while self._position < len(known):
+            effects = known[self._position]
+            self._position += 1
+            for effect in effects:
+                self._read(effect)
+
+    def _read(self, effect: Effect) -> None:
+        entry = effect.entry
+        if isinstance(effect, Applied) and isinstance(entry, records.Bill):
+            self.witness.billed(entry.request)
+        self.run(self.holder.read(effect, self.now))
+
+    def run(self, steps: list[Step]) -> None:
+        """Carry actions out, in order."""
+        for step in steps:
+            match step:
+                case Serve():
+                    self._wake(step.reservation.request, step)
+                case Go() | Refuse():
+                    self._wake(step.request, step)
+                case Tell():
+                    self._tell(step)
+                case Send():
+                    if self.witnessed:
+                        self._send(host_of(step.target), step.message)
+                case _:
+                    self._append(step)
+
+    def _wake(self, request: str, step: Step) -> None:
+        woken = self._waiting_by_request.pop(request, None)
+        if woken is not None:
+            woken(step)
+
+    def _append(self, step: Step) -> None:
+        share = WHOLE_PERMILLE // len(self.domain_by_host)
+        witnesses = self.holder.announcements.witnesses
+        for entry in records_of(step, witnesses, share):
+            self._submit(entry)
+
+    def _submit(self, entry: Entry) -> None:
+        self._queue.append(entry)
+        if not self._appending:
+            self._appending = True
+            self.world.after(WINDOW_SECONDS, lambda: self.enter(self._append_queue))
+
+    def _append_queue(self) -> None:
+        entries, self._queue = self._queue, []
+        seen = self.shared.fold.time
+        self._append_batch(records.encode_batch(self.incarnation, entries, seen))
+
+    def _append_batch(self, data: bytes) -> None:
+        """Append until the log answers; the fold ignores a second record."""
+        self.bytes += len(data)
+
+        def answered(accepted: bool) -> None:
+            self.enter(lambda: self._appended(data, accepted))
+
+        self.shared.append(self.host, data, answered)
+
+    def _appended(self, data: bytes, accepted: bool) -> None:
+        if not accepted:
+            seconds = self.world.random.uniform(0, RETRY_SECONDS)
+            self.world.after(
+                seconds, lambda: self.enter(lambda: self._append_batch(data))
+            )
+            return
+        self._appending = False
+        if self._queue:
+            self._appending = True
+            self._append_queue()
+
+    def _send(self, host: str, message: Message) -> None:
+        target = self.nodes_by_host[host]
+        self.bytes += frame_bytes(message)
+        self.network.send(
+            self.host, host, lambda: target.enter(lambda: target.take(message))
+        )
+
+    def take(self, message: Message) -> None:
+        """Take a call-back or its answer."""
+        if isinstance(message, CallBack):
+            self.run(self.holder.call_back(message, self.now))
+        elif isinstance(message, Given):
+            self.run(self.holder.given(message, self.now))
+
+    def _ask(
+        self, host: str, message: Message, answered: Callable[[Message | None], None]
+    ) -> None:
+        """Ask a peer; ``answered`` gets None after the timeout."""
+        target = self.nodes_by_host[host]
+        self.bytes += frame_bytes(message)
+        open_question = [True]
+
+        def close(answer: Message | None) -> None:
+            if open_question[0]:
+                open_question[0] = False
+                answered(answer)
+
+        def arrive() -> None:
+            answer = target.answer(message)
+            target.bytes += frame_bytes(answer)
+            self.network.send(
+                host, self.host, lambda: self.enter(lambda: close(answer))
+            )
+
+        self.network.send(self.host, host, lambda: target.enter(arrive))
+        self.world.after(ANSWER_SECONDS, lambda: self.enter(lambda: close(None)))
+
+    def answer(self, message: Message) -> Message:
+        """Answer as a witness."""
+        if isinstance(message, Announce):
+            return Acked(self.witness.announce(message, self.now))
+        assert isinstance(message, Beat)
+        alive = not message.named or self.witness.beat(message.holder, self.now)
+        return Standing(self.incarnation, not alive)
+
+    def _tell(self, step: Tell) -> None:
+        def answered(answer: Message | None) -> None:
+            accepted = isinstance(answer, Acked) and answer.accepted
+            note = self.holder.acked if accepted else self.holder.failed
+            self.run(note(step, self.now))
+
+        self._ask(host_of(step.message.witness), step.message, answered)
+
+    def _beat_all(self) -> None:
+        holder = self.holder.allotment.holder
+        for host in self.holder.witness_set.to_beat(self.now):
+            self._beat(host, holder)
+
+    def _beat(self, host: str, holder: str) -> None:
+        def answered(answer: Message | None) -> None:
+            if isinstance(answer, Standing):
+                self.run(
+                    self.holder.stood(host, answer.incarnation, answer.fenced, self.now)
+                )
+
+        beat = Beat(holder, named=self.holder.witness_set.names(host))
+        self._ask(host, beat, answered)
+
+    def _watch(self) -> None:
+        for action in self.witness.tick(self.now, self.log_reachable):
+            for _, entry in entries_of(action, self.incarnation):
+                self._submit(entry)
+
+    def _tick(self) -> None:
+        self.run(self.holder.tick(self.now))
+
+    def _every(self, seconds: float, action: Action) -> None:
+        """Run a task of this node again and again; a paused one waits."""
+
+        def again() -> None:
+            action()
+            self.world.after(seconds, lambda: self.enter(again))
+
+        first = self.world.random.uniform(0, seconds)
+        self.world.after(first, lambda: self.enter(again))
+
+    def _op(self) -> str:
+        self._ops += 1
+        return f"{self.host}-{self._ops}"
+
+
+def frame_bytes(message: Message) -> int:
+    """Return the size of a message on the wire, websocket header included."""
+    return len(codec.encode(Frame(1, False, Stamp(1_700_000_000_000, 1), message))) + 8
