--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -74,6 +74,7 @@
         self._sizing = sizing
         self._new_op = new_op
         self._number = 0
+        self._stopping = False
         self.wallets_by_budget: OrderedDict[str, Wallet] = OrderedDict()
         self.reservations_by_request: dict[str, Reservation] = {}
         self._former_by_budget: Counter[str] = Counter()
@@ -90,6 +91,12 @@
         """Return the holder id of a number; each number has one witness set."""
         return f"{self._incarnation}+{number}"
 
+    @property
+    def empty(self) -> bool:
+        """Whether nothing is held, nor on its way."""
+        wallets = self.wallets_by_budget.values()
+        return not any(wallet.idle or not wallet.unused for wallet in wallets)
+
     def handle(self, event: Event, now: float) -> list[Action]:
         """Take an event at a clock reading and return what to do, in order."""
         return list(self._handle(event, now))
@@ -118,7 +125,8 @@
         return ended + self.handle(wanted, now)
 
     def give_back_all(self) -> list[Action]:
-        """Return every idle token, for a graceful stop."""
+        """Return every idle token, for a graceful stop; draw ahead no more."""
+        self._stopping = True
         wallets = list(self.wallets_by_budget.values())
         return [action for wallet in wallets for action in self._give_back(wallet)]
 
@@ -380,7 +388,7 @@
     def _draw(
         self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> Iterator[Action]:
-        if wallet.drawing:
+        if wallet.drawing or (self._stopping and missing <= 0):
             return
         size = self._sizing(wallet.budget).size(
             missing, wallet.rate_at(now), wallet.idle, wallet.isolated.held, view
