--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -27,6 +27,7 @@
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.request.holder import handover_of
 from godwitrudder.request.witness import (
     BillOrphan,
     CloseHolder,
@@ -128,6 +129,8 @@
         if message.leaving:
             self.witness.leave(message.holder)
             return Standing(self.witness.incarnation, True)
+        if not message.named:
+            return Standing(self.witness.incarnation, False)
         alive = self.witness.beat(message.holder, self._clock.now())
         return Standing(self.witness.incarnation, not alive)
 
@@ -171,17 +174,7 @@
         bill = records.Bill(intent.request, intent.budget, action.holder, intent.tokens)
         return [(intent.budget, bill)]
     entries: list[tuple[str | None, Entry]] = [
-        (
-            transfer.budget,
-            records.Handover(
-                transfer.op,
-                transfer.budget,
-                transfer.donor,
-                action.holder,
-                transfer.tokens,
-            ),
-        )
-        for transfer in action.transfers
+        (transfer.budget, handover_of(transfer)) for transfer in action.transfers
     ]
     intents = tuple(_intent(intent) for intent in action.intents)
     closing = records.Closing(uuid4().hex, action.holder, witness, intents)
