--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -33,7 +33,7 @@
 from godwitrudder.request.allotment import Allotment
 from godwitrudder.request.announcement import Tell
 from godwitrudder.request.events import Refuse, Serve
-from godwitrudder.request.holder import Go, Holder, Send, Step, record_of
+from godwitrudder.request.holder import Go, Holder, Send, Step, records_of
 from godwitrudder.request.outcome import Reason, Refused, refuse
 from godwitrudder.request.sizing import WHOLE_PERMILLE, Sizing, View
 from godwitrudder.request.witnesses import host_of
@@ -258,8 +258,8 @@
 
     def _append(self, step: Step) -> None:
         share = WHOLE_PERMILLE // max(1, self._live())
-        entry = record_of(step, self.holder.announcements.witnesses, share)
-        if entry is not None:
+        witnesses = self.holder.announcements.witnesses
+        for entry in records_of(step, witnesses, share):
             key = getattr(entry, "budget", None) or self.holder.allotment.holder
             self._ledger.submit(key, entry)
 
@@ -317,14 +317,14 @@
     def _beat_all(self) -> None:
         while True:
             holder = self.holder.allotment.holder
-            hosts = self.holder.witness_set.to_beat()
+            hosts = self.holder.witness_set.to_beat(self._clock.now())
             gevent.joinall([gevent.spawn(self._beat, holder, host) for host in hosts])
             gevent.sleep(BEAT_SECONDS)
 
     def _beat(self, holder: str, host: str) -> None:
-        answer = self._peers.ask(host, Beat(holder), ANSWER_SECONDS)
+        beat = Beat(holder, named=self.holder.witness_set.names(host))
+        answer = self._peers.ask(host, beat, ANSWER_SECONDS)
         if not isinstance(answer, Standing):
-            self.holder.witness_set.missed(host)
             return
         steps = self.holder.stood(
             host, answer.incarnation, answer.fenced, self._clock.now()
