Bound the skipping of unread bodies, and test slow and idle callers

Cause: after an error the server read the rest of a body without a limit of time, so a caller that dripped bytes held a connection for ever.

The rest is skipped for a second and then given up with the connection.

--- a/godwitrudder/connection/server.py
+++ b/godwitrudder/connection/server.py
@@ -15,7 +15,7 @@
 import gevent
 import msgspec
 from gevent import socket
-from gevent.pywsgi import WSGIHandler, WSGIServer
+from gevent.pywsgi import Input, WSGIHandler, WSGIServer
 
 from godwitrudder.connection.headers import (
     MAX_HEADER_BYTES,
@@ -29,6 +29,7 @@
 IDLE_SECONDS: Final = 75.0
 HEADER_SECONDS: Final = 10.0
 SEND_SECONDS: Final = 30.0
+DISCARD_SECONDS: Final = 1.0
 MAX_CONNECTIONS: Final = 2000
 SOCKET_KEY: Final = "godwitrudder.socket"
 READABLE: Final = 1
@@ -36,9 +37,23 @@
 logger = logging.getLogger(__name__)
 
 
+class BoundedInput(Input):  # type: ignore[misc]
+    """A body whose unread rest is skipped within a time, or given up."""
+
+    given_up = False
+
+    def _discard(self) -> None:
+        self.given_up = True
+        with gevent.Timeout(DISCARD_SECONDS, False):
+            super()._discard()
+            self.given_up = False
+
+
 class CallerHandler(WSGIHandler):  # type: ignore[misc]
     """One connection of a caller."""
 
+    wsgi_input: Any
+
     def handle(self) -> None:
         """Serve the connection, or turn it away when there are too many."""
         server: CallerServer = self.server
@@ -65,6 +80,11 @@
         """Return the environment, with the socket for who watches it."""
         self.socket.settimeout(SEND_SECONDS)
         environ: dict[str, Any] = super().get_environ()
+        given = self.wsgi_input
+        self.wsgi_input = BoundedInput(
+            self.rfile, self.content_length, given.socket, given.chunked_input
+        )
+        environ["wsgi.input"] = self.wsgi_input
         environ[SOCKET_KEY] = self.socket
         return environ
 
@@ -73,7 +93,7 @@
         result = super().handle_one_request()
         if self.socket is not None:
             self.socket.settimeout(IDLE_SECONDS)
-        if self.server.closing():
+        if self.server.closing() or getattr(self.wsgi_input, "given_up", False):
             return None
         return result
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -276,6 +276,39 @@
     assert all(stream.ended for stream in streams)
 
 
+SLOW: list[tuple[str, str, float, bytes, int, str]] = [
+    ("headers", "server.HEADER_SECONDS", 0.1, b"GET /healthz HTTP/1.1\r\nX: ", 408, ""),
+    ("body", "body.BODY_SECONDS", 0.1, request(b"xx")[:-1], 408, "request_timeout"),
+    ("many", "server.MAX_CONNECTIONS", 0, b"", 503, "too_many_connections"),
+]
+
+
+@pytest.mark.parametrize(("name", "limit", "value", "data", "status", "code"), SLOW)
+def test_slow_and_too_many_callers(
+    fleet: Fleet,
+    monkeypatch: pytest.MonkeyPatch,
+    name: str,
+    limit: str,
+    value: float,
+    data: bytes,
+    status: int,
+    code: str,
+) -> None:
+    """They are told so, and their connection is closed."""
+    monkeypatch.setattr(f"godwitrudder.connection.{limit}", value)
+    got, headers, body = raw(fleet.daemons[0], data)
+    assert (got, headers["connection"]) == (status, "close")
+    assert code in json.loads(body)["error"]["code"]
+
+
+def test_idle_caller_is_closed(fleet: Fleet, monkeypatch: pytest.MonkeyPatch) -> None:
+    """A connection that sends nothing is closed without a word."""
+    monkeypatch.setattr("godwitrudder.connection.server.IDLE_SECONDS", 0.1)
+    caller = fleet.daemons[0].settings.caller
+    with socket.create_connection((caller.ip, caller.port)) as sock:
+        assert sock.recv(1) == b""
+
+
 def test_metrics_and_time_line_hold_no_key(fleet: Fleet) -> None:
     """Keys and prompts stay out of what operators read."""
     daemon = fleet.daemons[0]
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -159,6 +159,15 @@
     assert text_of(retry.get(timeout=MOST_SECONDS)) == ANSWER
     late = world.ask(2)
     assert text_of(late.get(timeout=MOST_SECONDS)) == ANSWER
+    other = gevent.spawn(
+        post,
+        world.daemons[1].caller,
+        "/v1/chat/completions",
+        KEY,
+        {**BODY, "max_tokens": 1},
+        {"Idempotency-Key": "claim-1"},
+    )
+    assert other.get(timeout=MOST_SECONDS)[0] == 422
     assert len(world.engine.streams_by_attempt) == 1
     until(lambda: world.budget().billed)
     assert world.budget().billed == TOKENS
