Announce calls of plain services, and try another runner when none was sent

Cause: a service call went out without the witnesses' acknowledgement, so a closing after the router's death would have returned tokens that the call had spent; and one dead runner among live ones made a call fail as no_runner.

Every dispatch is announced. A call that no connection took goes to the next runner, within the retry budget; one that may have been sent only where it may be repeated. 70 tests of links, demo and callers pass, two of them new: six non-idempotent calls with one of two runners dead all run once, with both dead all are refused as not run.

--- a/godwitrudder/process/router.py
+++ b/godwitrudder/process/router.py
@@ -13,7 +13,7 @@
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection.runner import Broken, RunnerLinks
-from godwitrudder.process.attempts import AttemptDesk
+from godwitrudder.process.attempts import ATTEMPTS_MOST, AttemptDesk
 from godwitrudder.process.budgets import BudgetDesk, Spend
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
@@ -25,6 +25,7 @@
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.request.admission import Reservation
 from godwitrudder.request.answer import Call, Piece, ServiceAnswer, ServiceCall
+from godwitrudder.request.choice import Runner
 from godwitrudder.request.exchange import Exchange, Reader
 from godwitrudder.request.outcome import (
     Completed,
@@ -168,12 +169,39 @@
     def _call_runner(
         self, call: ServiceCall, spend: Spend, exchange: Exchange
     ) -> ServiceAnswer | Refused | Failed:
-        runner = self._runners.choose(call.target, "", set())
-        if runner is None:
-            return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
-        refused = spend.announce(runner.id, call.request)
-        if refused is not None:
-            return refused
+        """Try runners; a call that may have been sent is only repeated if it may be."""
+        excluded: set[str] = set()
+        problem = ""
+        for _ in range(ATTEMPTS_MOST):
+            runner = self._runners.choose(call.target, "", excluded)
+            if runner is None:
+                break
+            refused = spend.announce(runner.id)
+            if refused is not None and not problem:
+                return refused
+            if refused is not None:
+                break
+            reply = self._call_once(call, runner, spend, exchange, bool(problem))
+            if isinstance(reply, ServiceAnswer):
+                return reply
+            if reply.sent:
+                problem = reply.reason
+            if reply.sent and not call.rule.repeatable:
+                break
+            excluded.add(runner.id)
+        if problem:
+            return fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
+        return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
+
+    def _call_once(
+        self,
+        call: ServiceCall,
+        runner: Runner,
+        spend: Spend,
+        exchange: Exchange,
+        sent: bool,
+    ) -> ServiceAnswer | Broken:
+        """Call one runner; ``sent`` says whether an earlier one may have run it."""
         self._timeline.note("dispatch", call.request, call.workspace, runner.id)
         headers = {"X-Request-Id": call.request}
         if call.content_type:
@@ -193,11 +221,10 @@
             return ServiceAnswer(
                 reply.status, reply.body, spend.tokens, reply.content_type
             )
-        if reply.sent:
-            return fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=reply.reason)
-        exchange.dispatched = False
-        spend.tokens = 0
-        return refuse(Reason.NO_RUNNER, 1.0, target=call.target)
+        if not reply.sent and not sent:
+            exchange.dispatched = False
+            spend.tokens = 0
+        return reply
 
     def _rules(self, target: str) -> TurnModel:
         turns = self._configuration.document.turns_by_target
--- a/tests/test_runner_links.py
+++ b/tests/test_runner_links.py
@@ -206,3 +206,28 @@
     assert answer["usage"]["completion_tokens"] == length
     streams = [s for e in fleet.engines for s in e.streams_by_attempt.values()]
     assert [s.start > 0 for s in streams] == [fault == "death"]
+
+
+DEAD: list[tuple[str, int, int, str]] = [
+    ("one of two is dead", 1, 200, ""),
+    ("all are dead", 2, 503, "not_run"),
+]
+
+
+@pytest.mark.parametrize(("name", "dead", "status", "ran"), DEAD)
+def test_call_that_was_not_sent_goes_elsewhere(
+    name: str, dead: int, status: int, ran: str
+) -> None:
+    """Also a non-idempotent one; it is announced, run once and billed once."""
+    with Fleet(daemons=1, engines=1, services=2) as fleet:
+        for service in fleet.services[:dead]:
+            service.die()
+        address = fleet.daemons[0].settings.caller
+        path = "/services/registry-app/transfers"
+        for number in range(6):
+            headers = {"Idempotency-Key": f"t{number}"}
+            got, data = post(address, path, "penghu-registry-key", {}, headers)
+            assert got == status
+            assert not ran or json.loads(data)["error"]["ran"] == ran
+        runs = sum(sum(s.runs_by_request.values()) for s in fleet.services)
+        assert runs == (6 if status == 200 else 0)
