--- a/godwitrudder/process/attempts.py
+++ b/godwitrudder/process/attempts.py
@@ -18,6 +18,7 @@
 from godwitrudder.process.budgets import Spend
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.runners import RunnerDesk
+from godwitrudder.request.admission import Reservation
 from godwitrudder.request.answer import Call, Chunk, Piece, Prompt, Usage
 from godwitrudder.request.choice import Runner
 from godwitrudder.request.exchange import Exchange
@@ -26,6 +27,7 @@
 ATTEMPTS_MOST: Final = 3
 
 Note = Callable[[str, Call, str], None]
+Dispatched = Callable[[Call, str, str, int, Reservation], None]
 
 
 class AttemptDesk:
@@ -39,6 +41,8 @@
         Chooses the runner, given those that failed the call.
     note : callable
         Writes to the time line.
+    dispatched : callable
+        Told call, runner, attempt, first token and reservation before a dispatch.
     """
 
     def __init__(
@@ -46,6 +50,7 @@
         links: RunnerLinks,
         runners: RunnerDesk,
         note: Note,
+        dispatched: Dispatched,
         metrics: Metrics,
         clock: Clock,
     ) -> None:
@@ -53,10 +58,11 @@
         self._runners = runners
         self._clock = clock
         self._note = note
+        self._dispatched = dispatched
         self._metrics = metrics
 
     def dispatch(self, call: Call, spend: Spend, exchange: Exchange) -> Iterator[Piece]:
-        """Yield the answer's chunks, its usage and its outcome."""
+        """Yield the chunks that the exchange lacks, the usage and the outcome."""
         run = _Run(call, spend, exchange)
         text = prompt_text(call.prompt)
         try:
@@ -81,6 +87,7 @@
         run.refused = run.spend.announce(runner.id, attempt)
         if run.refused is not None:
             return
+        self._dispatched(call, runner.id, attempt, run.next, run.spend.reserved)
         self._note("dispatch", call, f"{runner.id} from token {run.next}")
         self._runners.started(runner)
         started_at = self._clock.now()
@@ -153,8 +160,8 @@
         self.call = call
         self.spend = spend
         self.exchange = exchange
-        self.next = 0
-        self.sent = False
+        self.next = exchange.next
+        self.sent = exchange.dispatched
         self.completed = False
         self.refused: Refused | None = None
         self.problem = ""
