--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
-from typing import Final
+from itertools import count
 
 from msgspec import structs
 
@@ -25,8 +25,6 @@
 from godwitrudder.version.fold import Applied, Effect, Void, Voided
 from godwitrudder.version.records import Entry
 
-PROPOSAL_SECONDS: Final = 5.0
-
 
 @dataclass(frozen=True, slots=True)
 class Go:
@@ -35,13 +33,6 @@
     request: str
 
 
-@dataclass(frozen=True, slots=True)
-class Transferred:
-    """The witnesses acknowledged a hand-over: append it."""
-
-    action: HandOver
-
-
 @dataclass(frozen=True, slots=True)
 class Send:
     """Send a message to the process of a holder or a witness."""
@@ -76,7 +67,7 @@
     parked: bool = False
 
 
-Step = Action | Tell | Go | Transferred | Send | Propose
+Step = Action | Tell | Go | Send | Propose
 
 
 class Holder:
@@ -98,7 +89,8 @@
         self._dispatch_by_request: dict[str, Dispatch] = {}
         self._handing_by_op: dict[str, Handing] = {}
         self._announced: set[str] = set()
-        self._proposed_at: float | None = None
+        self._numbers = count(1)
+        self._proposed: int | None = None
         self.announcements.name(allotment.holder, ())
 
     def handle(self, event: Event, now: float) -> list[Step]:
@@ -149,23 +141,24 @@
             message.budget, message.asker, message.tokens, message.rank
         )
         actions = self.allotment.handle(asked, now)
-        busy = sum(a.busy for a in actions if isinstance(a, events.Reply))
+        reply = next(a for a in actions if isinstance(a, events.Reply))
         answer = Given(
             message.budget,
             message.holder,
             self.allotment.holder,
             message.asker,
-            "",
-            0,
-            busy,
+            (),
+            reply.busy,
+            reply.idle,
         )
         steps: list[Step] = []
         handing = False
         for action in actions:
             if isinstance(action, HandOver):
                 handing = True
-                self._handing_by_op[action.op] = Handing(action, answer)
-                intent = OpenIntent(action.op, action.budget, action.tokens)
+                last = action.last
+                self._handing_by_op[last.op] = Handing(action, answer)
+                intent = OpenIntent(last.op, last.budget, last.tokens)
                 steps += self._results(self.announcements.announce(intent), now)
             elif not isinstance(action, events.Reply):
                 steps.append(action)
@@ -174,23 +167,18 @@
     def given(self, message: Given, now: float) -> list[Step]:
         """Take the answer to a call-back."""
         steps: list[Step] = []
-        if message.tokens:
-            received = events.Received(
-                message.op,
-                message.budget,
-                message.donor,
-                message.asker,
-                message.tokens,
-            )
-            steps += self.handle(received, now)
-        answered = events.Answered(message.budget, message.asked, message.busy)
+        if message.transfers:
+            steps += self.handle(events.Received(message.transfers), now)
+        answered = events.Answered(
+            message.budget, message.asked, message.busy, message.idle
+        )
         return steps + self.handle(answered, now)
 
     def stood(
         self, host: str, incarnation: str, fenced: bool, now: float
     ) -> list[Step]:
         """Note a sign of life of a host that witnesses, or may."""
-        self.witness_set.stood(host, incarnation, fenced)
+        self.witness_set.stood(host, incarnation, fenced, now)
         if fenced:
             return []
         self.announcements.found(incarnation)
@@ -236,8 +224,8 @@
             match action:
                 case Serve() if action.reservation.request in self._dispatch_by_request:
                     yield from self._announce(action.reservation.request, now)
-                case events.Credited():
-                    self._received(action.event)
+                case events.Append():
+                    self.announcements.received(action.transfers)
                     yield action
                 case events.Ask():
                     message = CallBack(
@@ -264,13 +252,6 @@
             return
         yield from self._results(self.announcements.announce(dispatch.intent), now)
 
-    def _received(self, event: events.Received) -> None:
-        """Let the witnesses know, so that a closing can show the hand-over first."""
-        if event.receiver == self.allotment.holder:
-            self.announcements.received(
-                Transfer(event.op, event.budget, event.donor, event.tokens)
-            )
-
     def _results(
         self, results: list[announcement.Result], now: float
     ) -> Iterator[Step]:
@@ -286,10 +267,10 @@
     def _acknowledged(self, request: str) -> Iterator[Step]:
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
-            gone = handing.action
-            yield Transferred(gone)
-            answer = structs.replace(handing.answer, op=gone.op, tokens=gone.tokens)
-            yield Send(gone.receiver, answer)
+            transfers = handing.action.transfers
+            yield events.Append(transfers)
+            answer = structs.replace(handing.answer, transfers=transfers)
+            yield Send(answer.asker, answer)
         elif request in self._dispatch_by_request:
             yield from self._go(request)
         else:
@@ -304,7 +285,7 @@
         self.announcements.over(request)
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
-            kept = handing.action
+            kept = handing.action.last
             busy = handing.answer.busy + kept.tokens
             yield Send(kept.receiver, structs.replace(handing.answer, busy=busy))
             undone = events.Undone(kept.donor, kept.budget, kept.tokens)
@@ -324,26 +305,26 @@
                 yield from self._announce(request, now)
 
     def _propose(self, now: float) -> Iterator[Step]:
-        """Propose a set of witnesses; a lost proposal is made again later."""
-        if self._proposed_at is not None:
-            if now - self._proposed_at < PROPOSAL_SECONDS:
-                return
-        witnesses = self.witness_set.proposal()
+        """Propose a set of witnesses under a number that was never used."""
+        if self._proposed is not None:
+            return
+        witnesses = self.witness_set.proposal(now)
         if witnesses is not None:
-            self._proposed_at = now
-            yield Propose(self._new_op(), self.allotment.next_holder, witnesses)
+            self._proposed = next(self._numbers)
+            name = self.allotment.name(self._proposed)
+            yield Propose(self._new_op(), name, witnesses)
 
     def _read_witnesses(
         self, effect: Effect, entry: records.Witnesses, now: float
     ) -> list[Step]:
         """Go on as the holder that the set was read back for."""
-        if (
-            isinstance(effect, Voided)
-            or entry.incarnation != self.allotment.next_holder
-        ):
+        number = self._proposed
+        if number is None or entry.incarnation != self.allotment.name(number):
+            return []
+        self._proposed = None
+        if isinstance(effect, Voided):
             return []
-        self._proposed_at = None
-        steps = self.handle(events.Renewed(), now)
+        steps = self.handle(events.Renewed(number), now)
         return steps + self._renamed(entry.witnesses, now)
 
     def _renamed(self, witnesses: tuple[str, ...], now: float) -> list[Step]:
@@ -356,7 +337,7 @@
         """Note a closing: what this process held came back without it."""
         if holder != self.allotment.holder:
             return []
-        steps = self.handle(events.Closed(holder), now)
+        steps = self.handle(events.Closed(next(self._numbers)), now)
         return steps + self._renamed(self.witness_set.witnesses, now)
 
 
@@ -373,10 +354,8 @@
             yield events.Granted(
                 entry.op, entry.incarnation, entry.budget, effect.tokens, isolated
             )
-        case records.Handover() if entry.receiver.startswith(mine):
-            yield events.Received(
-                entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens
-            )
+        case records.Handover():
+            yield events.Transferred(transfer_of(entry))
     budget = getattr(entry, "budget", None)
     if budget is not None:
         yield events.Changed(budget)
@@ -388,15 +367,33 @@
         case records.Grant() if entry.incarnation.startswith(mine):
             if effect.reason is not Void.REPEATED:
                 yield events.DrawVoid(entry.op, entry.budget)
+        case records.Handover() if effect.reason is Void.REPEATED:
+            yield events.Transferred(transfer_of(entry))
         case records.Handover() if entry.donor.startswith(mine):
             if effect.reason is Void.CLOSED:
                 yield events.Undone(entry.donor, entry.budget, entry.tokens)
 
 
-def record_of(
+def transfer_of(entry: records.Handover) -> Transfer:
+    """Return what a record hands over."""
+    return Transfer(entry.op, entry.budget, entry.donor, entry.receiver, entry.tokens)
+
+
+def handover_of(transfer: Transfer) -> records.Handover:
+    """Return the record of a hand-over."""
+    return records.Handover(
+        transfer.op,
+        transfer.budget,
+        transfer.donor,
+        transfer.receiver,
+        transfer.tokens,
+    )
+
+
+def records_of(
     step: Step, witnesses: tuple[str, ...], share_permille: int
-) -> Entry | None:
-    """Return the record that carries an action out; None for other actions.
+) -> list[Entry]:
+    """Return the records that carry an action out; none for other actions.
 
     Parameters
     ----------
@@ -407,7 +404,7 @@
     """
     match step:
         case events.Draw():
-            return records.Grant(
+            grant = records.Grant(
                 step.op,
                 step.budget,
                 step.holder,
@@ -418,26 +415,21 @@
                 step.needed,
                 share_permille,
             )
+            return [grant]
         case events.GiveBack():
-            return records.Return(
+            returned = records.Return(
                 step.op, step.budget, step.holder, step.tokens, step.isolated
             )
+            return [returned]
         case events.Charge():
             spent = step.reservation
-            return records.Bill(
+            bill = records.Bill(
                 spent.request, spent.budget, spent.holder, step.used, spent.isolated
             )
-        case events.Credited():
-            seen = step.event
-            return records.Handover(
-                seen.op, seen.budget, seen.donor, seen.receiver, seen.tokens
-            )
-        case Transferred():
-            gone = step.action
-            return records.Handover(
-                gone.op, gone.budget, gone.donor, gone.receiver, gone.tokens
-            )
+            return [bill]
+        case events.Append():
+            return [handover_of(transfer) for transfer in step.transfers]
         case Propose():
-            return records.Witnesses(step.op, step.holder, 0, step.witnesses)
+            return [records.Witnesses(step.op, step.holder, 0, step.witnesses)]
         case _:
-            return None
+            return []
