--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -31,6 +31,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.orphans import OrphanDesk
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
@@ -142,6 +143,8 @@
         )
         self.witness.register(self.handlers)
         self.links = RunnerLinks(self.clock)
+        self._orphans = OrphanDesk(self.links, self.members, self.ledger, self.metrics)
+        self.witness.listen(self._orphans.count)
         self.runners = RunnerDesk(
             self.members,
             self.metrics,
@@ -269,6 +272,7 @@
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self._orphans)
         self._stack.enter_context(self.witness)
         self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -46,6 +46,9 @@
         self.closings = self._counter(
             "closings", "Silent holders that this witness closed.", []
         )
+        self.orphans = self._counter(
+            "orphaned_streams", "Streams of closed routers.", ["result"]
+        )
         self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
         self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
         self.lost_frames = self._counter(
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, Self
 from uuid import uuid4
@@ -42,6 +43,8 @@
 TICK_SECONDS: Final = 1.0
 FIND_SECONDS: Final = 1.0
 
+Listener = Callable[[str, tuple[OpenIntent, ...]], None]
+
 
 class WitnessDesk:
     """Witnesses for peers, and finds witnesses for this process.
@@ -76,6 +79,7 @@
         self._metrics = metrics
         self._named = named
         self._task: Greenlet | None = None
+        self._listeners: list[Listener] = []
         ledger.listen(self._hear)
 
     def __enter__(self) -> Self:
@@ -93,6 +97,10 @@
         if self._task is not None:
             self._task.kill()
 
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each holder closed here and its open intents."""
+        self._listeners.append(listener)
+
     def register(self, handlers: Handlers) -> None:
         """Answer the holders of other daemons."""
         handlers.register(Announce, self._announce)
@@ -163,6 +171,8 @@
                 self._ledger.submit(budget, entry)
         if isinstance(action, CloseHolder):
             self._metrics.closings.inc()
+            for listener in self._listeners:
+                listener(action.holder, action.intents)
 
 
 def entries_of(
