--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -8,6 +8,8 @@
 from types import TracebackType
 from typing import Final, Self
 
+import gevent
+
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
 from godwitrudder.process.partition import stream_of
@@ -51,8 +53,11 @@
             self._stack.enter_context(server)
         files = {section: f"{section}.json5" for section in SECTIONS}
         publish(self.platform, EXAMPLES / "penghu", files)
+        # Daemons are ready once they witness for each other, so start all at once.
+        starts = [gevent.spawn(d.__enter__) for d in self.daemons]
+        gevent.joinall(starts, raise_error=True)
         for daemon in self.daemons:
-            self._stack.enter_context(daemon)
+            self._stack.push(daemon.__exit__)
         return self
 
     def __exit__(
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -41,6 +41,7 @@
 
 TICK_SECONDS: Final = 0.1
 BEAT_SECONDS: Final = 1.0
+FIRST_SECONDS: Final = 0.1
 ANSWER_SECONDS: Final = 1.0
 JUDGE_SECONDS: Final = 10.0
 AGAIN_SECONDS: Final = 5.0
@@ -138,6 +139,11 @@
         """Stop."""
         gevent.killall(self._tasks)
 
+    @property
+    def witnessed(self) -> bool:
+        """Whether witnesses acknowledge what this holder dispatches."""
+        return bool(self.holder.witness_set.witnesses)
+
     def register(self, handlers: Handlers) -> None:
         """Take call-backs of other daemons and their answers."""
         handlers.register(CallBack, self._called_back)
@@ -319,7 +325,7 @@
             holder = self.holder.allotment.holder
             hosts = self.holder.witness_set.to_beat(self._clock.now())
             gevent.joinall([gevent.spawn(self._beat, holder, host) for host in hosts])
-            gevent.sleep(BEAT_SECONDS)
+            gevent.sleep(BEAT_SECONDS if self.witnessed else FIRST_SECONDS)
 
     def _beat(self, holder: str, host: str) -> None:
         beat = Beat(holder, named=self.holder.witness_set.names(host))
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -46,6 +46,7 @@
 from godwitrudder.request.choice import Runner
 from godwitrudder.version.document import BudgetModel
 
+WITNESS_SECONDS: Final = 10.0
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
@@ -286,11 +287,24 @@
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
+        self._await_witnesses()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
         logger.info("%s serves callers on %s", self.incarnation, self.settings.caller)
         return self
 
+    def _await_witnesses(self) -> None:
+        """Wait until witnesses are named; a lone daemon goes on without.
+
+        What is dispatched from a grant without witnesses is known to nobody when
+        this process dies: it would be served, never billed, and strand the grant.
+        """
+        deadline = self.clock.now() + WITNESS_SECONDS
+        while not self.budgets.witnessed and self.clock.now() < deadline:
+            if self.members.listed and len(self.members.routers_by_id) <= 1:
+                return
+            gevent.sleep(DRAIN_STEP_SECONDS)
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
--- a/godwitrudder/process/members.py
+++ b/godwitrudder/process/members.py
@@ -41,6 +41,7 @@
         self._clock = clock
         self.runners_by_id: dict[str, Runner] = {}
         self.routers_by_id: dict[str, HostEntry] = {}
+        self.listed = False
         self.liveness = Liveness(host)
         self._leaving: set[str] = set()
         self._drained: Callable[[Runner], bool] = lambda runner: False
@@ -107,6 +108,7 @@
             entries = self._hosts.fetch()
             if not isinstance(entries, Malformed):
                 self._refresh(entries)
+                self.listed = True
             self._mark_leaving()
             gevent.sleep(REFRESH_SECONDS)
 
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -42,6 +42,7 @@
 
 TICK_SECONDS: Final = 1.0
 FIND_SECONDS: Final = 1.0
+FIRST_SECONDS: Final = 0.05
 
 Listener = Callable[[str, tuple[OpenIntent, ...]], None]
 
@@ -152,7 +153,8 @@
 
     def _tick_all(self) -> None:
         while True:
-            gevent.sleep(TICK_SECONDS)
+            known = bool(self._members.routers_by_id)
+            gevent.sleep(TICK_SECONDS if known else FIRST_SECONDS)
             domain_by_host = {
                 entry.id: entry.failure_domain
                 for entry in self._members.routers_by_id.values()
