--- a/tests/features/promises.feature
+++ b/tests/features/promises.feature
@@ -19,6 +19,8 @@
       | one engine dies in mid-stream           |
       | one engine falls silent                 |
       | open connections to engines fall silent |
+      | the log loses half of its answers, and one engine dies in mid-stream |
+      | the log is down for a second, and open connections to engines fall silent |
 
   Scenario Outline: A call that may not be repeated runs at most once
     Given a fleet of 3 daemons
