--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -32,6 +32,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.orphans import OrphanDesk
 from godwitrudder.process.owners import Owners
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
@@ -48,6 +49,7 @@
 from godwitrudder.request.choice import Runner
 from godwitrudder.version.document import BudgetModel
 
+WITNESS_SECONDS: Final = 10.0
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
@@ -161,6 +163,8 @@
         )
         self.witness.register(self.handlers)
         self.links = RunnerLinks(self.clock)
+        self._orphans = OrphanDesk(self.links, self.members, self.ledger, self.metrics)
+        self.witness.listen(self._orphans.count)
         self.runners = RunnerDesk(
             self.members,
             self.metrics,
@@ -292,6 +296,7 @@
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self._orphans)
         self._stack.enter_context(self.witness)
         self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
@@ -302,11 +307,24 @@
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
+        self._await_witnesses()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
         logger.info("%s serves callers on %s", self.incarnation, self.settings.caller)
         return self
 
+    def _await_witnesses(self) -> None:
+        """Wait until witnesses are named; a lone daemon goes on without.
+
+        What is dispatched from a grant without witnesses is known to nobody when
+        this process dies: it would be served, never billed, and strand the grant.
+        """
+        deadline = self.clock.now() + WITNESS_SECONDS
+        while not self.budgets.witnessed and self.clock.now() < deadline:
+            if self.members.listed and len(self.members.routers_by_id) <= 1:
+                return
+            gevent.sleep(DRAIN_STEP_SECONDS)
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
