--- /dev/null
+++ b/bench/measure_shares.py
@@ -0,0 +1,154 @@
+"""What sharing slots costs an aggregator: messages, bytes and processor time."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+from typing import Final
+
+from bench.report import Row
+from bench.simulation import World
+from godwitrudder import codec
+from godwitrudder.clock import Stamp
+from godwitrudder.connection.frames import Frame, Message
+from godwitrudder.request.report import Reports
+from godwitrudder.request.share import ShareBook, period_seconds
+from godwitrudder.request.slots import Slots
+from godwitrudder.request.turn import Ticket
+
+ANSWER_SECONDS: Final = 20.0
+RUN_SECONDS: Final = 80.0
+LOAD: Final = 0.8
+HEADER_BYTES: Final = 8
+BYTES_MOST: Final = 14_000.0
+LARGE_ROUTERS: Final = 350
+CORE_SHARE_MOST: Final = 0.027
+FAR_SECONDS: Final = 1e9
+STAMP: Final = Stamp(1_800_000_000_000, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class Size:
+    """One target's part of a fleet; ``rate`` in requests per second."""
+
+    routers: int
+    runners: int
+    workspaces: int
+    rate: float
+
+
+# At 350 routers: an even part of 960 requests a second over 15 models, then a
+# quarter of them at one model.
+SIZES: Final = (
+    Size(7, 9, 10, 40.0),
+    Size(35, 9, 10, 40.0),
+    Size(350, 42, 500, 64.0),
+    Size(350, 42, 5000, 64.0),
+    Size(350, 160, 5000, 240.0),
+)
+
+
+class Aggregation:
+    """Routers with running requests, and one book that they report to."""
+
+    def __init__(self, size: Size) -> None:
+        self.size = size
+        self.world = World(1)
+        self.book = ShareBook()
+        self.messages = 0
+        self.received = 0
+        self.sent = 0
+        self.seconds = 0.0
+        self._random = Random(1)
+        self._number = 0
+        self._slots = [Slots("t") for _ in range(size.routers)]
+        self._reports = [
+            Reports(slots, f"router-{n}/0123456789ab")
+            for n, slots in enumerate(self._slots)
+        ]
+        self._flights: list[dict[str, int]] = [{} for _ in range(size.routers)]
+        period = period_seconds(size.routers)
+        for number, slots in enumerate(self._slots):
+            slots.set_slots(FAR_SECONDS)
+            self.world.after(
+                self._random.random() * period, partial(self.report, number)
+            )
+        self.world.after(0.0, self._arrive)
+
+    def _arrive(self) -> None:
+        random = self._random
+        self._number += 1
+        router = random.randrange(self.size.routers)
+        runner = f"engine-{random.randrange(self.size.runners)}"
+        workspace = f"workspace-{random.randrange(self.size.workspaces)}"
+        ticket = Ticket(str(self._number), workspace, 470.0, FAR_SECONDS)
+        slots, flights = self._slots[router], self._flights[router]
+        now = self.world.clock.now()
+        slots.queue.push(ticket, 1.0, now)
+        started = list(slots.start(now))
+        assert started == [ticket]
+        flights[runner] = flights.get(runner, 0) + 1
+
+        def end() -> None:
+            slots.end(ticket, 470.0, self.world.clock.now())
+            flights[runner] -= 1
+
+        self.world.after(random.expovariate(1 / ANSWER_SECONDS), end)
+        self.world.after(random.expovariate(self.size.rate), self._arrive)
+
+    def report(self, number: int) -> None:
+        """Send one router's report."""
+        reports = self._reports[number]
+        period = period_seconds(self.size.routers)
+        if not reports.idle:
+            period = max(period, self._exchange(reports, number))
+        self.world.after(period, partial(self.report, number))
+
+    def _exchange(self, reports: Reports, number: int) -> float:
+        """Carry a report and its answer; return when the next one is wanted."""
+        report = reports.next(dict(self._flights[number]), [])
+        question = _frame(report, False)
+        began = time.process_time()
+        codec.decode(question, Frame)
+        slots = self.size.rate * ANSWER_SECONDS / LOAD
+        now = self.world.clock.now()
+        answer = self.book.take(report, slots, {}, self.size.routers, now)
+        data = _frame(answer, True)
+        self.seconds += time.process_time() - began
+        if answer.whole:
+            reports.restart()
+        if now > RUN_SECONDS / 2:
+            self.messages += 2
+            self.received += len(question) + HEADER_BYTES
+            self.sent += len(data) + HEADER_BYTES
+        return answer.period_seconds
+
+
+def _frame(message: Message, answer: bool) -> bytes:
+    return codec.encode(Frame(100_000, answer, STAMP, message))
+
+
+def rows() -> Iterator[Row]:
+    """Yield all rows."""
+    for size in SIZES:
+        aggregation = Aggregation(size)
+        aggregation.world.run(RUN_SECONDS)
+        name = (
+            f"shares aggregator {size.routers} routers {size.runners} runners"
+            f" {size.workspaces} workspaces {size.rate:g}/s"
+        )
+        half = RUN_SECONDS / 2
+        total = (aggregation.received + aggregation.sent) / half
+        yield Row(f"{name} messages", aggregation.messages / half, "1/s")
+        # The limit belongs to the large fleet.
+        most = BYTES_MOST if size.routers == LARGE_ROUTERS else None
+        yield Row(f"{name} bytes", total, "B/s", most)
+        core = aggregation.seconds / RUN_SECONDS
+        yield Row(f"{name} processor", core, "core", CORE_SHARE_MOST)
+        period = aggregation.book.period_seconds(size.routers)
+        yield Row(f"{name} period", period, "s")
+        each = total / size.routers
+        yield Row(f"{name} bytes of one router", each, "B/s")
--- a/bench/routing.py
+++ b/bench/routing.py
@@ -75,6 +75,7 @@
         self._turn = 0
         self._asked = name
         self._heard_at = 0.0
+        self._period = 0.0
         self._read_by_engine: dict[str, float] = {}
 
     def join(self, peers: dict[str, Router]) -> None:
@@ -87,9 +88,7 @@
             return
         jitter = self.world.random.random()
         period = period_seconds(len(peers))
-        self.world.after(
-            jitter * period, lambda: self.world.every(period, self._report)
-        )
+        self.world.after(jitter * period, self._reporting)
         self.world.after(
             jitter, lambda: self.world.every(PROBE_SECONDS, self._probe_some)
         )
@@ -199,11 +198,17 @@
         routers = len(self.liveness.reachable())
         self.slots.take_shares(ShareAnswer(False, self._all() * share / routers))
 
+    def _reporting(self) -> None:
+        self._report()
+        period = max(self._period, period_seconds(len(self.peers)))
+        self.world.after(period, self._reporting)
+
     def _report(self) -> None:
         host = aggregator(TARGET, self.liveness.reachable()) or self.name
         if host != self._asked:
             self.reports.restart()
             self._asked = host
+            self._period = 0.0
         if self.reports.idle:
             self._heard_at = self.world.clock.now()
             self._own_part()
@@ -238,6 +243,7 @@
             return
         now = self.world.clock.now()
         self._heard_at = now
+        self._period = answer.period_seconds
         self.slots.take_shares(answer)
         hear(self.runners_by_id.values(), answer, whole, now)
         self._start()
--- a/godwitrudder/connection/shares.py
+++ b/godwitrudder/connection/shares.py
@@ -83,6 +83,8 @@
         What changed in the other routers' work since the last answer.
     current : bool
         Whether ``flights`` holds all changes.
+    period_seconds : float
+        When to report next; stretched where reports are many or large.
     leaving : tuple of str
         Runners that told any router that they take no new work.
     """
@@ -94,3 +96,4 @@
     flights: tuple[Flight, ...] = ()
     leaving: tuple[str, ...] = ()
     current: bool = False
+    period_seconds: float = 0.0
--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -103,14 +103,16 @@
         reports = Reports(gate.slots, self._incarnation)
         heard_at = self._clock.now()
         asked = ""
+        told = 0.0
         while True:
             routers = self._members.reachable_routers()
-            period = period_seconds(len(routers))
+            period = max(told, period_seconds(len(routers)))
             gevent.sleep(period)
             host = aggregator(gate.slots.target, routers) or self._members.host
             if host != asked:
                 reports.restart()
                 asked = host
+                told = 0.0
             if reports.idle:
                 heard_at = self._clock.now()
                 gate.take_shares(ShareAnswer(False, self._own_part(gate.slots.target)))
@@ -123,6 +125,7 @@
                 answer = self._ask(host, self._report(gate, reports))
             if answer is not None and not answer.whole:
                 heard_at = self._clock.now()
+                told = answer.period_seconds
                 gate.take_shares(answer)
                 self._runners.hear(gate.slots.target, answer, whole)
                 continue
--- a/godwitrudder/request/share.py
+++ b/godwitrudder/request/share.py
@@ -31,6 +31,14 @@
 RESERVE_MOST_SHARE: Final = 0.25
 FLIGHTS_TOLD_ROUTERS: Final = 2048
 FLIGHTS_TOLD_LEAST: Final = 4
+SMALL_FLEET_ROUTERS: Final = 16
+SMALL_FLEET_BYTES_PER_SECOND: Final = 30_000.0
+EXCHANGE_BYTES_PER_SECOND: Final = 9000.0
+EXCHANGE_BYTES: Final = 150.0
+NEED_BYTES: Final = 30.0
+HELD_BYTES: Final = 36.0
+FLIGHT_BYTES: Final = 14.0
+SIZE_GAIN: Final = 0.05
 
 
 def period_seconds(routers: int) -> float:
@@ -125,6 +133,7 @@
         self._pace_by_workspace: dict[str, Pace] = {}
         self._level = float("inf")
         self._rate_by_workspace: dict[str, float] = {}
+        self._exchange_bytes = EXCHANGE_BYTES
         self._filled_at = float("-inf")
         self._filled_slots = 0.0
 
@@ -157,9 +166,20 @@
         reporter.at = now
         reporter.leaving = report.leaving
         self._note(report, reporter, now)
+        size = NEED_BYTES * len(report.needs) + FLIGHT_BYTES * len(report.flights)
+        self._exchange_bytes *= 1.0 - SIZE_GAIN
+        self._exchange_bytes += SIZE_GAIN * (EXCHANGE_BYTES + size)
         self._fill(slots, weights, routers, now)
         return self._answer(reporter, slots, weights, routers)
 
+    def period_seconds(self, routers: int) -> float:
+        """Return the seconds between reports that keep within the byte rate."""
+        busy = len(self.reporters_by_router) * self._exchange_bytes
+        most = EXCHANGE_BYTES_PER_SECOND
+        if routers <= SMALL_FLEET_ROUTERS:
+            most = SMALL_FLEET_BYTES_PER_SECOND
+        return max(period_seconds(routers), busy / most)
+
     def _note(self, report: ShareReport, reporter: Reporter, now: float) -> None:
         for need in report.needs:
             self._put(reporter.demand_by_workspace, self._demand_by_workspace, need)
@@ -198,7 +218,7 @@
         fresh = now - self._filled_at < PERIOD_LEAST_SECONDS / 2
         if fresh and slots == self._filled_slots:
             return
-        stale = now - STALE_PERIODS * period_seconds(routers)
+        stale = now - STALE_PERIODS * self.period_seconds(routers)
         for router, reporter in list(self.reporters_by_router.items()):
             if reporter.at < stale:
                 self._drop(router)
@@ -252,6 +272,8 @@
         flights, current = self._flights(reporter, routers)
         told = (one.leaving for one in self.reporters_by_router.values())
         leaving = tuple(sorted(set(chain.from_iterable(told))))
+        size = HELD_BYTES * len(held) + FLIGHT_BYTES * len(flights)
+        self._exchange_bytes += SIZE_GAIN * size
         return ShareAnswer(
             whole=False,
             slots=round(mine, 2),
@@ -260,6 +282,7 @@
             flights=flights,
             leaving=leaving,
             current=current,
+            period_seconds=round(self.period_seconds(routers), 2),
         )
 
     def _flights(
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,38 @@
+"""A runner that leaves while the host list lags: it says so itself."""
+
+from __future__ import annotations
+
+import os
+
+from godwitrudder.clock import SystemClock
+from godwitrudder.connection.runner import Broken, RunnerLinks
+from godwitrudder.connection.shares import ShareAnswer
+from godwitrudder.request.answer import Prompt
+from godwitrudder.request.board import hear
+from godwitrudder.request.choice import Runner
+from godwitrudder.sections import Address
+from standins.engine import Engine
+
+ADDRESS = Address(os.environ.get("GODWITRUDDER_IP", "127.0.0.1"), 8710)
+
+
+def test_a_leaving_engine_took_nothing() -> None:
+    """Its refusal is known as such, and as a request that was not sent."""
+    prompt = Prompt(({"role": "user", "content": "pot"},), "m", 4, 0.0)
+    engine = Engine(ADDRESS)
+    engine.leaving = True
+    with engine, RunnerLinks(SystemClock()) as links:
+        events = list(links.start(ADDRESS, "a", prompt, 0))
+    assert len(events) == 1
+    assert isinstance(events[0], Broken)
+    assert events[0].leaving and not events[0].sent
+
+
+def test_unchanged_news_stay_fresh() -> None:
+    """A complete answer confirms what it doesn't name; a whole one starts anew."""
+    runner = Runner("a", "t", ADDRESS, "home")
+    runner.told = 3
+    hear([runner], ShareAnswer(False, current=True), False, 5.0)
+    assert (runner.others, runner.others_at) == (3.0, 5.0)
+    hear([runner], ShareAnswer(False, current=True), True, 6.0)
+    assert (runner.others, runner.others_at) == (0.0, 6.0)
