--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -42,7 +42,7 @@
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
-from godwitrudder.request.choice import Runner
+from godwitrudder.request.choice import SLOTS_DEFAULT, Runner
 from godwitrudder.version.document import BudgetModel
 
 DRAIN_STEP_SECONDS: Final = 0.05
@@ -148,9 +148,7 @@
             self.clock,
             self.random,
             settings.failure_domain,
-            lambda target: self.configuration.document.targets_by_id[
-                target
-            ].slots_per_runner,
+            self._slots_per_runner,
         )
         self.turns = TurnDesk(
             self.incarnation,
@@ -262,6 +260,11 @@
             self.draining,
         )
 
+    def _slots_per_runner(self, target: str) -> int:
+        """Return a target's slots; one that left the document has the default."""
+        model = self.configuration.document.targets_by_id.get(target)
+        return SLOTS_DEFAULT if model is None else model.slots_per_runner
+
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
--- a/godwitrudder/process/turns.py
+++ b/godwitrudder/process/turns.py
@@ -130,6 +130,7 @@
                 self._runners.hear(gate.slots.target, answer, whole)
                 continue
             reports.restart()
+            told = 0.0
             if self._clock.now() - heard_at > STALE_PERIODS * period:
                 gate.take_shares(ShareAnswer(False, self._own_part(gate.slots.target)))
 
