--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, Self
 from uuid import uuid4
@@ -41,6 +42,9 @@
 
 TICK_SECONDS: Final = 1.0
 FIND_SECONDS: Final = 1.0
+FIRST_SECONDS: Final = 0.05
+
+Listener = Callable[[str, tuple[OpenIntent, ...]], None]
 
 
 class WitnessDesk:
@@ -76,6 +80,7 @@
         self._metrics = metrics
         self._named = named
         self._task: Greenlet | None = None
+        self._listeners: list[Listener] = []
         ledger.listen(self._hear)
 
     def __enter__(self) -> Self:
@@ -93,6 +98,10 @@
         if self._task is not None:
             self._task.kill()
 
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each holder closed here and its open intents."""
+        self._listeners.append(listener)
+
     def register(self, handlers: Handlers) -> None:
         """Answer the holders of other daemons."""
         handlers.register(Announce, self._announce)
@@ -144,7 +153,8 @@
 
     def _tick_all(self) -> None:
         while True:
-            gevent.sleep(TICK_SECONDS)
+            known = bool(self._members.routers_by_id)
+            gevent.sleep(TICK_SECONDS if known else FIRST_SECONDS)
             domain_by_host = {
                 entry.id: entry.failure_domain
                 for entry in self._members.routers_by_id.values()
@@ -163,6 +173,8 @@
                 self._ledger.submit(budget, entry)
         if isinstance(action, CloseHolder):
             self._metrics.closings.inc()
+            for listener in self._listeners:
+                listener(action.holder, action.intents)
 
 
 def entries_of(
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -101,15 +101,19 @@
     "open connections to engines fall silent": silence_connections,
 }
 
+NAMES: Final = "|".join(FAULTS)
+
 
 @given("a fleet of 3 daemons")
 def _fleet(run: Run) -> None:
     assert len(run.fleet.daemons) == 3
 
 
-@when(parsers.re("(?P<fault>" + "|".join(FAULTS) + ")"))
-def _strike(run: Run, fault: str) -> None:
-    FAULTS[fault](run.fleet)
+@when(parsers.re(f"(?P<first>{NAMES})(, and (?P<second>{NAMES}))?"))
+def _strike(run: Run, first: str, second: str | None) -> None:
+    FAULTS[first](run.fleet)
+    if second is not None:
+        FAULTS[second](run.fleet)
 
 
 @when(parsers.parse("{count:d} chats are asked through all daemons"))
