Let one witness acknowledge and all of them fence

Now each holder names one witness per other domain (up to three), the first acknowledgement counts, and a closing needs the fence and the intents of all.

Also found by the tests and mended: a hand-over to a holder that was closed was credited back once per copy of the void record, and its intent stayed open. A wallet unused for two minutes returned its tokens into a log outage; it now keeps them for 20 minutes.

--- a/bench/budget_fleet.py
+++ b/bench/budget_fleet.py
@@ -18,6 +18,8 @@
     Announce,
     Beat,
     CallBack,
+    FenceAsk,
+    Fenced,
     Given,
     Standing,
 )
@@ -30,7 +32,8 @@
 from godwitrudder.request.events import Refuse, Serve
 from godwitrudder.request.holder import Go, Holder, Send, Step, records_of
 from godwitrudder.request.sizing import WHOLE_PERMILLE, Sizing, View
-from godwitrudder.request.witness import Witness, candidates
+from godwitrudder.request.witness import Action as WitnessAction
+from godwitrudder.request.witness import AskFence, Witness, candidates
 from godwitrudder.request.witnesses import host_of
 from godwitrudder.version import records
 from godwitrudder.version.fold import Applied, Effect, LedgerFold
@@ -151,7 +154,7 @@
         self.witness = Witness(self.incarnation)
         if witnessed:
             order = candidates(host, domain_by_host[host], domain_by_host)
-            self.holder.witness_set.listed(order)
+            self.holder.witness_set.listed(order, domain_by_host, domain_by_host[host])
             self._every(BEAT_SECONDS, self._beat_all)
             self._every(BEAT_SECONDS, self._watch)
         self._every(TICK_SECONDS, self._tick)
@@ -337,8 +340,12 @@
         """Answer as a witness."""
         if isinstance(message, Announce):
             return Acked(self.witness.announce(message, self.now))
+        if isinstance(message, FenceAsk):
+            return self.witness.answer(message)
         assert isinstance(message, Beat)
-        alive = not message.named or self.witness.beat(message.holder, self.now)
+        if self.incarnation not in message.witnesses:
+            return Standing(self.incarnation, False)
+        alive = self.witness.beat(message.holder, message.witnesses, self.now)
         return Standing(self.incarnation, not alive)
 
     def _tell(self, step: Tell) -> None:
@@ -361,13 +368,25 @@
                     self.holder.stood(host, answer.incarnation, answer.fenced, self.now)
                 )
 
-        beat = Beat(holder, named=self.holder.witness_set.names(host))
+        beat = Beat(holder, witnesses=self.holder.announcements.witnesses)
         self._ask(host, beat, answered)
 
     def _watch(self) -> None:
         for action in self.witness.tick(self.now, self.log_reachable):
+            self._carry_out(action)
+
+    def _carry_out(self, action: WitnessAction) -> None:
+        if not isinstance(action, AskFence):
             for _, entry in entries_of(action, self.incarnation):
                 self._submit(entry)
+            return
+
+        def answered(answer: Message | None) -> None:
+            if isinstance(answer, Fenced):
+                for closing in self.witness.fenced(answer, self.now):
+                    self._carry_out(closing)
+
+        self._ask(host_of(action.message.witness), action.message, answered)
 
     def _tick(self) -> None:
         self.run(self.holder.tick(self.now))
--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -85,6 +85,8 @@
 
     Attributes
     ----------
+    witnesses : tuple of str
+        Every witness of the holder.
     over : tuple of str
         Requests and operation ids that the log shows, or that never happened.
     received : tuple of Transfer
@@ -96,6 +98,7 @@
     intents: tuple[OpenIntent, ...]
     over: tuple[str, ...] = ()
     received: tuple[Transfer, ...] = ()
+    witnesses: tuple[str, ...] = ()
 
 
 class Acked(msgspec.Struct, frozen=True, array_like=True, tag="acked"):
@@ -109,13 +112,13 @@
 
     Attributes
     ----------
-    named : bool
-        Whether the holder has named the host as a witness, or only may.
+    witnesses : tuple of str
+        Every witness of the holder, where the host is one; else empty.
     """
 
     holder: str
     leaving: bool = False
-    named: bool = True
+    witnesses: tuple[str, ...] = ()
 
 
 class Standing(msgspec.Struct, frozen=True, array_like=True, tag="standing"):
@@ -138,6 +141,32 @@
     intents: tuple[OpenIntent, ...]
 
 
+class FenceAsk(msgspec.Struct, frozen=True, array_like=True, tag="fence"):
+    """Ask another witness whether it has fenced a holder too."""
+
+    holder: str
+    witness: str
+
+
+class Fenced(msgspec.Struct, frozen=True, array_like=True, tag="fenced"):
+    """What a witness acknowledged before its fence; ``done`` if there is one."""
+
+    holder: str
+    witness: str
+    done: bool
+    intents: tuple[OpenIntent, ...]
+    received: tuple[Transfer, ...]
+
+
 EscrowMessage = (
-    CallBack | Given | Announce | Acked | Beat | Standing | FindIntent | Found
+    FenceAsk
+    | Fenced
+    | CallBack
+    | Given
+    | Announce
+    | Acked
+    | Beat
+    | Standing
+    | FindIntent
+    | Found
 )
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -322,7 +322,7 @@
             gevent.sleep(BEAT_SECONDS)
 
     def _beat(self, holder: str, host: str) -> None:
-        beat = Beat(holder, named=self.holder.witness_set.names(host))
+        beat = Beat(holder, witnesses=self.holder.announcements.witnesses)
         answer = self._peers.ask(host, beat, ANSWER_SECONDS)
         if not isinstance(answer, Standing):
             return
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -18,6 +18,8 @@
     Acked,
     Announce,
     Beat,
+    FenceAsk,
+    Fenced,
     FindIntent,
     Found,
     OpenIntent,
@@ -29,12 +31,14 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.request.holder import handover_of
 from godwitrudder.request.witness import (
+    Action,
+    AskFence,
     BillOrphan,
     CloseHolder,
     Witness,
     candidates,
 )
-from godwitrudder.request.witnesses import WitnessSet
+from godwitrudder.request.witnesses import WitnessSet, host_of
 from godwitrudder.version import records
 from godwitrudder.version.fold import Applied, Effect
 from godwitrudder.version.records import Entry
@@ -98,6 +102,7 @@
         handlers.register(Announce, self._announce)
         handlers.register(Beat, self._beat)
         handlers.register(FindIntent, self._find)
+        handlers.register(FenceAsk, self.witness.answer)
 
     def find(self, request: str) -> Found:
         """Ask every other router for the dispatch of a request.
@@ -129,9 +134,10 @@
         if message.leaving:
             self.witness.leave(message.holder)
             return Standing(self.witness.incarnation, True)
-        if not message.named:
+        if self.witness.incarnation not in message.witnesses:
             return Standing(self.witness.incarnation, False)
-        alive = self.witness.beat(message.holder, self._clock.now())
+        now = self._clock.now()
+        alive = self.witness.beat(message.holder, message.witnesses, now)
         return Standing(self.witness.incarnation, not alive)
 
     def _find(self, message: FindIntent) -> Found:
@@ -151,11 +157,14 @@
                 if entry.state == "live"
             }
             order = candidates(self._host, self._domain, domain_by_host)
-            self._named.listed(order)
+            self._named.listed(order, domain_by_host, self._domain)
             for action in self.witness.tick(self._clock.now(), self._ledger.reachable):
                 self._append(action)
 
-    def _append(self, action: CloseHolder | BillOrphan) -> None:
+    def _append(self, action: Action) -> None:
+        if isinstance(action, AskFence):
+            gevent.spawn(self._ask_fence, action)
+            return
         for budget, entry in entries_of(action, self.witness.incarnation):
             if budget is None:
                 self._ledger.submit_everywhere(entry)
@@ -164,6 +173,13 @@
         if isinstance(action, CloseHolder):
             self._metrics.closings.inc()
 
+    def _ask_fence(self, action: AskFence) -> None:
+        host = host_of(action.message.witness)
+        answer = self._peers.ask(host, action.message, FIND_SECONDS)
+        if isinstance(answer, Fenced):
+            for closing in self.witness.fenced(answer, self._clock.now()):
+                self._append(closing)
+
 
 def entries_of(
     action: CloseHolder | BillOrphan, witness: str
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -30,7 +30,7 @@
 from godwitrudder.request.events import Action, Event
 from godwitrudder.request.sizing import Sizing, View
 
-IDLE_SECONDS: Final = 120.0
+IDLE_SECONDS: Final = 1200.0
 UNKNOWN_SECONDS: Final = 2.0
 DRAW_PATIENCE_SECONDS: Final = 0.25
 ASKS_AT_ONCE: Final = 8
@@ -81,6 +81,7 @@
         self._short: dict[str, None] = {}
         self._credited_at_by_op: dict[str, float] = {}
         self._drawn_at_by_op: dict[str, float] = {}
+        self._handed_by_op: dict[str, Transfer] = {}
 
     @property
     def holder(self) -> str:
@@ -241,6 +242,7 @@
             last = Transfer(
                 self._new_op(), event.budget, self.holder, event.asker, given
             )
+            self._handed_by_op[last.op] = last
             yield events.HandOver((*before, last))
         elif given > 0:
             busy += given
@@ -276,6 +278,7 @@
         yield from self._credit(transfer, now)
 
     def _transferred(self, transfer: Transfer, now: float) -> Iterator[Action]:
+        self._handed_by_op.pop(transfer.op, None)
         wallet = self.wallets_by_budget.get(transfer.budget)
         if wallet is not None:
             wallet.unread_by_op.pop(transfer.op, None)
@@ -295,11 +298,14 @@
         yield from self._pump(wallet, now)
 
     def _undone(self, event: events.Undone, now: float) -> Iterator[Action]:
-        if event.holder != self.holder:
-            yield from self._return(event.budget, event.holder, event.tokens, 0)
+        transfer = self._handed_by_op.pop(event.op, None)
+        if transfer is None:
             return
-        wallet = self._wallet(event.budget, now)
-        wallet.witnessed.held += event.tokens
+        if transfer.donor != self.holder:
+            yield from self._return(transfer.budget, transfer.donor, transfer.tokens, 0)
+            return
+        wallet = self._wallet(transfer.budget, now)
+        wallet.witnessed.held += transfer.tokens
         yield from self._pump(wallet, now)
 
     def _renew(self, number: int, now: float, closed: bool) -> Iterator[Action]:
--- a/godwitrudder/request/announcement.py
+++ b/godwitrudder/request/announcement.py
@@ -1,9 +1,12 @@
-"""Announcements: every witness acknowledges a dispatch before it is made.
+"""Announcements: a witness acknowledges each dispatch before it is made.
+
+Every witness is told and the first acknowledgement counts, because a closing
+needs the fence of all of them.
 
 Intents gather while an announcement is on its way to a witness and go out with
 the next one, so a busy holder sends few large messages.  A witness that did not
-answer counts as lost until it is replaced; requests then turn to the isolated
-share at once.  Nothing here does I/O.
+answer counts as lost until it answers again or is replaced; where all are lost,
+requests turn to the isolated share at once.  Nothing here does I/O.
 """
 
 from __future__ import annotations
@@ -26,14 +29,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Acknowledged:
-    """Every witness acknowledged the intent."""
+    """A witness acknowledged the intent."""
 
     request: str
 
 
 @dataclass(frozen=True, slots=True)
 class Unwitnessed:
-    """Not every witness can acknowledge the intent."""
+    """No witness can acknowledge the intent."""
 
     request: str
 
@@ -59,33 +62,35 @@
         self.holder = ""
         self.witnesses: tuple[str, ...] = ()
         self._outbox_by_witness: dict[str, Outbox] = {}
-        self._missing_by_request: dict[str, set[str]] = {}
+        self._asked_by_request: dict[str, set[str]] = {}
         self._told_by_request: dict[str, tuple[str, ...]] = {}
 
     @property
     def lost(self) -> bool:
-        """Whether a witness of the set did not answer."""
-        return any(outbox.lost for outbox in self._outbox_by_witness.values())
+        """Whether there are witnesses and none answers."""
+        outboxes = self._outbox_by_witness.values()
+        return bool(outboxes) and all(outbox.lost for outbox in outboxes)
 
     def name(self, holder: str, witnesses: tuple[str, ...]) -> list[Result]:
         """Go on with a new holder and its witnesses; open intents fail."""
-        failed = list(self._missing_by_request)
-        self._missing_by_request.clear()
+        failed = list(self._asked_by_request)
+        self._asked_by_request.clear()
         self.holder = holder
         self.witnesses = witnesses
         self._outbox_by_witness = {name: Outbox() for name in witnesses}
         return [Unwitnessed(request) for request in failed]
 
     def announce(self, intent: OpenIntent) -> list[Result]:
-        """Have an intent acknowledged by every witness."""
+        """Have an intent acknowledged by a witness."""
         if not self.witnesses:
             return [Acknowledged(intent.request)]
         if self.lost:
             return [Unwitnessed(intent.request)]
-        self._missing_by_request[intent.request] = set(self.witnesses)
         self._told_by_request[intent.request] = self.witnesses
+        asked = [w for w, box in self._outbox_by_witness.items() if not box.lost]
+        self._asked_by_request[intent.request] = set(asked)
         results: list[Result] = []
-        for witness in self.witnesses:
+        for witness in asked:
             outbox = self._outbox_by_witness[witness]
             outbox.intents_by_request[intent.request] = intent
             results.extend(self._send(witness))
@@ -105,7 +110,10 @@
         """
         for witness in self._told_by_request.pop(request, ()):
             outbox = self._outbox_by_witness.get(witness)
-            if outbox is not None and len(outbox.over) < OVER_MOST:
+            if outbox is None:
+                continue
+            unsent = outbox.intents_by_request.pop(request, None)
+            if unsent is None and len(outbox.over) < OVER_MOST:
                 outbox.over[request] = None
 
     def flush(self) -> list[Result]:
@@ -124,12 +132,7 @@
         outbox.sending = None
         results: list[Result] = []
         for intent in message.intents:
-            missing = self._missing_by_request.get(intent.request)
-            if missing is None:
-                continue
-            missing.discard(message.witness)
-            if not missing:
-                del self._missing_by_request[intent.request]
+            if self._asked_by_request.pop(intent.request, None) is not None:
                 results.append(Acknowledged(intent.request))
         return results + self._send(message.witness, only_new=True)
 
@@ -143,13 +146,13 @@
         outbox.intents_by_request.clear()
         outbox.over.update(dict.fromkeys(message.over))
         outbox.received[:0] = message.received
-        waiting = [
-            request
-            for request, missing in self._missing_by_request.items()
-            if message.witness in missing
-        ]
+        waiting = []
+        for request, asked in self._asked_by_request.items():
+            asked.discard(message.witness)
+            if not asked:
+                waiting.append(request)
         for request in waiting:
-            del self._missing_by_request[request]
+            del self._asked_by_request[request]
         return [Unwitnessed(request) for request in waiting]
 
     def found(self, witness: str) -> None:
@@ -172,6 +175,7 @@
             intents,
             tuple(outbox.over),
             tuple(outbox.received),
+            self.witnesses,
         )
         outbox.over.clear()
         outbox.received.clear()
--- a/godwitrudder/request/events.py
+++ b/godwitrudder/request/events.py
@@ -90,11 +90,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Undone:
-    """A hand-over was not acknowledged by the witnesses and did not happen."""
+    """A hand-over of this process did not happen; counts once."""
 
-    holder: str
-    budget: str
-    tokens: int
+    op: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -217,7 +217,11 @@
 
     @staticmethod
     def _settled(effect: Effect) -> bool:
-        return isinstance(effect, Applied) or effect.reason is Void.REPEATED
+        """Whether the record stands, or never will."""
+        return isinstance(effect, Applied) or effect.reason in (
+            Void.REPEATED,
+            Void.CLOSED,
+        )
 
     def _steps(self, actions: list[Action], now: float) -> Iterator[Step]:
         for action in actions:
@@ -288,8 +292,7 @@
             kept = handing.action.last
             busy = handing.answer.busy + kept.tokens
             yield Send(kept.receiver, structs.replace(handing.answer, busy=busy))
-            undone = events.Undone(kept.donor, kept.budget, kept.tokens)
-            yield from self.handle(undone, now)
+            yield from self.handle(events.Undone(kept.op), now)
         elif request in self._dispatch_by_request:
             if self.allotment.isolate(request):
                 yield from self._go(request)
@@ -369,9 +372,8 @@
                 yield events.DrawVoid(entry.op, entry.budget)
         case records.Handover() if effect.reason is Void.REPEATED:
             yield events.Transferred(transfer_of(entry))
-        case records.Handover() if entry.donor.startswith(mine):
-            if effect.reason is Void.CLOSED:
-                yield events.Undone(entry.donor, entry.budget, entry.tokens)
+        case records.Handover() if effect.reason is Void.CLOSED:
+            yield events.Undone(entry.op)
 
 
 def transfer_of(entry: records.Handover) -> Transfer:
--- a/godwitrudder/request/sizing.py
+++ b/godwitrudder/request/sizing.py
@@ -13,6 +13,7 @@
 HORIZON_MOST_SECONDS: Final = 2400.0
 LOW_WATER_LEAST_SHARE: Final = 0.5
 LOW_WATER_MOST_SHARE: Final = 0.85
+AHEAD_LEAST_SHARE: Final = 0.004
 DRAW_LEAST_SHARE: Final = 0.08
 ISOLATED_SECONDS: Final = 750.0
 ISOLATED_PAID_SHARE: Final = 0.012
@@ -85,7 +86,8 @@
     def ahead(self, rate: float, left: int) -> int:
         """Return the tokens that should be in hand."""
         share = left * self.open_share / max(1, self.live)
-        return int(min(rate * self.horizon_seconds, share))
+        least = left * AHEAD_LEAST_SHARE * self.endurance
+        return int(min(max(least, rate * self.horizon_seconds), share))
 
     def isolated(self, rate: float, paid: int, ahead: int) -> int:
         """Return the part of the tokens in hand that should be isolated."""
--- a/godwitrudder/request/witness.py
+++ b/godwitrudder/request/witness.py
@@ -1,9 +1,11 @@
 """The witness: acknowledges the intents of other holders, and can fence them.
 
-A holder dispatches only what every one of its witnesses has acknowledged.  So a
-witness that stops acknowledging (the fence) knows every dispatch that was or
-will be made, and its closing gives the rest of the grants back.  A paused holder
-that wakes up gets no acknowledgement and can't spend what came back.
+A holder dispatches only what one of its witnesses, at least, has acknowledged.  A
+witness fences a holder by never acknowledging for it again.  Once all witnesses
+have fenced it, they know together every dispatch that was or will be made, and a
+closing with all their intents gives the rest of the grants back.  A paused holder
+that wakes up gets no acknowledgement and can't spend what came back; one that is
+only cut off from some of its witnesses goes on.
 
 A holder is fenced after it was silent for ``FENCE_SECONDS``: longer than a link
 takes to be found dead and replaced, short beside the minute in which a dead
@@ -23,11 +25,18 @@
 
 import xxhash
 
-from godwitrudder.connection.escrow import Announce, OpenIntent, Transfer
+from godwitrudder.connection.escrow import (
+    Announce,
+    FenceAsk,
+    Fenced,
+    OpenIntent,
+    Transfer,
+)
 
-WITNESSES: Final = 2
+WITNESSES: Final = 3
 FENCE_SECONDS: Final = 20.0
 OWN_PAUSE_SECONDS: Final = 5.0
+GIVE_UP_SECONDS: Final = 3600.0
 ORPHAN_BILL_SECONDS: Final = 600.0
 INTENTS_MOST: Final = 20_000
 FENCED_MOST: Final = 20_000
@@ -35,9 +44,18 @@
 
 @dataclass(slots=True)
 class Watched:
-    """A holder that this process witnesses; times are clock readings."""
+    """A holder that this process witnesses; times are clock readings.
+
+    Attributes
+    ----------
+    unfenced : set of str
+        After the own fence: witnesses that have not said they fenced it too.
+    """
 
     heard_at: float
+    witnesses: tuple[str, ...] = ()
+    fenced: bool = False
+    unfenced: set[str] = field(default_factory=set)
     closed_at: float | None = None
     intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
     transfers_by_op: dict[str, Transfer] = field(default_factory=dict)
@@ -52,6 +70,13 @@
     transfers: tuple[Transfer, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class AskFence:
+    """Ask another witness whether it has fenced the holder."""
+
+    message: FenceAsk
+
+
 @dataclass(frozen=True, slots=True)
 class BillOrphan:
     """Append a bill for the full reservation of a request nobody billed."""
@@ -60,6 +85,9 @@
     intent: OpenIntent
 
 
+Action = CloseHolder | AskFence | BillOrphan
+
+
 class Witness:
     """Open intents of the holders that name this incarnation.
 
@@ -82,7 +110,7 @@
         self._forget_transfers(message)
         if message.witness != self.incarnation:
             return False
-        if not self.beat(message.holder, now):
+        if not self.beat(message.holder, message.witnesses, now):
             return False
         if len(self._holder_by_request) + len(message.intents) > INTENTS_MOST:
             return False
@@ -94,7 +122,7 @@
             watched.transfers_by_op[transfer.op] = transfer
         return True
 
-    def beat(self, holder: str, now: float) -> bool:
+    def beat(self, holder: str, witnesses: tuple[str, ...], now: float) -> bool:
         """Note that a holder is alive; False where it is fenced."""
         if holder in self._fenced:
             return False
@@ -104,8 +132,40 @@
                 return False
             watched = self.watched_by_holder[holder] = Watched(now)
         watched.heard_at = now
+        watched.witnesses = witnesses
         return True
 
+    def answer(self, message: FenceAsk) -> Fenced:
+        """Tell another witness what was acknowledged before the own fence."""
+        watched = self.watched_by_holder.get(message.holder)
+        done = message.witness == self.incarnation and message.holder in self._fenced
+        if watched is None or not done:
+            return Fenced(message.holder, message.witness, done, (), ())
+        return Fenced(
+            message.holder,
+            message.witness,
+            True,
+            tuple(watched.intents_by_request.values()),
+            tuple(watched.transfers_by_op.values()),
+        )
+
+    def fenced(self, message: Fenced, now: float) -> list[Action]:
+        """Take the answer of another witness; close once all have fenced."""
+        watched = self.watched_by_holder.get(message.holder)
+        if watched is None or not message.done or watched.closed_at is not None:
+            return []
+        if message.witness not in watched.unfenced:
+            return []
+        watched.unfenced.discard(message.witness)
+        for intent in message.intents:
+            if self._holder_by_request.setdefault(intent.request, message.holder) == (
+                message.holder
+            ):
+                watched.intents_by_request[intent.request] = intent
+        for transfer in message.received:
+            watched.transfers_by_op[transfer.op] = transfer
+        return self._close(message.holder, watched, now)
+
     def leave(self, holder: str) -> None:
         """Forget a holder that gave everything back; it is fenced for good."""
         watched = self.watched_by_holder.get(holder)
@@ -124,35 +184,52 @@
             return None
         return holder, self.watched_by_holder[holder].intents_by_request[request]
 
-    def tick(self, now: float, log_reachable: bool) -> list[CloseHolder | BillOrphan]:
+    def tick(self, now: float, log_reachable: bool) -> list[Action]:
         """Fence silent holders and bill what a dead one left."""
         paused = self._ticked_at is not None and (
             now - self._ticked_at > OWN_PAUSE_SECONDS
         )
         self._ticked_at = now
-        actions: list[CloseHolder | BillOrphan] = []
+        actions: list[Action] = []
         for holder, watched in list(self.watched_by_holder.items()):
             if watched.closed_at is not None:
                 actions.extend(self._bill_orphans(holder, watched, now))
+            elif watched.fenced and now - watched.heard_at > GIVE_UP_SECONDS:
+                self._over(list(watched.intents_by_request))
+                del self.watched_by_holder[holder]
+            elif watched.fenced:
+                actions.extend(self._ask(holder, watched))
             elif paused or not log_reachable:
                 watched.heard_at = max(watched.heard_at, now - FENCE_SECONDS / 2)
             elif now - watched.heard_at >= FENCE_SECONDS:
-                actions.append(self._close(holder, watched, now))
+                actions.extend(self._fence(holder, watched, now))
         return actions
 
-    def _close(self, holder: str, watched: Watched, now: float) -> CloseHolder:
-        """Fence first; whatever is listed now is all that can be dispatched."""
+    def _fence(self, holder: str, watched: Watched, now: float) -> list[Action]:
+        """Acknowledge nothing any more for the holder."""
         self._fenced[holder] = None
+        watched.fenced = True
+        watched.unfenced = set(watched.witnesses) - {self.incarnation}
+        return self._close(holder, watched, now) + self._ask(holder, watched)
+
+    @staticmethod
+    def _ask(holder: str, watched: Watched) -> list[Action]:
+        return [AskFence(FenceAsk(holder, name)) for name in sorted(watched.unfenced)]
+
+    @staticmethod
+    def _close(holder: str, watched: Watched, now: float) -> list[Action]:
+        """Close; whatever is listed once all have fenced is all there can be."""
+        if watched.unfenced:
+            return []
         watched.closed_at = now
-        return CloseHolder(
+        closing = CloseHolder(
             holder,
             tuple(watched.intents_by_request.values()),
             tuple(watched.transfers_by_op.values()),
         )
+        return [closing]
 
-    def _bill_orphans(
-        self, holder: str, watched: Watched, now: float
-    ) -> list[BillOrphan]:
+    def _bill_orphans(self, holder: str, watched: Watched, now: float) -> list[Action]:
         assert watched.closed_at is not None
         if not watched.intents_by_request:
             del self.watched_by_holder[holder]
@@ -179,16 +256,8 @@
 def candidates(host: str, domain: str, domain_by_host: dict[str, str]) -> list[str]:
     """Return the hosts that may witness for ``host``, best first.
 
-    Rendezvous order, one host per other failure domain first, then the rest of
-    the other domains, then the own domain.
+    Rendezvous order among the hosts of other domains, then of the own domain.
     """
     others = [name for name in domain_by_host if name != host]
     others.sort(key=lambda name: -xxhash.xxh64_intdigest(f"{host}|{name}".encode()))
-    first: dict[str, str] = {}
-    for name in others:
-        if domain_by_host[name] != domain:
-            first.setdefault(domain_by_host[name], name)
-    spread = list(first.values())
-    rest = [name for name in others if name not in spread]
-    rest.sort(key=lambda name: domain_by_host[name] == domain)
-    return spread + rest
+    return sorted(others, key=lambda name: domain_by_host[name] == domain)
--- a/godwitrudder/request/witnesses.py
+++ b/godwitrudder/request/witnesses.py
@@ -1,4 +1,4 @@
-"""Which witnesses a holder names: the first hosts in rendezvous order that answer.
+"""Which witnesses a holder names: one host per other domain, in rendezvous order.
 
 Holders ask their witnesses for a sign of life each second.  One that gave none for
 ``GOOD_SECONDS``, runs as a new incarnation or has fenced the holder is replaced:
@@ -8,13 +8,15 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from typing import Final
 
 from godwitrudder.request.witness import WITNESSES
 
 GOOD_SECONDS: Final = 3.0
-CANDIDATES_MOST: Final = 4
+CANDIDATES_PER_DOMAIN: Final = 2
+CANDIDATES_MOST: Final = 8
 
 
 def host_of(incarnation: str) -> str:
@@ -37,11 +39,17 @@
         self.witnesses: tuple[str, ...] = ()
         self.fenced = False
         self._order: list[str] = []
+        self._domain = ""
+        self._domain_by_host: dict[str, str] = {}
         self._candidates_by_host: dict[str, Candidate] = {}
 
-    def listed(self, order: list[str]) -> None:
-        """Take the hosts in order of preference, this one left out."""
+    def listed(
+        self, order: list[str], domain_by_host: dict[str, str], domain: str
+    ) -> None:
+        """Take the hosts in order of preference and the own domain."""
         self._order = order
+        self._domain = domain
+        self._domain_by_host = domain_by_host
         gone = set(self._candidates_by_host) - set(order)
         for host in gone:
             del self._candidates_by_host[host]
@@ -49,10 +57,22 @@
     def to_beat(self, now: float) -> list[str]:
         """Return the hosts to ask for a sign of life now."""
         hosts = [host for host in self._order if self.names(host)]
-        if self.fenced or len(self._current(now)) < WITNESSES:
-            more = [host for host in self._order if not self.names(host)]
-            hosts += more[: max(0, CANDIDATES_MOST - len(hosts))]
-        return hosts
+        current = self._current(now)
+        served = {self._domain_by_host[host] for host in current}
+        if self.fenced:
+            served.clear()
+        if len(served) < WITNESSES:
+            asked: Counter[str] = Counter()
+            for host in self._order:
+                domain = self._domain_by_host[host]
+                if domain == self._domain and (served - {domain}):
+                    continue
+                if domain in served or asked[domain] >= CANDIDATES_PER_DOMAIN:
+                    continue
+                asked[domain] += 1
+                if host not in hosts:
+                    hosts.append(host)
+        return hosts[:CANDIDATES_MOST]
 
     def names(self, host: str) -> bool:
         """Whether a witness in force ran on the host when it was named."""
@@ -66,9 +86,12 @@
 
     def proposal(self, now: float) -> tuple[str, ...] | None:
         """Return the set to propose; None to keep the one in force."""
-        current = self._current(now)
-        others = [host for host in self._good(now) if host not in current]
-        chosen = (current + others)[:WITNESSES]
+        host_by_domain: dict[str, str] = {}
+        for host in self._current(now) + self._good(now):
+            host_by_domain.setdefault(self._domain_by_host[host], host)
+        if len(host_by_domain) > 1:
+            host_by_domain.pop(self._domain, None)
+        chosen = list(host_by_domain.values())[:WITNESSES]
         names = tuple(self._candidates_by_host[host].incarnation for host in chosen)
         if not names or (set(names) == set(self.witnesses) and not self.fenced):
             return None
--- /dev/null
+++ b/tests/test_budgets.py
@@ -0,0 +1,281 @@
+"""Budgets under the faults that touch them: driven directly, seeded, no I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bench import budget_run, measure_budgets
+from bench.budget_run import PENGHU, SERRA, Deployment, Run
+from godwitrudder.connection.escrow import (
+    Announce,
+    FenceAsk,
+    Fenced,
+    OpenIntent,
+    Transfer,
+)
+from godwitrudder.request import events
+from godwitrudder.request.allotment import Allotment
+from godwitrudder.request.announcement import (
+    Acknowledged,
+    Announcements,
+    Tell,
+    Unwitnessed,
+)
+from godwitrudder.request.sizing import Sizing, View
+from godwitrudder.request.witness import FENCE_SECONDS, CloseHolder, Witness
+from godwitrudder.request.witnesses import WitnessSet
+
+HOLDER = "router-1/a+1"
+NAMES = ("router-2/b", "router-3/c")
+INTENT = OpenIntent("r", "b", 50, "runner", "attempt")
+
+
+@pytest.fixture(autouse=True)
+def _short_runs(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Shorten load and faults; a run stays longer than the witnesses' wait."""
+    monkeypatch.setattr(budget_run, "LOAD_SECONDS", 120.0)
+    monkeypatch.setattr(budget_run, "TOP_UP_SECONDS", 60.0)
+    monkeypatch.setattr(measure_budgets, "FAULT_SECONDS", 20.0)
+    monkeypatch.setattr(measure_budgets, "LONG_SECONDS", 60.0)
+    monkeypatch.setattr(measure_budgets, "PAUSE_SECONDS", 40.0)
+
+
+def both(*faults: Callable[[Run], None]) -> Callable[[Run], None]:
+    """Return one fault out of several."""
+
+    def apply(run: Run) -> None:
+        for fault in faults:
+            fault(run)
+
+    return apply
+
+
+FAULTS = {
+    "no fault": measure_budgets.no_fault,
+    "half partition": measure_budgets.partition,
+    "domain cut off": measure_budgets.domain_cut_off,
+    "log outage": measure_budgets.log_outage,
+    "lost answers": measure_budgets.lost_answers,
+    "router killed": measure_budgets.router_killed,
+    "router paused": measure_budgets.router_paused,
+    "killed in an outage": both(
+        measure_budgets.router_killed, measure_budgets.log_outage
+    ),
+    "paused, answers lost": both(
+        measure_budgets.router_paused, measure_budgets.lost_answers
+    ),
+    "paused in a partition": both(
+        measure_budgets.router_paused, measure_budgets.partition
+    ),
+}
+
+
+@pytest.mark.parametrize("deployment", [PENGHU, SERRA], ids=lambda d: d.name)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_nothing_is_served_beyond_paid(deployment: Deployment, fault: str) -> None:
+    """No fault lets a budget be overspent or a request be billed twice."""
+    run = Run(deployment, seed=7).with_nodes(0.5)
+    FAULTS[fault](run)
+    truth = run.play()
+    assert truth.requests > 0
+    assert truth.overspent == 0
+    assert run.shared.violations == 0
+    assert run.billed_wrongly()[0] == 0
+    if fault == "no fault":
+        assert (truth.false_refusals, truth.stranded) == (0, 0)
+        assert run.billed_wrongly()[1] == 0
+
+
+@settings(max_examples=8, deadline=None, derandomize=True)
+@given(
+    seed=st.integers(0, 10_000),
+    loss=st.sampled_from([0.0, 0.05, 0.3]),
+    lost_answers=st.sampled_from([0.0, 0.3]),
+    strokes=st.lists(
+        st.tuples(
+            st.floats(1.0, 60.0),
+            st.floats(1.0, 60.0),
+            st.sampled_from(["pause", "cut", "outage", "kill"]),
+            st.integers(0, 5),
+        ),
+        max_size=4,
+    ),
+)
+def test_any_faults_together(
+    seed: int,
+    loss: float,
+    lost_answers: float,
+    strokes: list[tuple[float, float, str, int]],
+) -> None:
+    """Loss, delay, pauses, cuts, outages and crashes in any mix stay safe."""
+    run = Run(SERRA, seed).with_nodes(0.5)
+    run.network.loss = loss
+    run.log.lost_answers = lost_answers
+    for start, seconds, kind, number in strokes:
+        _stroke(run, start, seconds, kind, number)
+    truth = run.play()
+    assert truth.overspent == 0
+    assert run.shared.violations == 0
+    assert run.billed_wrongly()[0] == 0
+
+
+def _stroke(run: Run, start: float, seconds: float, kind: str, number: int) -> None:
+    node = run.shared.nodes[number]
+    after = run.world.after
+    if kind == "pause":
+        after(start, node.pause)
+        after(start + seconds, node.resume)
+    elif kind == "cut":
+        others = [host for host in run.domain_by_host if host != node.host]
+        after(start, lambda: run.network.cut([node.host], [*others, "log"]))
+        after(start + seconds, run.network.heal)
+    elif kind == "outage":
+        after(start, lambda: setattr(run.log, "down", True))
+        after(start + seconds, lambda: setattr(run.log, "down", False))
+    elif number:
+        after(start, lambda: setattr(node, "dead", True))
+
+
+def test_fence_holds_for_good() -> None:
+    """A holder that wakes up after its fence gets no acknowledgement."""
+    witness = Witness(NAMES[0])
+    message = Announce(HOLDER, NAMES[0], (INTENT,), witnesses=NAMES)
+    assert witness.announce(message, 0.0)
+    witness.tick(FENCE_SECONDS - 1, True)
+    for second in range(3):
+        witness.tick(FENCE_SECONDS + second, True)
+    assert not witness.announce(message, FENCE_SECONDS + 4)
+    assert not witness.beat(HOLDER, NAMES, FENCE_SECONDS + 4)
+
+
+def test_closing_waits_for_every_witness() -> None:
+    """One witness alone never closes; together they list every intent."""
+    witness = Witness(NAMES[0])
+    witness.beat(HOLDER, NAMES, 0.0)
+    actions = [a for s in range(23) for a in witness.tick(float(s), True)]
+    assert not any(isinstance(action, CloseHolder) for action in actions)
+    refused = Fenced(HOLDER, NAMES[1], False, (), ())
+    assert witness.fenced(refused, 23.0) == []
+    agreed = Fenced(HOLDER, NAMES[1], True, (INTENT,), ())
+    assert witness.fenced(agreed, 24.0) == [CloseHolder(HOLDER, (INTENT,), ())]
+    assert witness.find("r") == (HOLDER, INTENT)
+
+
+def test_witness_that_was_paused_or_has_no_log_does_not_fence() -> None:
+    """Silence counts only while the witness itself was awake and had the log."""
+    witness = Witness(NAMES[0])
+    witness.beat(HOLDER, (NAMES[0],), 0.0)
+    witness.tick(0.0, True)
+    assert witness.tick(60.0, True) == []
+    assert [a for s in range(61, 90) for a in witness.tick(float(s), False)] == []
+
+
+def test_new_incarnation_of_a_witness_knows_nothing() -> None:
+    """A witness that restarted neither acknowledges nor says that it fenced."""
+    witness = Witness("router-2/new")
+    assert not witness.announce(Announce(HOLDER, NAMES[0], (), witnesses=NAMES), 0.0)
+    assert not witness.answer(FenceAsk(HOLDER, NAMES[0])).done
+
+
+def test_first_acknowledgement_counts() -> None:
+    """One witness is enough to go; none left is not."""
+    announcements = Announcements()
+    announcements.name(HOLDER, NAMES)
+    tells = announcements.announce(INTENT)
+    first, second = (tell for tell in tells if isinstance(tell, Tell))
+    assert announcements.failed(first.message) == []
+    assert announcements.acked(second.message) == [Acknowledged("r")]
+    other = announcements.announce(OpenIntent("s", "b", 1))[0]
+    assert isinstance(other, Tell)
+    assert announcements.failed(other.message) == [Unwitnessed("s")]
+
+
+def test_witness_of_each_other_domain() -> None:
+    """The set names one host per other domain and keeps those that answer."""
+    domains = {"a": "x", "b": "x", "c": "y", "d": "z", "e": "z"}
+    names = WitnessSet()
+    names.listed(["c", "d", "e", "b"], domains, "x")
+    for host in names.to_beat(0.0):
+        names.stood(host, f"{host}/1", False, 0.0)
+    chosen = names.proposal(1.0)
+    assert chosen == ("c/1", "d/1")
+    names.in_force(chosen)
+    assert names.proposal(1.0) is None
+    names.stood("e", "e/1", False, 9.0)
+    names.stood("c", "c/1", False, 9.0)
+    assert names.proposal(9.0) == ("c/1", "e/1")
+
+
+class Book:
+    """What an allotment is told of one budget."""
+
+    def __init__(self, view: View | None) -> None:
+        self.view = view
+        self.numbers = iter(range(1000))
+        self.allotment = Allotment(
+            "router-1/a",
+            lambda budget: self.view,
+            lambda budget: Sizing(0.5, 2),
+            lambda: f"op-{next(self.numbers)}",
+        )
+
+    def want(self, tokens: int, now: float = 0.0) -> list[events.Action]:
+        """Ask for tokens with ten seconds to wait."""
+        return self.allotment.handle(events.Wanted("r", "b", tokens, now + 10.0), now)
+
+
+def kinds(actions: list[events.Action]) -> list[str]:
+    """Return the names of actions."""
+    return [type(action).__name__ for action in actions]
+
+
+def test_cold_budget_waits_for_its_draw_and_unknown_one_is_bounded() -> None:
+    """The first request draws what it needs; an unknown budget ends the wait."""
+    book = Book(None)
+    draw = book.want(60)[0]
+    assert isinstance(draw, events.Draw)
+    assert (draw.needed, draw.tokens) == (60, 60)
+    assert kinds(book.allotment.handle(events.Tick(), 1.9)) == []
+    assert kinds(book.allotment.handle(events.Tick(), 2.0)) == ["Refuse"]
+
+
+def test_refusal_needs_evidence_and_top_up_wakes() -> None:
+    """Others' grants are called back; only bills refuse; a top-up serves."""
+    book = Book(View(100, 0, 0, {"router-2/b+0": 100}))
+    assert kinds(book.want(60)) == ["Ask"]
+    answered = events.Answered("b", "router-2/b+0", 0, 0)
+    assert "Refuse" not in kinds(book.allotment.handle(answered, 0.1))
+    book.view = View(160, 100, 60, {})
+    draw = book.allotment.handle(events.Changed("b"), 0.2)[0]
+    assert isinstance(draw, events.Draw)
+    granted = events.Granted(draw.op, draw.holder, "b", 60, 0)
+    assert kinds(book.allotment.handle(granted, 0.3)) == ["Serve"]
+    book.view = View(160, 101, 0, {})
+    book.allotment.handle(events.Ended("r", 60, True), 0.4)
+    refusal = book.want(60, 0.5)[0]
+    assert isinstance(refusal, events.Refuse) and refusal.exhausted
+
+
+def test_hand_over_names_its_origin_and_counts_once() -> None:
+    """Tokens that came by hand-over go on with the record that brought them."""
+    book = Book(View(100, 0, 0, {"router-2/b+0": 100}))
+    book.want(60)
+    came = Transfer("t", "b", "router-2/b+0", book.allotment.holder, 80)
+    received = events.Received((came,))
+    assert kinds(book.allotment.handle(received, 0.1)) == ["Append", "Serve"]
+    assert kinds(book.allotment.handle(received, 0.1)) == []
+    assert kinds(book.allotment.handle(events.Transferred(came), 0.1)) == []
+    book.allotment.wallets_by_budget["b"].unread_by_op[came.op] = came
+    asked = events.Asked("b", "router-3/c+0", 10, 1)
+    handed = book.allotment.handle(asked, 0.2)[0]
+    assert isinstance(handed, events.HandOver)
+    assert [transfer.op for transfer in handed.transfers][0] == "t"
+    assert handed.last.tokens <= 20
+    undone = events.Undone(handed.last.op)
+    for _ in range(2):
+        book.allotment.handle(undone, 0.3)
+        assert book.allotment.wallets_by_budget["b"].witnessed.idle == 20
