--- a/bench/budget_fleet.py
+++ b/bench/budget_fleet.py
@@ -149,7 +149,13 @@
         self._ops = 0
         self._waiting_by_request: dict[str, Callable[[Step], None]] = {}
         sizing = Sizing(endurance, len(domain_by_host))
-        allotment = Allotment(self.incarnation, self.view, lambda _: sizing, self._op)
+        allotment = Allotment(
+            self.incarnation,
+            self.view,
+            lambda _: sizing,
+            lambda: [name for name in domain_by_host if name != host],
+            self._op,
+        )
         self.holder = Holder(allotment, self._op)
         self.witness = Witness(self.incarnation)
         if witnessed:
--- a/bench/budget_run.py
+++ b/bench/budget_run.py
@@ -19,6 +19,7 @@
 
 LOAD_SECONDS: Final = 900.0
 TOP_UP_SECONDS: Final = 700.0
+TOP_UP_ACCEPTED_SECONDS: Final = 0.02
 SETTLE_SECONDS: Final = 60.0
 PROBE_SECONDS: Final = 30.0
 DEADLINE_SECONDS: Final = 30.0
@@ -277,11 +278,15 @@
     def _top_up(self) -> None:
         """Pay more into a budget that has run out."""
         tokens = self.truth.paid_by_budget["budget-1"] // 10
-        self.truth.paid_by_budget["budget-1"] += tokens
         self.shared.write(records.TopUp("op", "budget-1", tokens, "bench"))
         for desk in self.desks:
             desk.top_up("budget-1", tokens)
 
+        def accepted() -> None:
+            self.truth.paid_by_budget["budget-1"] += tokens
+
+        self.world.after(TOP_UP_ACCEPTED_SECONDS, accepted)
+
     def _probe(self, budget: str) -> None:
         """Ask for all that is left; what can't be had is stranded."""
         left = self.truth.left(budget)
--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -11,7 +11,8 @@
     Attributes
     ----------
     budget, asker, holder : str
-        What is short, the holder to hand over to, and the one that is asked.
+        What is short, the holder to hand over to, and the one that is asked: a
+        holder, or a host and a slash.
     tokens : int
         What is missing.
     rank : int
--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -93,8 +93,8 @@
         This process.
     endurance : callable
         Returns the endurance of a budget, 0 to 1.
-    live : callable
-        Returns the number of live routers.
+    routers : callable
+        Returns the hosts of all live routers.
     """
 
     def __init__(
@@ -105,17 +105,19 @@
         metrics: Metrics,
         peers: PeerLinks,
         endurance: Callable[[str], float],
-        live: Callable[[], int],
+        routers: Callable[[], list[str]],
     ) -> None:
         self._ledger = ledger
         self._clock = clock
         self._metrics = metrics
         self._peers = peers
-        self._live = live
+        self._routers = routers
+        host = host_of(incarnation)
         allotment = Allotment(
             incarnation,
             self._view,
-            lambda budget: Sizing(endurance(budget), live()),
+            lambda budget: Sizing(endurance(budget), len(routers())),
+            lambda: [router for router in routers() if router != host],
             new_op,
         )
         self.holder = Holder(allotment, new_op)
@@ -257,7 +259,7 @@
             result.set(woken)
 
     def _append(self, step: Step) -> None:
-        share = WHOLE_PERMILLE // max(1, self._live())
+        share = WHOLE_PERMILLE // max(1, len(self._routers()))
         witnesses = self.holder.announcements.witnesses
         for entry in records_of(step, witnesses, share):
             key = getattr(entry, "budget", None) or self.holder.allotment.holder
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -126,7 +126,7 @@
             self.metrics,
             self.peers,
             self._endurance,
-            lambda: len(self.members.routers_by_id),
+            lambda: list(self.members.routers_by_id),
         )
         self.budgets.register(self.handlers)
         self.witness = WitnessDesk(
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -58,6 +58,9 @@
         Returns what is known of a budget, or None.
     sizing : callable
         Returns the sizing of a budget.
+    peers : callable
+        Returns the hosts of the other routers, to ask where nobody is known to
+        hold tokens of a budget.
     new_op : callable
         Returns a fresh operation id.
     """
@@ -67,11 +70,13 @@
         incarnation: str,
         view: Callable[[str], View | None],
         sizing: Callable[[str], Sizing],
+        peers: Callable[[], list[str]],
         new_op: Callable[[], str],
     ) -> None:
         self._incarnation = incarnation
         self._view = view
         self._sizing = sizing
+        self._peers = peers
         self._new_op = new_op
         self._number = 0
         self._stopping = False
@@ -366,7 +371,7 @@
             wallet.ask_width = 1
             return
         yield from self._refuse(wallet, view, now)
-        if wallet.waiters_by_request and view is not None:
+        if wallet.waiters_by_request:
             yield from self._ask(wallet, max(1, missing), view, now)
 
     def _serve(self, wallet: Wallet, view: View | None, now: float) -> Iterator[Action]:
@@ -429,8 +434,10 @@
                     None if view is None else view.left,
                 )
 
-    def _others(self, wallet: Wallet, view: View) -> list[str]:
+    def _others(self, wallet: Wallet, view: View | None) -> list[str]:
         """Return the holders of other processes, those with most idle first."""
+        if view is None:
+            return [f"{host}/" for host in self._peers()]
         mine = f"{self._incarnation}+"
         idle_by_holder = {
             holder: remaining
@@ -443,7 +450,7 @@
         return sorted(idle_by_holder, key=lambda holder: -idle_by_holder[holder])
 
     def _ask(
-        self, wallet: Wallet, missing: int, view: View, now: float
+        self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> Iterator[Action]:
         """Call idle tokens back: from one holder first, then from more at once.
 
@@ -474,7 +481,7 @@
         self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> bool:
         """Whether a draw, which is to start or under way, should cover it soon."""
-        if view is None or view.free < missing:
+        if view is not None and view.free < missing:
             return False
         return now - self._drawn_at_by_op.get(wallet.drawing, now) < (
             DRAW_PATIENCE_SECONDS
--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -135,7 +135,8 @@
     def call_back(self, message: CallBack, now: float) -> list[Step]:
         """Answer a call-back; a hand-over is acknowledged first."""
         mine = self.allotment.holder.rsplit("+", 1)[0] + "+"
-        if not message.holder.startswith(mine):
+        asks_host = mine.startswith(message.holder)
+        if not asks_host and not message.holder.startswith(mine):
             return []
         asked = events.Asked(
             message.budget, message.asker, message.tokens, message.rank
--- a/godwitrudder/request/sizing.py
+++ b/godwitrudder/request/sizing.py
@@ -16,7 +16,8 @@
 AHEAD_LEAST_SHARE: Final = 0.004
 DRAW_LEAST_SHARE: Final = 0.08
 ISOLATED_SECONDS: Final = 750.0
-ISOLATED_PAID_SHARE: Final = 0.012
+ISOLATED_HALF_SHARE: Final = 0.006
+ISOLATED_MOST_SHARE: Final = 0.05
 OPEN_LEAST_SHARE: Final = 0.5
 WHOLE_PERMILLE: Final = 1000
 
@@ -83,17 +84,30 @@
         spread = LOW_WATER_MOST_SHARE - LOW_WATER_LEAST_SHARE
         return LOW_WATER_LEAST_SHARE + spread * min(1.0, 2 * self.endurance)
 
+    @property
+    def isolated_share(self) -> float:
+        """Most of what is paid that is isolated at one router.
+
+        Small up to an endurance of a half, so that a lost router strands little;
+        above it, lasting comes first.
+        """
+        if self.endurance <= 0.5:
+            return ISOLATED_HALF_SHARE * 2 * self.endurance
+        spread = ISOLATED_MOST_SHARE - ISOLATED_HALF_SHARE
+        return ISOLATED_HALF_SHARE + spread * (2 * self.endurance - 1)
+
     def ahead(self, rate: float, left: int) -> int:
         """Return the tokens that should be in hand."""
         share = left * self.open_share / max(1, self.live)
         least = left * AHEAD_LEAST_SHARE * self.endurance
         return int(min(max(least, rate * self.horizon_seconds), share))
 
-    def isolated(self, rate: float, paid: int, ahead: int) -> int:
+    def isolated(self, rate: float, view: View, ahead: int) -> int:
         """Return the part of the tokens in hand that should be isolated."""
-        cap = paid * ISOLATED_PAID_SHARE * self.endurance
+        cap = view.paid * self.isolated_share
+        least = view.left * AHEAD_LEAST_SHARE * self.endurance / 2
         lasting = rate * ISOLATED_SECONDS * min(1.0, 2 * self.endurance)
-        return int(min(cap, lasting, ahead / 2))
+        return int(min(cap, max(least, lasting), ahead / 2))
 
     def size(
         self, missing: int, rate: float, idle: int, isolated: int, view: View | None
@@ -114,10 +128,14 @@
         if view.free <= 0:
             return None
         ahead = self.ahead(rate, view.left)
-        if missing <= 0 and idle >= ahead * self.low_water_share:
+        wanted = self.isolated(rate, view, ahead)
+        lacking = max(0, wanted - isolated)
+        low = self.low_water_share
+        if missing <= 0 and idle >= ahead * low and isolated >= wanted * low:
             return None
-        more = max(0, min(ahead - idle, view.free // max(1, self.live)))
-        if missing <= 0 and more <= ahead * DRAW_LEAST_SHARE:
+        more = max(ahead - idle, lacking)
+        more = max(0, min(more, view.free // max(1, self.live)))
+        if missing <= 0 and more <= max(ahead, 1) * DRAW_LEAST_SHARE:
             return None
-        wanted = self.isolated(rate, view.paid, ahead) - isolated
-        return Size(max(0, missing), max(0, missing) + more, max(0, min(wanted, more)))
+        needed = max(0, missing)
+        return Size(needed, needed + more, min(lacking, more))
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -220,6 +220,7 @@
             "router-1/a",
             lambda budget: self.view,
             lambda budget: Sizing(0.5, 2),
+            lambda: ["router-2"],
             lambda: f"op-{next(self.numbers)}",
         )
 
@@ -239,6 +240,8 @@
     draw = book.want(60)[0]
     assert isinstance(draw, events.Draw)
     assert (draw.needed, draw.tokens) == (60, 60)
+    asked = book.allotment.handle(events.Tick(), 1.0)
+    assert kinds(asked) == ["Ask"]
     assert kinds(book.allotment.handle(events.Tick(), 1.9)) == []
     assert kinds(book.allotment.handle(events.Tick(), 2.0)) == ["Refuse"]
 
