--- a/bench/measure_budgets.py
+++ b/bench/measure_budgets.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 from typing import Final
@@ -20,6 +22,9 @@
     Run,
 )
 from bench.report import Row
+from godwitrudder.request import events
+from godwitrudder.request.allotment import Allotment
+from godwitrudder.request.sizing import Sizing, View
 
 SEED: Final = 4
 FAULT_SECONDS: Final = 150.0
@@ -31,6 +36,8 @@
 FALSE_MOST: Final = 0.001
 STRANDED_MOST: Final = 0.01
 CONTROL_BYTES_MOST: Final = 14_000.0
+SLOPE_BUDGETS: Final = 2000
+MICROSECONDS: Final = 1_000_000
 
 Fault = Callable[[Run], None]
 
@@ -122,6 +129,7 @@
                 yield from _grants_alone(prefix, deployment, scenario)
             yield from _even_split(prefix, deployment, scenario)
     yield from _enduring()
+    yield from _slopes()
 
 
 def _product(prefix: str, deployment: Deployment, scenario: Scenario) -> Iterator[Row]:
@@ -230,3 +238,34 @@
         stranded[0],
         "of paid",
     )
+
+
+def _slopes() -> Iterator[Row]:
+    """What one budget in use and one request cost a daemon."""
+    views: dict[str, View | None] = {}
+    allotment = Allotment(
+        "router-1/a", views.get, lambda _: Sizing(ENDURANCE, 7), list, lambda: "op"
+    )
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    for number in range(SLOPE_BUDGETS):
+        _serve_once(allotment, f"budget-{number}")
+    used = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    yield Row("budgets memory per budget in use", used / SLOPE_BUDGETS, "B")
+    start = time.process_time()
+    for number in range(SLOPE_BUDGETS):
+        _serve_once(allotment, f"budget-{number}")
+    seconds = time.process_time() - start
+    per_request = seconds / SLOPE_BUDGETS * MICROSECONDS
+    yield Row("budgets processor time per request, allotment", per_request, "us")
+
+
+def _serve_once(allotment: Allotment, budget: str) -> None:
+    """Draw, reserve and bill one request."""
+    wanted = events.Wanted(budget, budget, 100, 30.0)
+    for action in allotment.handle(wanted, 0.0):
+        if isinstance(action, events.Draw):
+            granted = events.Granted(action.op, action.holder, budget, 1000, 0)
+            allotment.handle(granted, 0.0)
+    allotment.handle(events.Ended(budget, 50, True), 1.0)
