--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -88,6 +88,9 @@
     ----------
     witnesses : tuple of str
         Every witness of the holder.
+    settled : tuple of OpenIntent
+        What earlier intents came to; 0 tokens for one that was not dispatched.
+        The rest of them may pay for ``intents``.
     over : tuple of str
         Requests and operation ids that the log shows, or that never happened.
     received : tuple of Transfer
@@ -100,6 +103,7 @@
     over: tuple[str, ...] = ()
     received: tuple[Transfer, ...] = ()
     witnesses: tuple[str, ...] = ()
+    settled: tuple[OpenIntent, ...] = ()
 
 
 class Acked(msgspec.Struct, frozen=True, array_like=True, tag="acked"):
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -31,6 +31,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.orphans import OrphanDesk
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
@@ -45,6 +46,7 @@
 from godwitrudder.request.choice import Runner
 from godwitrudder.version.document import BudgetModel
 
+WITNESS_SECONDS: Final = 10.0
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
@@ -142,12 +144,17 @@
         )
         self.witness.register(self.handlers)
         self.links = RunnerLinks(self.clock)
+        self._orphans = OrphanDesk(self.links, self.members, self.ledger, self.metrics)
+        self.witness.listen(self._orphans.count)
         self.runners = RunnerDesk(
             self.members,
             self.metrics,
             self.clock,
             self.random,
             settings.failure_domain,
+            lambda target: self.configuration.document.targets_by_id[
+                target
+            ].slots_per_runner,
         )
         self.turns = TurnDesk(
             self.incarnation,
@@ -269,6 +276,7 @@
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self._orphans)
         self._stack.enter_context(self.witness)
         self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
@@ -279,11 +287,24 @@
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
+        self._await_witnesses()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
         logger.info("%s serves callers on %s", self.incarnation, self.settings.caller)
         return self
 
+    def _await_witnesses(self) -> None:
+        """Wait until witnesses are named; a lone daemon goes on without.
+
+        What is dispatched from a grant without witnesses is known to nobody when
+        this process dies: it would be served, never billed, and strand the grant.
+        """
+        deadline = self.clock.now() + WITNESS_SECONDS
+        while not self.budgets.witnessed and self.clock.now() < deadline:
+            if self.members.listed and len(self.members.routers_by_id) <= 1:
+                return
+            gevent.sleep(DRAIN_STEP_SECONDS)
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
--- a/godwitrudder/request/announcement.py
+++ b/godwitrudder/request/announcement.py
@@ -49,6 +49,7 @@
     sending: Announce | None = None
     intents_by_request: dict[str, OpenIntent] = field(default_factory=dict)
     over: dict[str, None] = field(default_factory=dict)
+    settled_by_request: dict[str, OpenIntent] = field(default_factory=dict)
     received: list[Transfer] = field(default_factory=list)
 
 
@@ -103,6 +104,14 @@
         for outbox in self._outbox_by_witness.values():
             outbox.received.extend(transfers)
 
+    def settle(self, intent: OpenIntent) -> None:
+        """Tell what an intent came to, before anything its rest may pay for."""
+        for witness in self._told_by_request.get(intent.request, ()):
+            outbox = self._outbox_by_witness.get(witness)
+            if outbox is not None:
+                outbox.intents_by_request.pop(intent.request, None)
+                outbox.settled_by_request[intent.request] = intent
+
     def over(self, request: str) -> None:
         """Let the witnesses forget an intent with the next announcement.
 
@@ -112,6 +121,7 @@
             outbox = self._outbox_by_witness.get(witness)
             if outbox is None:
                 continue
+            outbox.settled_by_request.pop(request, None)
             unsent = outbox.intents_by_request.pop(request, None)
             if unsent is None and len(outbox.over) < OVER_MOST:
                 outbox.over[request] = None
@@ -120,7 +130,8 @@
         """Send what is over where nothing else goes out."""
         results: list[Result] = []
         for witness, outbox in self._outbox_by_witness.items():
-            if outbox.over and not outbox.lost:
+            told = outbox.over or outbox.settled_by_request
+            if told and not outbox.lost:
                 results.extend(self._send(witness))
         return results
 
@@ -146,6 +157,9 @@
         outbox.intents_by_request.clear()
         outbox.over.update(dict.fromkeys(message.over))
         outbox.received[:0] = message.received
+        for intent in message.settled:
+            if intent.request not in outbox.over:
+                outbox.settled_by_request.setdefault(intent.request, intent)
         waiting = []
         for request, asked in self._asked_by_request.items():
             asked.discard(message.witness)
@@ -165,7 +179,8 @@
         outbox = self._outbox_by_witness[witness]
         if outbox.sending is not None:
             return []
-        if not outbox.intents_by_request and (only_new or not outbox.over):
+        told = outbox.over or outbox.settled_by_request
+        if not outbox.intents_by_request and (only_new or not told):
             return []
         requests = list(outbox.intents_by_request)[:BATCH_INTENTS]
         intents = tuple(outbox.intents_by_request.pop(name) for name in requests)
@@ -176,7 +191,9 @@
             tuple(outbox.over),
             tuple(outbox.received),
             self.witnesses,
+            tuple(outbox.settled_by_request.values()),
         )
+        outbox.settled_by_request.clear()
         outbox.over.clear()
         outbox.received.clear()
         outbox.sending = message
--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -112,16 +112,21 @@
         """End a request that has a reservation; bill what it used."""
         announced = request in self._announced
         self._announced.discard(request)
+        if request in self.allotment.reservations_by_request:
+            self._settle(request, used)
         dispatch = self._dispatch_by_request.pop(request, None)
         if request not in self.allotment.reservations_by_request:
             if dispatch is None:
                 return []
             gone = events.Abandoned(request, dispatch.intent.budget)
             return self.handle(gone, now)
-        if not announced and not used:
-            self.announcements.over(request)
         return self.handle(events.Ended(request, used, announced), now)
 
+    def _settle(self, request: str, used: int) -> None:
+        reservation = self.allotment.reservations_by_request[request]
+        tokens = 0 if reservation.isolated else min(used, reservation.tokens)
+        self.announcements.settle(OpenIntent(request, reservation.budget, tokens))
+
     def acked(self, message: Tell, now: float) -> list[Step]:
         """Note that a witness accepted an announcement."""
         results = self.announcements.acked(message.message)
@@ -287,15 +292,16 @@
         yield Go(request)
 
     def _unwitnessed(self, request: str, now: float) -> Iterator[Step]:
-        self.announcements.over(request)
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
             kept = handing.action.last
+            self.announcements.settle(OpenIntent(kept.op, kept.budget, 0))
             busy = handing.answer.busy + kept.tokens
             yield Send(kept.receiver, structs.replace(handing.answer, busy=busy))
             yield from self.handle(events.Undone(kept.op), now)
         elif request in self._dispatch_by_request:
             if self.allotment.isolate(request):
+                self._settle(request, 0)
                 yield from self._go(request)
             else:
                 self._dispatch_by_request[request].parked = True
--- a/godwitrudder/request/witness.py
+++ b/godwitrudder/request/witness.py
@@ -24,6 +24,7 @@
 from typing import Final
 
 import xxhash
+from msgspec import structs
 
 from godwitrudder.connection.escrow import (
     Announce,
@@ -100,7 +101,7 @@
     def __init__(self, incarnation: str) -> None:
         self.incarnation = incarnation
         self.watched_by_holder: dict[str, Watched] = {}
-        self._holder_by_request: dict[str, str] = {}
+        self._holders_by_request: dict[str, dict[str, None]] = {}
         self._fenced: dict[str, None] = {}
         self._ticked_at: float | None = None
 
@@ -112,12 +113,11 @@
             return False
         if not self.beat(message.holder, message.witnesses, now):
             return False
-        if len(self._holder_by_request) + len(message.intents) > INTENTS_MOST:
+        if len(self._holders_by_request) + len(message.intents) > INTENTS_MOST:
             return False
         watched = self.watched_by_holder[message.holder]
-        for intent in message.intents:
-            watched.intents_by_request[intent.request] = intent
-            self._holder_by_request[intent.request] = message.holder
+        for intent in message.settled + message.intents:
+            self._note(message.holder, watched, intent)
         for transfer in message.received:
             watched.transfers_by_op[transfer.op] = transfer
         return True
@@ -158,10 +158,7 @@
             return []
         watched.unfenced.discard(message.witness)
         for intent in message.intents:
-            if self._holder_by_request.setdefault(intent.request, message.holder) == (
-                message.holder
-            ):
-                watched.intents_by_request[intent.request] = intent
+            self._note(message.holder, watched, intent)
         for transfer in message.received:
             watched.transfers_by_op[transfer.op] = transfer
         return self._close(message.holder, watched, now)
@@ -179,10 +176,11 @@
 
     def find(self, request: str) -> tuple[str, OpenIntent] | None:
         """Return the holder and the intent of a request."""
-        holder = self._holder_by_request.get(request)
-        if holder is None:
-            return None
-        return holder, self.watched_by_holder[holder].intents_by_request[request]
+        for holder in reversed(self._holders_by_request.get(request, {})):
+            watched = self.watched_by_holder.get(holder)
+            if watched is not None and request in watched.intents_by_request:
+                return holder, watched.intents_by_request[request]
+        return None
 
     def tick(self, now: float, log_reachable: bool) -> list[Action]:
         """Fence silent holders and bill what a dead one left."""
@@ -240,6 +238,27 @@
         intents = watched.intents_by_request.values()
         return [BillOrphan(holder, intent) for intent in intents if intent.runner]
 
+    def _note(self, holder: str, watched: Watched, intent: OpenIntent) -> None:
+        """Keep the lowest amount: a settled intent never grows again.
+
+        A process that goes on as a new holder has given up the reservation that
+        it had as the old one; another process may run the same request too.
+        """
+        known = watched.intents_by_request.get(intent.request)
+        if known is not None and known.tokens < intent.tokens:
+            intent = known
+        elif known is not None and intent.tokens and not intent.runner:
+            intent = structs.replace(known, tokens=intent.tokens)
+        watched.intents_by_request[intent.request] = intent
+        holders = self._holders_by_request.setdefault(intent.request, {})
+        for other in list(holders):
+            if is_former(other, holder):
+                del holders[other]
+                former = self.watched_by_holder.get(other)
+                if former is not None:
+                    former.intents_by_request.pop(intent.request, None)
+        holders[holder] = None
+
     def _forget_transfers(self, message: Announce) -> None:
         watched = self.watched_by_holder.get(message.holder)
         if watched is not None:
@@ -248,9 +267,17 @@
 
     def _over(self, requests: Iterable[str]) -> None:
         for request in requests:
-            holder = self._holder_by_request.pop(request, None)
-            if holder is not None:
-                del self.watched_by_holder[holder].intents_by_request[request]
+            for holder in self._holders_by_request.pop(request, {}):
+                watched = self.watched_by_holder.get(holder)
+                if watched is not None:
+                    watched.intents_by_request.pop(request, None)
+
+
+def is_former(holder: str, current: str) -> bool:
+    """Whether a holder is an earlier one of the same process."""
+    name, _, number = holder.rpartition("+")
+    current_name, _, current_number = current.rpartition("+")
+    return name == current_name and int(number) < int(current_number)
 
 
 def candidates(host: str, domain: str, domain_by_host: dict[str, str]) -> list[str]:
