--- a/godwitrudder/connection/escrow.py
+++ b/godwitrudder/connection/escrow.py
@@ -11,7 +11,8 @@
     Attributes
     ----------
     budget, asker, holder : str
-        What is short, the holder to hand over to, and the one that is asked.
+        What is short, the holder to hand over to, and the one that is asked: a
+        holder, or a host and a slash.
     tokens : int
         What is missing.
     rank : int
@@ -85,6 +86,11 @@
 
     Attributes
     ----------
+    witnesses : tuple of str
+        Every witness of the holder.
+    settled : tuple of OpenIntent
+        What earlier intents came to; 0 tokens for one that was not dispatched.
+        The rest of them may pay for ``intents``.
     over : tuple of str
         Requests and operation ids that the log shows, or that never happened.
     received : tuple of Transfer
@@ -96,6 +102,8 @@
     intents: tuple[OpenIntent, ...]
     over: tuple[str, ...] = ()
     received: tuple[Transfer, ...] = ()
+    witnesses: tuple[str, ...] = ()
+    settled: tuple[OpenIntent, ...] = ()
 
 
 class Acked(msgspec.Struct, frozen=True, array_like=True, tag="acked"):
@@ -109,13 +117,13 @@
 
     Attributes
     ----------
-    named : bool
-        Whether the holder has named the host as a witness, or only may.
+    witnesses : tuple of str
+        Every witness of the holder, where the host is one; else empty.
     """
 
     holder: str
     leaving: bool = False
-    named: bool = True
+    witnesses: tuple[str, ...] = ()
 
 
 class Standing(msgspec.Struct, frozen=True, array_like=True, tag="standing"):
@@ -138,6 +146,32 @@
     intents: tuple[OpenIntent, ...]
 
 
+class FenceAsk(msgspec.Struct, frozen=True, array_like=True, tag="fence"):
+    """Ask another witness whether it has fenced a holder too."""
+
+    holder: str
+    witness: str
+
+
+class Fenced(msgspec.Struct, frozen=True, array_like=True, tag="fenced"):
+    """What a witness acknowledged before its fence; ``done`` if there is one."""
+
+    holder: str
+    witness: str
+    done: bool
+    intents: tuple[OpenIntent, ...]
+    received: tuple[Transfer, ...]
+
+
 EscrowMessage = (
-    CallBack | Given | Announce | Acked | Beat | Standing | FindIntent | Found
+    FenceAsk
+    | Fenced
+    | CallBack
+    | Given
+    | Announce
+    | Acked
+    | Beat
+    | Standing
+    | FindIntent
+    | Found
 )
--- a/godwitrudder/request/allotment.py
+++ b/godwitrudder/request/allotment.py
@@ -30,7 +30,7 @@
 from godwitrudder.request.events import Action, Event
 from godwitrudder.request.sizing import Sizing, View
 
-IDLE_SECONDS: Final = 120.0
+IDLE_SECONDS: Final = 1200.0
 DRAW_PATIENCE_SECONDS: Final = 0.25
 ASKS_AT_ONCE: Final = 8
 ASK_TIMEOUT_SECONDS: Final = 1.5
@@ -57,6 +57,9 @@
         Returns what is known of a budget, or None.
     sizing : callable
         Returns the sizing of a budget.
+    peers : callable
+        Returns the hosts of the other routers, to ask where nobody is known to
+        hold tokens of a budget.
     new_op : callable
         Returns a fresh operation id.
     """
@@ -66,11 +69,13 @@
         incarnation: str,
         view: Callable[[str], View | None],
         sizing: Callable[[str], Sizing],
+        peers: Callable[[], list[str]],
         new_op: Callable[[], str],
     ) -> None:
         self._incarnation = incarnation
         self._view = view
         self._sizing = sizing
+        self._peers = peers
         self._new_op = new_op
         self._number = 0
         self._stopping = False
@@ -80,6 +85,7 @@
         self._short: dict[str, None] = {}
         self._credited_at_by_op: dict[str, float] = {}
         self._drawn_at_by_op: dict[str, float] = {}
+        self._handed_by_op: dict[str, Transfer] = {}
 
     @property
     def holder(self) -> str:
@@ -240,6 +246,7 @@
             last = Transfer(
                 self._new_op(), event.budget, self.holder, event.asker, given
             )
+            self._handed_by_op[last.op] = last
             yield events.HandOver((*before, last))
         elif given > 0:
             busy += given
@@ -275,6 +282,7 @@
         yield from self._credit(transfer, now)
 
     def _transferred(self, transfer: Transfer, now: float) -> Iterator[Action]:
+        self._handed_by_op.pop(transfer.op, None)
         wallet = self.wallets_by_budget.get(transfer.budget)
         if wallet is not None:
             wallet.unread_by_op.pop(transfer.op, None)
@@ -294,11 +302,14 @@
         yield from self._pump(wallet, now)
 
     def _undone(self, event: events.Undone, now: float) -> Iterator[Action]:
-        if event.holder != self.holder:
-            yield from self._return(event.budget, event.holder, event.tokens, 0)
+        transfer = self._handed_by_op.pop(event.op, None)
+        if transfer is None:
             return
-        wallet = self._wallet(event.budget, now)
-        wallet.witnessed.held += event.tokens
+        if transfer.donor != self.holder:
+            yield from self._return(transfer.budget, transfer.donor, transfer.tokens, 0)
+            return
+        wallet = self._wallet(transfer.budget, now)
+        wallet.witnessed.held += transfer.tokens
         yield from self._pump(wallet, now)
 
     def _renew(self, number: int, now: float, closed: bool) -> Iterator[Action]:
@@ -359,7 +370,7 @@
             wallet.ask_width = 1
             return
         yield from self._refuse(wallet, view, now)
-        if wallet.waiters_by_request and view is not None:
+        if wallet.waiters_by_request:
             yield from self._ask(wallet, max(1, missing), view, now)
 
     def _serve(self, wallet: Wallet, view: View | None, now: float) -> Iterator[Action]:
@@ -421,8 +432,10 @@
                     None if view is None else view.left,
                 )
 
-    def _others(self, wallet: Wallet, view: View) -> list[str]:
+    def _others(self, wallet: Wallet, view: View | None) -> list[str]:
         """Return the holders of other processes, those with most idle first."""
+        if view is None:
+            return [f"{host}/" for host in self._peers()]
         mine = f"{self._incarnation}+"
         idle_by_holder = {
             holder: remaining
@@ -435,7 +448,7 @@
         return sorted(idle_by_holder, key=lambda holder: -idle_by_holder[holder])
 
     def _ask(
-        self, wallet: Wallet, missing: int, view: View, now: float
+        self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> Iterator[Action]:
         """Call idle tokens back: from one holder first, then from more at once.
 
@@ -466,7 +479,7 @@
         self, wallet: Wallet, missing: int, view: View | None, now: float
     ) -> bool:
         """Whether a draw, which is to start or under way, should cover it soon."""
-        if view is None or view.free < missing:
+        if view is not None and view.free < missing:
             return False
         return now - self._drawn_at_by_op.get(wallet.drawing, now) < (
             DRAW_PATIENCE_SECONDS
