--- a/godwitrudder/request/holder.py
+++ b/godwitrudder/request/holder.py
@@ -112,16 +112,21 @@
         """End a request that has a reservation; bill what it used."""
         announced = request in self._announced
         self._announced.discard(request)
+        if request in self.allotment.reservations_by_request:
+            self._settle(request, used)
         dispatch = self._dispatch_by_request.pop(request, None)
         if request not in self.allotment.reservations_by_request:
             if dispatch is None:
                 return []
             gone = events.Abandoned(request, dispatch.intent.budget)
             return self.handle(gone, now)
-        if not announced and not used:
-            self.announcements.over(request)
         return self.handle(events.Ended(request, used, announced), now)
 
+    def _settle(self, request: str, used: int) -> None:
+        reservation = self.allotment.reservations_by_request[request]
+        tokens = 0 if reservation.isolated else min(used, reservation.tokens)
+        self.announcements.settle(OpenIntent(request, reservation.budget, tokens))
+
     def acked(self, message: Tell, now: float) -> list[Step]:
         """Note that a witness accepted an announcement."""
         results = self.announcements.acked(message.message)
@@ -135,7 +140,8 @@
     def call_back(self, message: CallBack, now: float) -> list[Step]:
         """Answer a call-back; a hand-over is acknowledged first."""
         mine = self.allotment.holder.rsplit("+", 1)[0] + "+"
-        if not message.holder.startswith(mine):
+        asks_host = mine.startswith(message.holder)
+        if not asks_host and not message.holder.startswith(mine):
             return []
         asked = events.Asked(
             message.budget, message.asker, message.tokens, message.rank
@@ -217,7 +223,11 @@
 
     @staticmethod
     def _settled(effect: Effect) -> bool:
-        return isinstance(effect, Applied) or effect.reason is Void.REPEATED
+        """Whether the record stands, or never will."""
+        return isinstance(effect, Applied) or effect.reason in (
+            Void.REPEATED,
+            Void.CLOSED,
+        )
 
     def _steps(self, actions: list[Action], now: float) -> Iterator[Step]:
         for action in actions:
@@ -282,16 +292,16 @@
         yield Go(request)
 
     def _unwitnessed(self, request: str, now: float) -> Iterator[Step]:
-        self.announcements.over(request)
         handing = self._handing_by_op.pop(request, None)
         if handing is not None:
             kept = handing.action.last
+            self.announcements.settle(OpenIntent(kept.op, kept.budget, 0))
             busy = handing.answer.busy + kept.tokens
             yield Send(kept.receiver, structs.replace(handing.answer, busy=busy))
-            undone = events.Undone(kept.donor, kept.budget, kept.tokens)
-            yield from self.handle(undone, now)
+            yield from self.handle(events.Undone(kept.op), now)
         elif request in self._dispatch_by_request:
             if self.allotment.isolate(request):
+                self._settle(request, 0)
                 yield from self._go(request)
             else:
                 self._dispatch_by_request[request].parked = True
@@ -369,9 +379,8 @@
                 yield events.DrawVoid(entry.op, entry.budget)
         case records.Handover() if effect.reason is Void.REPEATED:
             yield events.Transferred(transfer_of(entry))
-        case records.Handover() if entry.donor.startswith(mine):
-            if effect.reason is Void.CLOSED:
-                yield events.Undone(entry.donor, entry.budget, entry.tokens)
+        case records.Handover() if effect.reason is Void.CLOSED:
+            yield events.Undone(entry.op)
 
 
 def transfer_of(entry: records.Handover) -> Transfer:
