Keep what a former holder announced under its own name

Cause: after a change of witnesses, what a request of the former holder came to was told under the new holder's name, and a witness of both moved the intent there; the closing of the former one then lacked it, and its bill was void (seed 1028 of a scratch fuzz: loss, a cut and a pause).

--- a/godwitrudder/request/announcement.py
+++ b/godwitrudder/request/announcement.py
@@ -76,6 +76,7 @@
         """Go on with a new holder and its witnesses; open intents fail."""
         failed = list(self._asked_by_request)
         self._asked_by_request.clear()
+        self._told_by_request.clear()
         self.holder = holder
         self.witnesses = witnesses
         self._outbox_by_witness = {name: Outbox() for name in witnesses}
--- a/tests/test_budgets.py
+++ b/tests/test_budgets.py
@@ -299,3 +299,15 @@
         assert witness.announce(tell.message, 0.0)
     held = witness.watched_by_holder[HOLDER].intents_by_request
     assert {name: intent.tokens for name, intent in held.items()} == {"r": 10, "s": 40}
+
+
+def test_what_an_old_holder_owes_stays_with_it() -> None:
+    """A request of a former holder is not told under the new one's name."""
+    announcements = Announcements()
+    announcements.name(HOLDER, (NAMES[0],))
+    first = announcements.announce(INTENT)[0]
+    assert isinstance(first, Tell)
+    announcements.acked(first.message)
+    announcements.name("router-1/a+2", (NAMES[0],))
+    announcements.settle(OpenIntent("r", "b", 10))
+    assert announcements.flush() == []
