--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -15,6 +15,7 @@
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
+from godwitrudder.connection.ledgers import Offer
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
 from godwitrudder.connection.queries import Status
 from godwitrudder.connection.runner import RunnerLinks
@@ -32,9 +33,11 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.orphans import OrphanDesk
+from godwitrudder.process.owners import Owners
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
+from godwitrudder.process.relay import Relay
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
@@ -43,7 +46,7 @@
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
-from godwitrudder.request.choice import Runner
+from godwitrudder.request.choice import SLOTS_DEFAULT, Runner
 from godwitrudder.version.document import BudgetModel
 
 WITNESS_SECONDS: Final = 10.0
@@ -120,6 +123,22 @@
             self.clock,
             lambda: len(self.members.routers_by_id),
             settings.log_retention_seconds,
+            Owners(
+                settings.host,
+                self.peers,
+                self.members.reachable_routers,
+                self.clock,
+                self.metrics,
+            ),
+        )
+        self.handlers.register(Offer, self.ledger.offered)
+        self._relay = Relay(
+            self.ledger,
+            self.peers,
+            self.handlers,
+            self._reachable_others,
+            self.metrics,
+            self.random,
         )
         self.budgets = BudgetDesk(
             self.ledger,
@@ -152,9 +171,7 @@
             self.clock,
             self.random,
             settings.failure_domain,
-            lambda target: self.configuration.document.targets_by_id[
-                target
-            ].slots_per_runner,
+            self._slots_per_runner,
         )
         self.turns = TurnDesk(
             self.incarnation,
@@ -266,6 +283,11 @@
             self.draining,
         )
 
+    def _slots_per_runner(self, target: str) -> int:
+        """Return a target's slots; one that left the document has the default."""
+        model = self.configuration.document.targets_by_id.get(target)
+        return SLOTS_DEFAULT if model is None else model.slots_per_runner
+
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
@@ -273,6 +295,7 @@
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
+        self._stack.enter_context(self._relay)
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
@@ -362,6 +385,10 @@
         while not done() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
 
+    def _reachable_others(self) -> list[str]:
+        hosts = self.members.reachable_routers()
+        return [host for host in hosts if host != self.settings.host]
+
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
         return (model or BudgetModel(0)).endurance
