--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -9,13 +9,15 @@
 from cleo.application import Application
 from cleo.commands.completions_command import CompletionsCommand
 
-from godwitrudder.ctl import config, daily, timeline
+from godwitrudder.ctl import config, daily, load, timeline, verify
 from godwitrudder.ctl.command import FleetCommand
 
 COMMANDS: Final[tuple[type[FleetCommand], ...]] = (
     *config.COMMANDS,
     *daily.COMMANDS,
     *timeline.COMMANDS,
+    *verify.COMMANDS,
+    *load.COMMANDS,
 )
 
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -14,14 +14,16 @@
 from bench.fleet import EXAMPLES, IP, Fleet
 from godwitrudder.ctl.command import Exit
 from godwitrudder.ctl.main import application
+from godwitrudder.ctl.verify import broken
+from godwitrudder.version.accounts import Budget
 
 Run = Callable[..., tuple[int, str]]
 
 
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[Fleet]:
-    """Run two daemons, one engine, no service."""
-    with Fleet(2, 1, 0) as running:
+    """Run three daemons, one engine, no service."""
+    with Fleet(3, 1, 0) as running:
         yield running
 
 
@@ -67,12 +69,18 @@
     assert "edit of budgets" in run("config history")[1]
 
 
-def test_an_edit_whose_answer_was_lost_is_sent_again(run: Run, tmp_path: Path) -> None:
-    """The same operation id gives the same answer and one version."""
+def test_an_edit_whose_answer_was_lost_is_sent_again(
+    fleet: Fleet, run: Run, tmp_path: Path
+) -> None:
+    """The log answers nothing; the same operation id gives one version."""
     path = tmp_path / "turns"
     run(f"config edit turns {path}")
-    answers = [shown(run, f"config apply --op same {path}") for _ in range(2)]
-    assert answers[0] == answers[1]
+    fleet.platform.faults.set({"lost_answers": 1.0})
+    try:
+        answers = [shown(run, f"config apply --op same {path}") for _ in range(2)]
+    finally:
+        fleet.platform.faults.set({"lost_answers": 0.0})
+    assert answers[0] == answers[1] and answers[0]["outcome"] == "accepted"
 
 
 @pytest.mark.parametrize(
@@ -136,7 +144,7 @@
 def test_everybody_answers(run: Run) -> None:
     """Status, targets and workspaces of the whole fleet."""
     hosts = [status["host"] for status in shown(run, "fleet status")["daemons"]]
-    assert hosts == ["router-1", "router-2"]
+    assert hosts == ["router-1", "router-2", "router-3"]
     while run("config status")[0] != Exit.DONE:
         gevent.sleep(0.05)
     assert "engine-0" in run("target list")[1]
@@ -157,7 +165,7 @@
     for word, wanted in (("drain", False), ("undrain", True)):
         code, text = run(f"target {word} magong --failure-domain")
         assert code == Exit.DONE, text
-        while usable() != [wanted, wanted]:
+        while usable() != [wanted] * 3:
             gevent.sleep(0.05)
     assert "undrain of failure_domain magong" in run("config history")[1]
 
@@ -170,3 +178,32 @@
     assert "router-1" in path.read_text() and "router-2" in path.read_text()
     code, text = run("request trace r")
     assert code == Exit.DONE and "bill r 40 tokens of harbour" in text
+
+
+def test_the_ledger_is_verified_from_the_log_alone(run: Run) -> None:
+    """No invariant is broken; history shows what was paid in."""
+    view = shown(run, "ledger verify")
+    assert view["violations"] == []
+    assert sum(tally["billed"] for tally in view["partitions"]) >= 40
+    payments = shown(run, "budget history patrol")
+    assert [row["tokens"] for row in payments if row["what"] == "top-up"] == [500]
+
+
+def test_a_bounded_load_completes(run: Run, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every request is counted by its outcome."""
+    monkeypatch.setenv("GODWITCTL_CALLER_KEY", "penghu-registry-key")
+    report = shown(run, "load rudder-llm --requests 4")
+    assert report["outcomes"] == {"completed": 4}
+
+
+@pytest.mark.parametrize(
+    ("budget", "invariant"),
+    [
+        (Budget(base=5, billed=6), "spent and granted within paid"),
+        (Budget(base=9, open=4), "grants add up to what is open"),
+        (Budget(base=9, billed=-1), "no amount below zero"),
+    ],
+)
+def test_verify_names_a_broken_invariant(budget: Budget, invariant: str) -> None:
+    """A state that no sound log gives is found."""
+    assert invariant in list(broken(budget))
