Count broken promises while the daemon runs

The counter of violations had one user. A monitor follows the ledger's effects, the configuration and the time line and counts each promise that a daemon can see broken, from zero, one label each.

--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -52,6 +52,8 @@
         Set once the document is as new as the log, or as the peers'.
     in_force_seconds : float
         From the log's time of the newest accepted record to its being in force.
+    diverged : callable
+        Called when another process's snapshot differs from the own state.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         self.fold = ConfigFold()
         self.loaded = Event()
         self.in_force_seconds = 0.0
+        self.diverged: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[Document], None]] = []
         self._advance_listeners: list[Callable[[list[Result]], None]] = []
         self._tasks: list[Greenlet] = []
@@ -135,7 +138,7 @@
             results.extend(self.fold.apply(record.offset, record.time, record.data))
         self.took(results, "log")
         if self.fold.diverged > diverged:
-            self._metrics.violations.labels("config_diverged").inc()
+            self.diverged()
 
     def _up_to(self, page: LogPage) -> bool:
         whole = not self.fold.seeking and self.fold.next_offset >= page.first
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -30,6 +30,7 @@
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.monitor import Monitor
 from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
@@ -201,10 +202,15 @@
             settings.caller, application, lambda: self.draining
         )
         self._operators = self._operator_server()
+        self.monitor = Monitor(self.metrics, self.incarnation, self.ledger.budget)
         self._record()
 
     def _record(self) -> None:
-        """Put frames, ledger records and configuration on the time line."""
+        """Put frames, records and configuration on the time line; watch it."""
+        self.timeline.listeners.append(self.monitor.noted)
+        self.ledger.listen(self.monitor.heard)
+        self.configuration.listen(self.monitor.config)
+        self.configuration.diverged = self.monitor.diverged
         recorder = Recorder(self.timeline, self.incarnation)
         self.handlers.sent = recorder.sent
         self.handlers.received = recorder.received
@@ -320,6 +326,7 @@
         self._wait(self._settled, max(deadline, self.clock.now() + CUT_SECONDS))
         if not self.router.in_flight and self.ledger.settled():
             self.budgets.leave()
+        self.monitor.drained(cut)
         return cut
 
     def cut(self) -> int:
--- /dev/null
+++ b/godwitrudder/process/monitor.py
@@ -0,0 +1,142 @@
+"""The monitor: counts broken promises while the daemon runs.
+
+It follows what the other tasks hear and note, and decides nothing.  Memory is
+bounded; what is older than the newest requests goes unwatched.
+"""
+
+from __future__ import annotations
+
+import enum
+import logging
+from collections.abc import Callable
+from typing import Final
+
+from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.timeline import TimelineEvent
+from godwitrudder.request.outcome import Ran
+from godwitrudder.version import records
+from godwitrudder.version.accounts import Applied, Budget, Effect
+from godwitrudder.version.document import Document
+
+WATCHED_REQUESTS: Final = 10_000
+
+logger = logging.getLogger(__name__)
+
+
+class Invariant(enum.StrEnum):
+    """Promises that a daemon can see broken, as labels of one counter."""
+
+    SPEND_WITHIN_PAID = "spend_within_paid"
+    CHARGED_IN_FULL = "charged_in_full"
+    BILLED_ONCE = "billed_once"
+    CLAIMED_ONCE = "claimed_once"
+    NOT_RUN_IS_NOT_BILLED = "not_run_is_not_billed"
+    DRAIN_CUTS_NOTHING = "drain_cuts_nothing"
+    CONFIG_NEVER_REVERTS = "config_never_reverts"
+    CONFIG_DIVERGED = "config_diverged"
+
+
+class Recent:
+    """The newest keys, each with a word; the oldest are forgotten."""
+
+    def __init__(self) -> None:
+        self._word_by_key: dict[str, str] = {}
+
+    def get(self, key: str) -> str | None:
+        """Return the word of a key."""
+        return self._word_by_key.get(key)
+
+    def put(self, key: str, word: str) -> None:
+        """Remember a key."""
+        self._word_by_key[key] = word
+        if len(self._word_by_key) > WATCHED_REQUESTS:
+            del self._word_by_key[next(iter(self._word_by_key))]
+
+    def drop(self, key: str) -> None:
+        """Forget a key."""
+        self._word_by_key.pop(key, None)
+
+
+class Monitor:
+    """Counts violations per invariant.
+
+    Parameters
+    ----------
+    budget_of : callable
+        Returns what the ledger knows of a budget.
+    """
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        incarnation: str,
+        budget_of: Callable[[str], Budget | None],
+    ) -> None:
+        self._metrics = metrics
+        self._incarnation = incarnation
+        self._budget_of = budget_of
+        self._version = -1
+        self._billed = Recent()
+        self._claimed = Recent()
+        self._not_run = Recent()
+        for invariant in Invariant:
+            metrics.violations.labels(invariant.value)
+
+    def broken(self, invariant: Invariant, detail: str) -> None:
+        """Count and log a violation."""
+        self._metrics.violations.labels(invariant.value).inc()
+        logger.error("invariant %s broken: %s", invariant.value, detail)
+
+    def heard(self, effect: Effect) -> None:
+        """Check the effect of a ledger record."""
+        entry = effect.entry
+        if effect.violation:
+            self.broken(Invariant.CHARGED_IN_FULL, f"{entry}")
+        if isinstance(effect, Applied):
+            self._check_budget(getattr(entry, "budget", ""))
+            self._applied(effect)
+
+    def noted(self, event: TimelineEvent) -> None:
+        """Learn from the time line what was refused as not run."""
+        if event.kind == "dispatch":
+            self._not_run.drop(event.request)
+        elif event.kind == "outcome" and event.detail.endswith(Ran.NOT_RUN):
+            self._not_run.put(event.request, event.detail)
+
+    def config(self, document: Document) -> None:
+        """Check that versions only grow."""
+        if document.version < self._version:
+            detail = f"version {document.version} after {self._version}"
+            self.broken(Invariant.CONFIG_NEVER_REVERTS, detail)
+        self._version = document.version
+
+    def diverged(self) -> None:
+        """Count a snapshot that differs from the own state."""
+        self.broken(Invariant.CONFIG_DIVERGED, f"at version {self._version}")
+
+    def drained(self, cut: int) -> None:
+        """Count requests that a graceful stop interrupted."""
+        if cut:
+            self.broken(Invariant.DRAIN_CUTS_NOTHING, f"{cut} requests")
+
+    def _check_budget(self, name: str) -> None:
+        budget = self._budget_of(name) if name else None
+        if budget is not None and budget.billed + budget.open > budget.paid:
+            self.broken(Invariant.SPEND_WITHIN_PAID, name)
+
+    def _applied(self, effect: Applied) -> None:
+        match effect.entry:
+            case records.Bill(request=request, incarnation=incarnation):
+                if self._billed.get(request) is not None:
+                    self.broken(Invariant.BILLED_ONCE, request)
+                self._billed.put(request, incarnation)
+                mine = incarnation.startswith(self._incarnation)
+                refused = mine and effect.tokens and self._not_run.get(request)
+                if refused:
+                    self.broken(Invariant.NOT_RUN_IS_NOT_BILLED, request)
+            case records.Claim(request=request, incarnation=incarnation):
+                if self._claimed.get(request) is not None:
+                    self.broken(Invariant.CLAIMED_ONCE, request)
+                self._claimed.put(request, incarnation)
+            case records.Result(request=request, status=records.NOT_RUN):
+                self._claimed.drop(request)
--- a/godwitrudder/process/timeline.py
+++ b/godwitrudder/process/timeline.py
@@ -9,7 +9,7 @@
 
 import heapq
 from collections import deque
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import Final
 
 import msgspec
@@ -88,6 +88,7 @@
         self.incarnation = incarnation
         self.clock = clock
         self.events: deque[TimelineEvent] = deque(maxlen=RING_EVENTS)
+        self.listeners: list[Callable[[TimelineEvent], None]] = []
         self._number = 0
 
     def note(
@@ -112,6 +113,8 @@
         )
         self._number += 1
         self.events.append(event)
+        for listener in self.listeners:
+            listener(event)
 
     def page(self, ask: EventsAsk) -> Events:
         """Return the first events above a number that pass the filters."""
