Read an edit back while its append is unanswered, and parse less

A lost answer held the operator up for the log's timeout though the record was read back at once. An edit parsed the three sections that it does not change.

A daemon cut off from the log starts from its peers and takes a later edit from them (tests/test_spread.py).

--- a/bench/measure_config.py
+++ b/bench/measure_config.py
@@ -27,12 +27,17 @@
 from bench.report import Row  # noqa: E402
 from godwitrudder import codec  # noqa: E402
 from godwitrudder.clock import HybridClock, SystemClock  # noqa: E402
-from godwitrudder.connection.frames import Message  # noqa: E402
+from godwitrudder.connection.frames import Frame, Message  # noqa: E402
 from godwitrudder.connection.peer import (  # noqa: E402
     Handlers,
     PeerLinks,
     Unreachable,
 )
+from godwitrudder.connection.queries import (  # noqa: E402
+    ConfigAnswer,
+    ConfigAsk,
+)
+from godwitrudder.ctl.page import render  # noqa: E402
 from godwitrudder.platform.log import (  # noqa: E402
     Log,
     LogPage,
@@ -42,7 +47,12 @@
 from godwitrudder.process.configuration import Configuration  # noqa: E402
 from godwitrudder.process.daemon import Daemon  # noqa: E402
 from godwitrudder.process.metrics import Metrics  # noqa: E402
-from godwitrudder.process.spread import Spread  # noqa: E402
+from godwitrudder.process.spread import ASK_SECONDS, Spread  # noqa: E402
+from godwitrudder.process.timeline import (  # noqa: E402
+    RING_EVENTS,
+    Timeline,
+    merge,
+)
 from godwitrudder.version.document import Document, build  # noqa: E402
 from godwitrudder.version.edits import STREAM, Change, Edit  # noqa: E402
 from godwitrudder.version.revisions import (  # noqa: E402
@@ -70,6 +80,8 @@
     yield from _races()
     yield from _start()
     yield from _memory()
+    yield from _spread_bytes()
+    yield from _merge()
 
 
 class MemoryLog(Log):
@@ -270,6 +282,11 @@
     fold.apply(0, 0.0, codec.encode(edit))
     spent = (time.process_time() - start) / BUDGETS * MILLION
     yield Row("config processor time of an edit per budget", spent, "us")
+    start = time.process_time()
+    edit = Edit("other", "bench", (Change("targets", -1, targets),))
+    fold.apply(1, 0.0, codec.encode(edit))
+    spent = (time.process_time() - start) / BUDGETS * MILLION
+    yield Row("config processor time of another section's edit per budget", spent, "us")
 
 
 def _weigh(texts: dict[str, str]) -> float:
@@ -282,3 +299,42 @@
     tracemalloc.stop()
     assert isinstance(document, Document)
     return held
+
+
+def _spread_bytes() -> Iterator[Row]:
+    """Weigh the frames of one question a second, asked and answered."""
+    stamp = HybridClock(SystemClock()).tick()
+    ask = Frame(1000, False, stamp, ConfigAsk(100_000))
+    answer = Frame(1000, True, stamp, ConfigAnswer(100_000))
+    size = 2 * (len(codec.encode(ask)) + len(codec.encode(answer)))
+    yield Row("config spread frames per daemon", size / ASK_SECONDS, "bytes/s")
+
+
+def _merge() -> Iterator[Row]:
+    """Merge the full rings of nine daemons and draw the page."""
+    rings = [
+        Timeline(f"router-{number}", HybridClock(SystemClock()))
+        for number in range(DAEMONS)
+    ]
+    gc.collect()
+    tracemalloc.start()
+    for number in range(RING_EVENTS):
+        for ring in rings:
+            ring.note("dispatch", f"request-{number}", "workspace", "engine-1")
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    start = time.process_time()
+    merged = list(merge(ring.events for ring in rings))
+    seconds = time.process_time() - start
+    assert len(merged) == DAEMONS * RING_EVENTS
+    start = time.process_time()
+    render(merged, [])
+    page = time.process_time() - start
+    yield Row("time line merge of 9 x 10,000 events", seconds, "s")
+    yield Row("time line page of the newest 5,000 events", page, "s")
+    yield Row("time line memory per daemon", held / DAEMONS / MILLION, "MB")
+    start = time.process_time()
+    for _ in range(RING_EVENTS):
+        rings[0].note("dispatch", "request", "workspace", "engine-1")
+    noted = (time.process_time() - start) / RING_EVENTS * MILLION
+    yield Row("time line processor time per event", noted, "us")
--- a/godwitrudder/process/publisher.py
+++ b/godwitrudder/process/publisher.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 import gevent
+from gevent import Greenlet
 
 from godwitrudder import codec
 from godwitrudder.clock import Clock
@@ -103,23 +104,27 @@
             return _view(Outcome.REJECTED, record.op, [expected])
         deadline = self._clock.now() + WAIT_SECONDS
         while self._clock.now() < deadline:
-            answer = self._log.append(STREAM, data)
-            wait = AGAIN_SECONDS if isinstance(answer, LogUnavailable) else WAIT_SECONDS
-            verdict = self._read_back(record.op, min(wait, self._left(deadline)))
+            task = gevent.spawn(self._log.append, STREAM, data)
+            verdict = self._read_back(record.op, task, deadline)
             if verdict is not None:
                 return self._view(verdict)
         return _view(Outcome.UNKNOWN, record.op)
 
-    def _left(self, deadline: float) -> float:
-        return max(0.0, deadline - self._clock.now())
+    def _read_back(self, op: str, task: Greenlet, deadline: float) -> Verdict | None:
+        """Wait for the verdict; None when it is time to append again.
 
-    def _read_back(self, op: str, seconds: float) -> Verdict | None:
-        end = self._clock.now() + seconds
-        verdict = self._verdict(op)
-        while verdict is None and self._clock.now() < end:
-            gevent.sleep(STEP_SECONDS)
+        The record may be read back long before the append is answered.
+        """
+        again = self._clock.now() + AGAIN_SECONDS
+        while self._clock.now() < deadline:
             verdict = self._verdict(op)
-        return verdict
+            if verdict is not None:
+                return verdict
+            failed = task.ready() and isinstance(task.value, LogUnavailable)
+            if failed and self._clock.now() >= again:
+                return None
+            gevent.sleep(STEP_SECONDS)
+        return self._verdict(op)
 
     def _verdict(self, op: str) -> Verdict | None:
         return self._configuration.fold.verdicts_by_op.get(op)
--- a/godwitrudder/version/document.py
+++ b/godwitrudder/version/document.py
@@ -157,6 +157,16 @@
     access_by_key_hash: dict[str, Access] = field(default_factory=dict)
     drains: frozenset[DrainKey] = frozenset()
 
+    def entries(self, section: str) -> dict[str, Any]:
+        """Return the parsed entries of a section, by identifier."""
+        entries_by_section: dict[str, dict[str, Any]] = {
+            "budgets": self.budgets_by_id,
+            "workspaces": self.workspaces_by_id,
+            "targets": self.targets_by_id,
+            "turns": self.turns_by_target,
+        }
+        return entries_by_section[section]
+
     def drained(self, kind: str, identifier: str) -> bool:
         """Whether an operator took it out of service."""
         return DrainKey(cast(Any, kind), identifier) in self.drains
@@ -184,11 +194,21 @@
     version_by_section: dict[str, int],
     text_by_section: dict[str, str],
     drains: frozenset[DrainKey] = frozenset(),
+    former: Document | None = None,
 ) -> Document | Problem:
-    """Parse the texts of all sections; ``checks.problems`` checks the result."""
+    """Parse the texts of all sections; ``checks.problems`` checks the result.
+
+    Parameters
+    ----------
+    former : Document or None
+        A section that has the same text there is taken over as it was parsed.
+    """
     document = Document(version, version_by_section, text_by_section, drains=drains)
     parsed: dict[str, dict[str, Any]] = {name: {} for name in SECTIONS}
     for name, text in text_by_section.items():
+        if former is not None and former.text_by_section.get(name) == text:
+            parsed[name] = former.entries(name)
+            continue
         value = parse_section(name, text)
         if isinstance(value, Problem):
             return value
--- a/godwitrudder/version/revisions.py
+++ b/godwitrudder/version/revisions.py
@@ -151,6 +151,7 @@
             {name: part.section_version for name, part in by_section.items()},
             {name: part.text for name, part in by_section.items()},
             frozenset(history.drains),
+            self.document,
         )
         if isinstance(document, Problem):
             return [Rejected(None, document)]
@@ -284,7 +285,7 @@
         versions[change.section] = offset
     if sum(len(change.text) for change in edit.changes) > MAX_RECORD_BYTES:
         return Problem("edit", "", f"expected at most {MAX_RECORD_BYTES} bytes")
-    return _checked(build(offset, versions, texts, document.drains))
+    return _checked(build(offset, versions, texts, document.drains, document))
 
 
 def drained(document: Document, offset: int, drain: Drain) -> Document | Problem:
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,38 @@
+"""Configuration reaches a daemon that is cut off from the log."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import gevent
+
+from bench.fleet import IP, Fleet, settings
+from godwitrudder import codec
+from godwitrudder.platform.hosts import HostEntry
+from godwitrudder.process.daemon import Daemon
+from godwitrudder.sections import Address
+from godwitrudder.version.edits import STREAM, Change, Edit
+
+NOWHERE = Address(IP, 1)
+
+
+def test_a_daemon_without_the_log_follows_its_peers() -> None:
+    """It starts from their document and takes later edits from them."""
+    own = replace(settings(3), log=NOWHERE)
+    with Fleet(2, 1, 0) as fleet:
+        entry = HostEntry(
+            id=own.host,
+            role="router",
+            address=str(own.peer),
+            failure_domain=own.failure_domain,
+        )
+        fleet.platform.set_hosts([*fleet.platform.hosts, entry])
+        peer = fleet.daemons[0].configuration
+        with Daemon(own) as daemon:
+            assert daemon.configuration.fold.digest() == peer.fold.digest()
+            version = peer.fold.version_of("turns")
+            text = peer.document.text_by_section["turns"]
+            edit = Edit("later", "admin", (Change("turns", version, text),))
+            fleet.platform.streams_by_name[STREAM].append(codec.encode(edit))
+            while daemon.configuration.fold.version_of("turns") == version:
+                gevent.sleep(0.05)
