--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -19,6 +19,7 @@
 from godwitrudder import codec
 from godwitrudder.clock import Clock
 from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
+from godwitrudder.process import guard
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.version.document import Document
 from godwitrudder.version.edits import STREAM
@@ -92,7 +93,8 @@
 
     def __enter__(self) -> Self:
         """Start to follow the log and to write snapshots."""
-        self._tasks = [gevent.spawn(self._follow), gevent.spawn(self._keep_snapshot)]
+        for task in (self._follow, self._keep_snapshot):
+            self._tasks.append(guard.spawn(self._metrics, task))
         return self
 
     def __exit__(
@@ -118,7 +120,7 @@
     def load_from_peers(self) -> None:
         """Count as loaded though the log says nothing."""
         if not self.loaded.is_set() and self.document.version >= 0:
-            logger.warning("log unreachable: configuration loaded from peers")
+            logger.warning("configuration loaded from peers, not from the log")
             self.loaded.set()
 
     def _follow(self) -> None:
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -190,6 +190,7 @@
             settings.ledger_partitions,
             self._listed_routers,
             self.clock,
+            self.metrics,
         )
         self.configuration.listen(self._payments.hear)
         application = CallerApplication(
--- a/godwitrudder/process/payments.py
+++ b/godwitrudder/process/payments.py
@@ -7,12 +7,13 @@
 from types import TracebackType
 from typing import Final, Self
 
-import gevent
 from gevent import Greenlet
 from gevent.event import Event
 
 from godwitrudder.clock import Clock
+from godwitrudder.process import guard
 from godwitrudder.process.ledger import Ledger, partition_of
+from godwitrudder.process.metrics import Metrics
 from godwitrudder.version.document import BudgetModel, Document
 from godwitrudder.version.payments import differing, rank_of, turn_comes
 
@@ -37,8 +38,10 @@
         partitions: int,
         hosts: Callable[[], list[str]],
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._host = host
+        self._metrics = metrics
         self._ledger = ledger
         self._partitions = partitions
         self._hosts = hosts
@@ -54,7 +57,7 @@
 
     def __enter__(self) -> Self:
         """Start to compare."""
-        self._task = gevent.spawn(self._run)
+        self._task = guard.spawn(self._metrics, self._run)
         return self
 
     def __exit__(
--- a/godwitrudder/process/spread.py
+++ b/godwitrudder/process/spread.py
@@ -17,6 +17,7 @@
 
 from godwitrudder.connection.peer import Handlers, PeerLinks
 from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
+from godwitrudder.process import guard
 from godwitrudder.process.configuration import Configuration
 from godwitrudder.version import catchup
 from godwitrudder.version.catchup import CatchUp
@@ -50,6 +51,7 @@
         random: Random,
     ) -> None:
         self._host = host
+        self._metrics = handlers.metrics
         self._configuration = configuration
         self._peers = peers
         self._hosts = hosts
@@ -63,7 +65,8 @@
 
     def __enter__(self) -> Self:
         """Start to ask."""
-        self._tasks = [gevent.spawn(self._ask_all), gevent.spawn(self._start_alone)]
+        for task in (self._ask_all, self._start_alone):
+            self._tasks.append(guard.spawn(self._metrics, task))
         return self
 
     def __exit__(
--- a/godwitrudder/version/catchup.py
+++ b/godwitrudder/version/catchup.py
@@ -58,12 +58,9 @@
         """Apply an answer; records beyond a gap are left out."""
         results: list[Result] = []
         for record in given.records:
-            if record.offset == self._fold.next_offset and not self._fold.seeking:
-                results.extend(
-                    self._fold.apply(record.offset, record.time, record.data)
-                )
+            results += self._fold.fill(record.offset, record.time, record.data)
         for part in given.parts:
-            results.extend(self._collect(part))
+            results += self._collect(part)
         return results
 
     def behind(self, given: ConfigAnswer) -> bool:
--- a/godwitrudder/version/revisions.py
+++ b/godwitrudder/version/revisions.py
@@ -102,6 +102,12 @@
             return self._hold(offset, time, data)
         return self._advance(offset, time, data)
 
+    def fill(self, offset: int, time: float, data: bytes) -> list[Result]:
+        """Apply the very next record, also while a gap waits to be closed."""
+        if offset != self.next_offset:
+            return []
+        return [*self._advance(offset, time, data), *self._release()]
+
     def records_from(self, offset: int) -> list[Kept] | None:
         """Return kept records from ``offset`` on; None if some are gone."""
         if offset >= self.next_offset:
@@ -158,6 +164,9 @@
         self.document = document
         self.next_offset = head.covers
         self.verdicts_by_op = {verdict.op: verdict for verdict in history.verdicts}
+        if self.snapshot_time is None:
+            # The log may have no snapshot; this makes one due.
+            self.snapshot_time = 0.0
         self._recent.clear()
         self._recent_bytes = 0
         return [Restored(head.covers), *self._release()]
@@ -179,6 +188,7 @@
         """Apply the held records that follow, unless a gap is left."""
         if not self._held or self._held[0][0] > self.next_offset:
             return []
+        self._parts_by_section = {}
         held, self._held = self._held, []
         results: list[Result] = []
         for offset, time, data in held:
--- /dev/null
+++ b/tests/test_config_machine.py
@@ -0,0 +1,106 @@
+"""Any order of edits, snapshots, lost records and restarts: readers agree."""
+
+from __future__ import annotations
+
+from unittest.mock import patch
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from godwitrudder import codec
+from godwitrudder.version import catchup, revisions
+from godwitrudder.version.catchup import CatchUp
+from godwitrudder.version.document import DrainKey
+from godwitrudder.version.edits import Change, Drain, Edit
+from godwitrudder.version.revisions import ConfigFold
+
+READERS = 3
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["edit", "repeat", "drain", "snapshot", "age", "read", "ask", "restart"]
+        ),
+        st.integers(0, READERS - 1),
+        st.integers(0, 7),
+    ),
+    min_size=20,
+    max_size=80,
+)
+
+
+class Readers:
+    """A log that forgets, and processes that read it or one another."""
+
+    def __init__(self) -> None:
+        self.log: list[bytes] = []
+        self.first = 0
+        self.folds = [ConfigFold() for _ in range(READERS)]
+        self.reference = ConfigFold()
+
+    def append(self, data: bytes) -> None:
+        """Append a record and fold it as one who misses nothing."""
+        self.log.append(data)
+        self.reference.apply(len(self.log) - 1, 0.0, data)
+
+    def act(self, step: str, reader: int, number: int) -> None:
+        """Do one thing."""
+        fold = self.folds[reader]
+        before = fold.next_offset
+        match step:
+            case "edit":
+                made_on = self.reference.version_of("turns") - number // 6
+                text = f"{{}} // {number}"
+                edit = Edit(f"{len(self.log)}", "t", (Change("turns", made_on, text),))
+                self.append(codec.encode(edit))
+            case "repeat" if self.log:
+                self.append(self.log[-1 - number % len(self.log)])
+            case "drain":
+                key = DrainKey("runner", f"r{number // 2}")
+                drain = Drain(f"{len(self.log)}", "t", key, number % 2 == 0)
+                self.append(codec.encode(drain))
+            case "snapshot" if fold.document.version >= 0:
+                for part in fold.snapshot():
+                    self.append(codec.encode(part))
+            case "age":
+                self.first = min(self.reference.next_offset, self.first + number)
+            case "read":
+                self.read(fold)
+            case "ask":
+                self.ask(fold, self.folds[number % READERS])
+            case "restart":
+                self.folds[reader] = ConfigFold()
+                return
+        assert fold.next_offset >= before
+
+    def read(self, fold: ConfigFold) -> None:
+        """Read what the log still has."""
+        start = max(self.first, fold.read_offset)
+        for offset in range(start, len(self.log)):
+            fold.apply(offset, 0.0, self.log[offset])
+
+    def ask(self, fold: ConfigFold, peer: ConfigFold) -> None:
+        """Catch up with a peer as far as one answer goes."""
+        catch_up = CatchUp(fold)
+        catch_up.take(catchup.answer(peer, catch_up.ask()))
+
+
+@settings(
+    max_examples=150,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+)
+@given(STEPS)
+def test_readers_agree(steps: list[tuple[str, int, int]]) -> None:
+    """No reader moves back, and one at the same offset has the same state."""
+    with patch.object(revisions, "KEPT_BYTES", 300):
+        readers = Readers()
+        for step, reader, number in steps:
+            readers.act(step, reader, number)
+    for fold in readers.folds:
+        readers.read(fold)
+        readers.ask(fold, readers.reference)
+        assert fold.next_offset == readers.reference.next_offset
+        assert fold.digest() == readers.reference.digest()
+        assert fold.verdicts_by_op == readers.reference.verdicts_by_op
+        assert not fold.seeking and fold.diverged == 0
