Bound what a configuration record can make every daemon keep

The bound on an edit counted characters, so a text of other letters made a frame that peers refuse; a problem quoted a key of any length and 256 of them are kept. Both are bounded in bytes and characters now.

--- a/godwitrudder/version/catchup.py
+++ b/godwitrudder/version/catchup.py
@@ -34,7 +34,7 @@
     for part in fold.snapshot():
         if part.digest == ask.digest and part.section in ask.sections:
             continue
-        size += len(part.text)
+        size += len(part.text.encode())
         if parts and size > MAX_RECORD_BYTES:
             break
         parts.append(part)
--- a/godwitrudder/version/revisions.py
+++ b/godwitrudder/version/revisions.py
@@ -31,6 +31,7 @@
 
 KEPT_VERDICTS: Final = 256
 KEPT_BYTES: Final = 1_000_000
+MAX_PROBLEM_CHARACTERS: Final = 500
 HISTORY: Final = "history"
 
 
@@ -257,7 +258,7 @@
             offset,
             time,
             made_on,
-            "" if problem is None else str(problem),
+            "" if problem is None else str(problem)[:MAX_PROBLEM_CHARACTERS],
             {name: self.version_of(name) for name in made_on},
             what,
         )
@@ -293,7 +294,7 @@
             return Problem(change.section, "", expected)
         texts[change.section] = change.text
         versions[change.section] = offset
-    if sum(len(change.text) for change in edit.changes) > MAX_RECORD_BYTES:
+    if sum(len(change.text.encode()) for change in edit.changes) > MAX_RECORD_BYTES:
         return Problem("edit", "", f"expected at most {MAX_RECORD_BYTES} bytes")
     return _checked(build(offset, versions, texts, document.drains, document))
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -123,9 +123,18 @@
 def test_memory_of_operations_is_bounded() -> None:
     """Verdicts are dropped, oldest first."""
     fold = started()
+    long_name = '{"%s": {}}' % ("x" * 100_000)
     for offset in range(1, 2 * KEPT_VERDICTS):
         fold.apply(offset, 1.0, edit(f"op-{offset}", -7, turns="{}"))
+    fold.apply(fold.next_offset, 1.0, edit("long", 0, turns=long_name))
     assert len(fold.verdicts_by_op) == KEPT_VERDICTS
+    assert len(fold.verdicts_by_op["long"].problem) <= 500
+
+
+def test_a_text_too_long_for_a_record_is_void() -> None:
+    """The bound is in bytes, as a frame's is."""
+    text = "{} // " + "é" * 500_000
+    assert "bytes" in problem(started().apply(1, 1.0, edit("a", 0, turns=text)))
 
 
 def test_a_reader_after_retention_reaches_the_same_state() -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -15,6 +15,7 @@
 from godwitrudder.ctl.command import Exit
 from godwitrudder.ctl.main import application
 from godwitrudder.ctl.verify import broken
+from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.version.accounts import Budget
 
 Run = Callable[..., tuple[int, str]]
@@ -207,3 +208,18 @@
 def test_verify_names_a_broken_invariant(budget: Budget, invariant: str) -> None:
     """A state that no sound log gives is found."""
     assert invariant in list(broken(budget))
+
+
+def test_a_silent_daemon_is_named(fleet: Fleet, run: Run) -> None:
+    """It is listed and does not answer: exit code 1, and its name."""
+    listed = fleet.platform.hosts
+    gone = HostEntry(
+        id="router-9", role="router", address=f"{IP}:1", failure_domain="budai"
+    )
+    fleet.platform.set_hosts([*listed, gone])
+    while "router-9" not in fleet.daemons[0].members.routers_by_id:
+        gevent.sleep(0.05)
+    for line in ("timeline", "fleet status", "config status"):
+        code, text = run(line)
+        assert code == Exit.REJECTED and "router-9" in text
+    fleet.platform.set_hosts(listed)
