--- a/bench/measure_config.py
+++ b/bench/measure_config.py
@@ -12,6 +12,7 @@
 
 import gc  # noqa: E402
 import json  # noqa: E402
+import math  # noqa: E402
 import statistics  # noqa: E402
 import time  # noqa: E402
 import tracemalloc  # noqa: E402
@@ -23,7 +24,7 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from bench.fleet import PLATFORM, settings  # noqa: E402
+from bench.fleet import PLATFORM, Fleet, settings  # noqa: E402
 from bench.report import Row  # noqa: E402
 from godwitrudder import codec  # noqa: E402
 from godwitrudder.clock import HybridClock, SystemClock  # noqa: E402
@@ -38,6 +39,7 @@
     ConfigAsk,
 )
 from godwitrudder.ctl.page import render  # noqa: E402
+from godwitrudder.platform.hosts import HostEntry  # noqa: E402
 from godwitrudder.platform.log import (  # noqa: E402
     Log,
     LogPage,
@@ -66,7 +68,9 @@
 EDIT_GAP_SECONDS: Final = 0.7
 IN_FORCE_SECONDS: Final = 7.0
 PEER_SECONDS: Final = 0.001
+STEP_SECONDS: Final = 0.001
 RACES: Final = 1000
+PAID_IN_SECONDS: Final = 30.0
 BUDGETS: Final = 10_000
 WORKSPACES: Final = 5_000
 MILLION: Final = 1_000_000
@@ -77,6 +81,7 @@
     yield from _in_force("log healthy", 0.005, set())
     yield from _in_force("log answers in 2 s", 2.0, set())
     yield from _in_force("one cut off", 0.005, {"router-9"})
+    yield from _over_sockets()
     yield from _races()
     yield from _start()
     yield from _memory()
@@ -197,6 +202,33 @@
     yield Row(f"config not in force after 7 s, {name}", len(pending), "", 0)
 
 
+def _over_sockets() -> Iterator[Row]:
+    """Publish edits on the stand-in's log and watch three whole daemons."""
+    seconds: list[float] = []
+    with Fleet(3, 1, 0) as fleet:
+        stream = fleet.platform.streams_by_name[STREAM]
+        folds = [daemon.configuration.fold for daemon in fleet.daemons]
+        version = folds[0].version_of("turns")
+        for number in range(EDITS):
+            gevent.sleep(0.1)
+            text = f"{{}} // {number}"
+            edit = Edit(f"op-{number}", "bench", (Change("turns", version, text),))
+            start = time.monotonic()
+            version = stream.append(codec.encode(edit))
+            waiting = list(folds)
+            while waiting and time.monotonic() < start + IN_FORCE_SECONDS:
+                gevent.sleep(STEP_SECONDS)
+                done = [f for f in waiting if f.version_of("turns") >= version]
+                seconds += [time.monotonic() - start] * len(done)
+                waiting = [fold for fold in waiting if fold not in done]
+            seconds += [math.inf] * len(waiting)
+    p50 = statistics.median(seconds)
+    yield Row("config in force on 3 whole daemons, p50", p50, "s", IN_FORCE_SECONDS)
+    yield Row(
+        "config in force on 3 whole daemons, max", max(seconds), "s", IN_FORCE_SECONDS
+    )
+
+
 def _races() -> Iterator[Row]:
     """Let two to four editors race, with lost answers, a thousand times."""
     random, fold, number = Random(11), ConfigFold(), 0
@@ -242,12 +274,27 @@
 
 def _start() -> Iterator[Row]:
     """Start one daemon on a document of ten thousand budgets."""
-    with Platform(PLATFORM, []) as platform:
+    own = settings(1)
+    entry = HostEntry(
+        id=own.host,
+        role="router",
+        address=str(own.peer),
+        failure_domain=own.failure_domain,
+    )
+    with Platform(PLATFORM, [entry]) as platform:
         edit = Edit("op", "bench", (Change("budgets", -1, _budgets(BUDGETS)),))
         platform.streams_by_name[STREAM].append(codec.encode(edit))
         start = time.monotonic()
-        with Daemon(settings(1)):
+        with Daemon(own) as daemon:
             seconds = time.monotonic() - start
+            names = list(daemon.configuration.document.budgets_by_id)
+            end = start + PAID_IN_SECONDS
+            while names and time.monotonic() < end:
+                gevent.sleep(0.01)
+                names = [name for name in names if daemon.ledger.budget(name) is None]
+            paid = time.monotonic() - start
+    yield Row("budgets not paid in after 30 s, of 10,000", len(names), "", 0)
+    yield Row("daemon start to 10,000 budgets paid in", paid, "s")
     yield Row("daemon start to ready with 10,000 budgets", seconds, "s")
 
 
