--- /dev/null
+++ b/bench/measure_spread.py
@@ -0,0 +1,150 @@
+"""Configuration at the size of a large fleet, on the virtual clock.
+
+350 daemons, of which half can't reach the log.  Each daemon's side is the pure
+fold and catch-up; timers and numbers of peers are those of the spread task.
+"""
+
+from __future__ import annotations
+
+import statistics
+from collections.abc import Iterator
+from typing import Final
+
+from bench.report import Row
+from bench.simulation import Action, Network, World
+from godwitrudder import codec
+from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk
+from godwitrudder.process.spread import (
+    ASK_SECONDS,
+    PATIENCE_SECONDS,
+    TOLD_PEERS,
+)
+from godwitrudder.version import catchup
+from godwitrudder.version.catchup import CatchUp
+from godwitrudder.version.edits import Change, Edit
+from godwitrudder.version.revisions import ConfigFold, Result
+
+DAEMONS: Final = 350
+EDITS: Final = 20
+GAP_SECONDS: Final = 10.0
+LOG_SECONDS: Final = 0.02
+DELAY_SECONDS: Final = 0.0015
+LOSS: Final = 0.02
+IN_FORCE_SECONDS: Final = 7.0
+
+
+def rows() -> Iterator[Row]:
+    """Yield the rows of the report."""
+    for name, cut in (("half", DAEMONS // 2), ("all but 3", DAEMONS - 3)):
+        fleet = LargeFleet(cut)
+        fleet.run()
+        title = f"config in force on 350 daemons, {name} cut off from the log"
+        late = sum(s > IN_FORCE_SECONDS for s in fleet.seconds)
+        missing = DAEMONS * EDITS - len(fleet.seconds)
+        p50 = statistics.median(fleet.seconds)
+        yield Row(f"{title}, p50", p50, "s", IN_FORCE_SECONDS)
+        yield Row(f"{title}, max", max(fleet.seconds), "s", IN_FORCE_SECONDS)
+        yield Row(f"{title}, late or never", late + missing, "", 0)
+        sent = fleet.network.sent / DAEMONS / (EDITS * GAP_SECONDS)
+        yield Row(f"{title}, frames per daemon", sent, "1/s")
+
+
+class Node:
+    """One daemon: a fold, and what it does with news."""
+
+    def __init__(self, fleet: LargeFleet, name: str) -> None:
+        self.fleet = fleet
+        self.name = name
+        self.fold = ConfigFold()
+        self.catch_up = CatchUp(self.fold)
+        self._version = -1
+        start = fleet.world.random.uniform(0, ASK_SECONDS)
+        fleet.world.after(start, self.ask_again)
+
+    def took(self, results: list[Result]) -> None:
+        """Note what is in force and tell some peers."""
+        if not results:
+            return
+        for offset in range(self._version + 1, self.fold.document.version + 1):
+            self.fleet.in_force(offset)
+        self._version = self.fold.document.version
+        for peer in self.fleet.world.random.sample(self.fleet.nodes, TOLD_PEERS):
+            self.fleet.network.send(self.name, peer.name, self._rumour(peer))
+
+    def _rumour(self, peer: Node) -> Action:
+        have = self.fold.next_offset
+
+        def hear() -> None:
+            def act() -> None:
+                if peer.fold.next_offset < have:
+                    peer.ask(self)
+
+            self.fleet.world.after(PATIENCE_SECONDS, act)
+
+        return hear
+
+    def ask_again(self) -> None:
+        """Ask a random peer, about once a second."""
+        self.ask(self.fleet.world.random.choice(self.fleet.nodes))
+        pause = ASK_SECONDS * self.fleet.world.random.uniform(0.5, 1.5)
+        self.fleet.world.after(pause, self.ask_again)
+
+    def ask(self, peer: Node) -> None:
+        """Ask a peer what is missing."""
+        question = self.catch_up.ask()
+        network = self.fleet.network
+        network.send(self.name, peer.name, lambda: peer.answer(self, question))
+
+    def answer(self, asker: Node, question: ConfigAsk) -> None:
+        """Answer a peer."""
+        given: ConfigAnswer = catchup.answer(self.fold, question)
+
+        def take() -> None:
+            asker.took(asker.catch_up.take(given))
+
+        self.fleet.network.send(self.name, asker.name, take)
+
+
+class LargeFleet:
+    """Daemons, some of which follow the log.
+
+    Parameters
+    ----------
+    cut : int
+        Daemons that can't reach the log.
+    """
+
+    def __init__(self, cut: int) -> None:
+        self.world = World(5)
+        self.network = Network(self.world, DELAY_SECONDS, LOSS)
+        self.nodes: list[Node] = []
+        self.nodes = [Node(self, f"router-{number}") for number in range(DAEMONS)]
+        self.readers = self.nodes[cut:]
+        self.seconds: list[float] = []
+        self._published_at: list[float] = []
+
+    def run(self) -> None:
+        """Publish edits, far enough apart to tell them from one another."""
+        for number in range(EDITS):
+            self.world.run(number * GAP_SECONDS)
+            self._publish(number)
+        self.world.run(EDITS * GAP_SECONDS)
+
+    def in_force(self, offset: int) -> None:
+        """Note that one daemon has one more edit in force."""
+        self.seconds.append(self.world.clock.now() - self._published_at[offset])
+
+    def _publish(self, number: int) -> None:
+        text = f"{{}} // {number}"
+        edit = Edit(f"op-{number}", "bench", (Change("turns", number - 1, text),))
+        data = codec.encode(edit)
+        self._published_at.append(self.world.clock.now())
+        for node in self.readers:
+            seconds = LOG_SECONDS * self.world.random.uniform(0.5, 1.5)
+            self.world.after(seconds, self._reading(node, number, data))
+
+    def _reading(self, node: Node, offset: int, data: bytes) -> Action:
+        def read() -> None:
+            node.took(node.fold.apply(offset, 0.0, data))
+
+        return read
