--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -46,6 +46,7 @@
 from godwitrudder.request.choice import Runner
 from godwitrudder.version.document import BudgetModel
 
+OPERATORS_AT_ONCE: Final = 32
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
@@ -236,7 +237,9 @@
             settings.operator_keys_by_team, console, publisher
         )
         address = (settings.operator.ip, settings.operator.port)
-        return WSGIServer(address, application, log=None, error_log=logger)
+        return WSGIServer(
+            address, application, log=None, error_log=logger, spawn=OPERATORS_AT_ONCE
+        )
 
     def _listed_routers(self) -> list[str]:
         """Return the reachable routers, none before the first host list."""
--- a/godwitrudder/process/operator.py
+++ b/godwitrudder/process/operator.py
@@ -13,6 +13,7 @@
 from typing import Any, Final, TypeVar
 
 import msgspec
+from gevent import Timeout
 
 from godwitrudder.process.console import Console
 from godwitrudder.process.publisher import Publisher
@@ -34,6 +35,7 @@
 
 MAX_BODY_BYTES: Final = 2 * MAX_RECORD_BYTES
 MAX_OP_CHARACTERS: Final = 64
+BODY_SECONDS: Final = 10.0
 MAX_REASON_CHARACTERS: Final = 500
 STATUS_BY_OUTCOME: Final = {
     Outcome.ACCEPTED: 200,
@@ -101,7 +103,11 @@
         if not length.isdecimal() or int(length) > MAX_BODY_BYTES:
             expected = f"expected a body of at most {MAX_BODY_BYTES} bytes"
             return Denied(413, "too_large", expected)
-        body = environ["wsgi.input"].read(int(length))
+        body: bytes | None = None
+        with Timeout(BODY_SECONDS, False):
+            body = environ["wsgi.input"].read(int(length))
+        if body is None:
+            return Denied(408, "timeout", f"expected the body within {BODY_SECONDS} s")
         parts = tuple(environ["PATH_INFO"].strip("/").split("/"))
         return OperatorRequest(team, environ["REQUEST_METHOD"], parts, body)
 
