Say since when a daemon has a version that it began with

config status took the age of the record for the time it took, so a daemon that was restarted hours later seemed hours late. Such a version is in force since its start and counts for no histogram.

--- a/godwitrudder/connection/queries.py
+++ b/godwitrudder/connection/queries.py
@@ -58,7 +58,8 @@
     config_version, next_offset : int
         Version of the document in force, and offset applied up to.
     in_force_seconds : float
-        From the log's time of the newest accepted record to its being in force.
+        From the log's time of the newest accepted record to its being in force;
+        negative if the daemon began with it.
     uptime_seconds : float
         Since the daemon started.
     in_flight : int
--- a/godwitrudder/ctl/config.py
+++ b/godwitrudder/ctl/config.py
@@ -290,7 +290,7 @@
             self.print_json(view)
         else:
             rows = [
-                [s.host, s.config_version, f"{s.in_force_seconds:.3f}"]
+                [s.host, s.config_version, _in_force(s.in_force_seconds)]
                 for s in view.daemons
             ]
             rows += [[host, "no answer", ""] for host in view.missing]
@@ -298,6 +298,10 @@
         return Exit.REJECTED if behind or view.missing else Exit.DONE
 
 
+def _in_force(seconds: float) -> str:
+    return "since its start" if seconds < 0 else f"{seconds:.3f}"
+
+
 COMMANDS: Final = (
     ConfigGet,
     ConfigEdit,
--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -35,6 +35,7 @@
 SNAPSHOT_SHARE: Final = 0.25
 CHECK_SHARE: Final = 0.02
 MAX_CHECK_SECONDS: Final = 600.0
+AT_START: Final = -1.0
 
 logger = logging.getLogger(__name__)
 
@@ -52,7 +53,8 @@
     loaded : Event
         Set once the document is as new as the log, or as the peers'.
     in_force_seconds : float
-        From the log's time of the newest accepted record to its being in force.
+        From the log's time of the newest accepted record to its being in force;
+        ``AT_START`` if the daemon began with it.
     diverged : callable
         Called when another process's snapshot differs from the own state.
     """
@@ -72,7 +74,7 @@
         self._retention_seconds = retention_seconds
         self.fold = ConfigFold()
         self.loaded = Event()
-        self.in_force_seconds = 0.0
+        self.in_force_seconds = AT_START
         self.diverged: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[Document], None]] = []
         self._advance_listeners: list[Callable[[list[Result]], None]] = []
@@ -157,9 +159,10 @@
 
     def _accepted(self, result: Accepted, source: str) -> None:
         verdict = result.verdict
-        self.in_force_seconds = max(0.0, self._clock.wall() - verdict.time)
         self._metrics.config_records.labels("accepted", source).inc()
+        self.in_force_seconds = AT_START
         if self.loaded.is_set():
+            self.in_force_seconds = max(0.0, self._clock.wall() - verdict.time)
             self._metrics.config_in_force.observe(self.in_force_seconds)
 
     def _in_force(self, source: str) -> None:
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -30,9 +30,11 @@
         peer = fleet.daemons[0].configuration
         with Daemon(own) as daemon:
             assert daemon.configuration.fold.digest() == peer.fold.digest()
+            assert daemon.status().in_force_seconds < 0
             version = peer.fold.version_of("turns")
             text = peer.document.text_by_section["turns"]
             edit = Edit("later", "admin", (Change("turns", version, text),))
             fleet.platform.streams_by_name[STREAM].append(codec.encode(edit))
             while daemon.configuration.fold.version_of("turns") == version:
                 gevent.sleep(0.05)
+            assert daemon.status().in_force_seconds >= 0
