--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -31,7 +31,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.monitor import Monitor
-from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.operator import OPERATORS_AT_ONCE, OperatorApplication
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
@@ -46,7 +46,6 @@
 from godwitrudder.request.choice import Runner
 from godwitrudder.version.document import BudgetModel
 
-OPERATORS_AT_ONCE: Final = 32
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
--- a/godwitrudder/process/operator.py
+++ b/godwitrudder/process/operator.py
@@ -36,6 +36,7 @@
 MAX_BODY_BYTES: Final = 2 * MAX_RECORD_BYTES
 MAX_OP_CHARACTERS: Final = 64
 BODY_SECONDS: Final = 10.0
+OPERATORS_AT_ONCE: Final = 32
 MAX_REASON_CHARACTERS: Final = 500
 STATUS_BY_OUTCOME: Final = {
     Outcome.ACCEPTED: 200,
