--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -31,7 +31,7 @@
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.monitor import Monitor
-from godwitrudder.process.operator import OPERATORS_AT_ONCE, OperatorApplication
+from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
@@ -240,7 +240,7 @@
         )
         address = (settings.operator.ip, settings.operator.port)
         return WSGIServer(
-            address, application, log=None, error_log=logger, spawn=OPERATORS_AT_ONCE
+            address, application, log=None, error_log=logger, spawn=application.AT_ONCE
         )
 
     def _listed_routers(self) -> list[str]:
--- a/godwitrudder/process/operator.py
+++ b/godwitrudder/process/operator.py
@@ -36,7 +36,6 @@
 MAX_BODY_BYTES: Final = 2 * MAX_RECORD_BYTES
 MAX_OP_CHARACTERS: Final = 64
 BODY_SECONDS: Final = 10.0
-OPERATORS_AT_ONCE: Final = 32
 MAX_REASON_CHARACTERS: Final = 500
 STATUS_BY_OUTCOME: Final = {
     Outcome.ACCEPTED: 200,
@@ -76,6 +75,8 @@
         SHA-256 of each team's key, in hex.
     """
 
+    AT_ONCE: Final = 32
+
     def __init__(
         self, key_hash_by_team: dict[str, str], console: Console, publisher: Publisher
     ) -> None:
