--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -15,6 +15,7 @@
 
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection.caller import CallerApplication
+from godwitrudder.connection.ledgers import Offer
 from godwitrudder.connection.peer import Handlers, PeerLinks, PeerServer
 from godwitrudder.connection.queries import Status
 from godwitrudder.connection.runner import RunnerLinks
@@ -32,9 +33,12 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.monitor import Monitor
 from godwitrudder.process.operator import OperatorApplication
+from godwitrudder.process.orphans import OrphanDesk
+from godwitrudder.process.owners import Owners
 from godwitrudder.process.payments import Payments
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.recorder import Recorder
+from godwitrudder.process.relay import Relay
 from godwitrudder.process.router import Router
 from godwitrudder.process.runners import RunnerDesk
 from godwitrudder.process.settings import Settings
@@ -43,9 +47,10 @@
 from godwitrudder.process.timeline import Timeline
 from godwitrudder.process.turns import TurnDesk
 from godwitrudder.process.witness import WitnessDesk
-from godwitrudder.request.choice import Runner
+from godwitrudder.request.choice import SLOTS_DEFAULT, Runner
 from godwitrudder.version.document import BudgetModel
 
+WITNESS_SECONDS: Final = 10.0
 DRAIN_STEP_SECONDS: Final = 0.05
 CUT_SECONDS: Final = 3.0
 
@@ -119,6 +124,22 @@
             self.clock,
             lambda: len(self.members.routers_by_id),
             settings.log_retention_seconds,
+            Owners(
+                settings.host,
+                self.peers,
+                self.members.reachable_routers,
+                self.clock,
+                self.metrics,
+            ),
+        )
+        self.handlers.register(Offer, self.ledger.offered)
+        self._relay = Relay(
+            self.ledger,
+            self.peers,
+            self.handlers,
+            self._reachable_others,
+            self.metrics,
+            self.random,
         )
         self.budgets = BudgetDesk(
             self.ledger,
@@ -127,7 +148,7 @@
             self.metrics,
             self.peers,
             self._endurance,
-            lambda: len(self.members.routers_by_id),
+            lambda: list(self.members.routers_by_id),
         )
         self.budgets.register(self.handlers)
         self.witness = WitnessDesk(
@@ -143,15 +164,15 @@
         )
         self.witness.register(self.handlers)
         self.links = RunnerLinks(self.clock)
+        self._orphans = OrphanDesk(self.links, self.members, self.ledger, self.metrics)
+        self.witness.listen(self._orphans.count)
         self.runners = RunnerDesk(
             self.members,
             self.metrics,
             self.clock,
             self.random,
             settings.failure_domain,
-            lambda target: self.configuration.document.targets_by_id[
-                target
-            ].slots_per_runner,
+            self._slots_per_runner,
         )
         self.turns = TurnDesk(
             self.incarnation,
@@ -271,6 +292,11 @@
             self.draining,
         )
 
+    def _slots_per_runner(self, target: str) -> int:
+        """Return a target's slots; one that left the document has the default."""
+        model = self.configuration.document.targets_by_id.get(target)
+        return SLOTS_DEFAULT if model is None else model.slots_per_runner
+
     def __enter__(self) -> Self:
         """Start all tasks; the callers' port opens once a document is in force."""
         self._stack.callback(self.log.close)
@@ -278,9 +304,11 @@
         self._stack.enter_context(self.peers)
         self._stack.enter_context(self._peer_server)
         self._stack.enter_context(self.ledger)
+        self._stack.enter_context(self._relay)
         self._stack.enter_context(self.members)
         self.members.drain_by(self._drained)
         self._stack.enter_context(self.budgets)
+        self._stack.enter_context(self._orphans)
         self._stack.enter_context(self.witness)
         self.members.probe_with(self.peers.probe, self.random)
         self._stack.enter_context(self.configuration)
@@ -291,11 +319,24 @@
         self._operators.start()
         self._stack.callback(self._operators.stop, 0)
         self.configuration.loaded.wait()
+        self._await_witnesses()
         self._callers.start()
         self._stack.callback(self._callers.stop, 0)
         logger.info("%s serves callers on %s", self.incarnation, self.settings.caller)
         return self
 
+    def _await_witnesses(self) -> None:
+        """Wait until witnesses are named; a lone daemon goes on without.
+
+        What is dispatched from a grant without witnesses is known to nobody when
+        this process dies: it would be served, never billed, and strand the grant.
+        """
+        deadline = self.clock.now() + WITNESS_SECONDS
+        while not self.budgets.witnessed and self.clock.now() < deadline:
+            if self.members.listed and len(self.members.routers_by_id) <= 1:
+                return
+            gevent.sleep(DRAIN_STEP_SECONDS)
+
     def __exit__(
         self,
         kind: type[BaseException] | None,
@@ -354,6 +395,10 @@
         while not done() and self.clock.now() < deadline:
             gevent.sleep(DRAIN_STEP_SECONDS)
 
+    def _reachable_others(self) -> list[str]:
+        hosts = self.members.reachable_routers()
+        return [host for host in hosts if host != self.settings.host]
+
     def _endurance(self, budget: str) -> float:
         model = self.configuration.document.budgets_by_id.get(budget)
         return (model or BudgetModel(0)).endurance
--- a/godwitrudder/process/metrics.py
+++ b/godwitrudder/process/metrics.py
@@ -40,12 +40,21 @@
         self.snapshots = self._counter(
             "ledger_snapshots", "Snapshots of ledger partitions.", ["result"]
         )
+        self.offers = self._counter(
+            "ledger_offers", "Batches sent to partition owners.", ["result"]
+        )
+        self.relayed_records = self._counter(
+            "relayed_records", "Ledger records taken from peers.", []
+        )
         self.dropped_records = self._counter(
             "dropped_records", "Records dropped, the outbox being full.", ["kind"]
         )
         self.closings = self._counter(
             "closings", "Silent holders that this witness closed.", []
         )
+        self.orphans = self._counter(
+            "orphaned_streams", "Streams of closed routers.", ["result"]
+        )
         self.attempts = self._counter("attempts", "Attempts at runners.", ["result"])
         self.bad_frames = self._counter("bad_frames", "Malformed peer frames.", [])
         self.lost_frames = self._counter(
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import TracebackType
 from typing import Final, Self
 from uuid import uuid4
@@ -18,6 +19,8 @@
     Acked,
     Announce,
     Beat,
+    FenceAsk,
+    Fenced,
     FindIntent,
     Found,
     OpenIntent,
@@ -29,18 +32,23 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.request.holder import handover_of
 from godwitrudder.request.witness import (
+    Action,
+    AskFence,
     BillOrphan,
     CloseHolder,
     Witness,
     candidates,
 )
-from godwitrudder.request.witnesses import WitnessSet
+from godwitrudder.request.witnesses import WitnessSet, host_of
 from godwitrudder.version import records
 from godwitrudder.version.fold import Applied, Effect
 from godwitrudder.version.records import Entry
 
 TICK_SECONDS: Final = 1.0
 FIND_SECONDS: Final = 1.0
+FIRST_SECONDS: Final = 0.05
+
+Listener = Callable[[str, tuple[OpenIntent, ...]], None]
 
 
 class WitnessDesk:
@@ -76,6 +84,7 @@
         self._metrics = metrics
         self._named = named
         self._task: Greenlet | None = None
+        self._listeners: list[Listener] = []
         ledger.listen(self._hear)
 
     def __enter__(self) -> Self:
@@ -93,11 +102,16 @@
         if self._task is not None:
             self._task.kill()
 
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` with each holder closed here and its open intents."""
+        self._listeners.append(listener)
+
     def register(self, handlers: Handlers) -> None:
         """Answer the holders of other daemons."""
         handlers.register(Announce, self._announce)
         handlers.register(Beat, self._beat)
         handlers.register(FindIntent, self._find)
+        handlers.register(FenceAsk, self.witness.answer)
 
     def find(self, request: str) -> Found:
         """Ask every other router for the dispatch of a request.
@@ -129,9 +143,10 @@
         if message.leaving:
             self.witness.leave(message.holder)
             return Standing(self.witness.incarnation, True)
-        if not message.named:
+        if self.witness.incarnation not in message.witnesses:
             return Standing(self.witness.incarnation, False)
-        alive = self.witness.beat(message.holder, self._clock.now())
+        now = self._clock.now()
+        alive = self.witness.beat(message.holder, message.witnesses, now)
         return Standing(self.witness.incarnation, not alive)
 
     def _find(self, message: FindIntent) -> Found:
@@ -144,18 +159,22 @@
 
     def _tick_all(self) -> None:
         while True:
-            gevent.sleep(TICK_SECONDS)
+            known = bool(self._members.routers_by_id)
+            gevent.sleep(TICK_SECONDS if known else FIRST_SECONDS)
             domain_by_host = {
                 entry.id: entry.failure_domain
                 for entry in self._members.routers_by_id.values()
                 if entry.state == "live"
             }
             order = candidates(self._host, self._domain, domain_by_host)
-            self._named.listed(order)
+            self._named.listed(order, domain_by_host, self._domain)
             for action in self.witness.tick(self._clock.now(), self._ledger.reachable):
                 self._append(action)
 
-    def _append(self, action: CloseHolder | BillOrphan) -> None:
+    def _append(self, action: Action) -> None:
+        if isinstance(action, AskFence):
+            gevent.spawn(self._ask_fence, action)
+            return
         for budget, entry in entries_of(action, self.witness.incarnation):
             if budget is None:
                 self._ledger.submit_everywhere(entry)
@@ -163,6 +182,15 @@
                 self._ledger.submit(budget, entry)
         if isinstance(action, CloseHolder):
             self._metrics.closings.inc()
+            for listener in self._listeners:
+                listener(action.holder, action.intents)
+
+    def _ask_fence(self, action: AskFence) -> None:
+        host = host_of(action.message.witness)
+        answer = self._peers.ask(host, action.message, FIND_SECONDS)
+        if isinstance(answer, Fenced):
+            for closing in self.witness.fenced(answer, self._clock.now()):
+                self._append(closing)
 
 
 def entries_of(
