--- a/bench/measure_config.py
+++ b/bench/measure_config.py
@@ -12,6 +12,7 @@
 
 import gc  # noqa: E402
 import json  # noqa: E402
+import math  # noqa: E402
 import statistics  # noqa: E402
 import time  # noqa: E402
 import tracemalloc  # noqa: E402
@@ -23,16 +24,22 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
-from bench.fleet import PLATFORM, settings  # noqa: E402
+from bench.fleet import PLATFORM, Fleet, settings  # noqa: E402
 from bench.report import Row  # noqa: E402
 from godwitrudder import codec  # noqa: E402
 from godwitrudder.clock import HybridClock, SystemClock  # noqa: E402
-from godwitrudder.connection.frames import Message  # noqa: E402
+from godwitrudder.connection.frames import Frame, Message  # noqa: E402
 from godwitrudder.connection.peer import (  # noqa: E402
     Handlers,
     PeerLinks,
     Unreachable,
 )
+from godwitrudder.connection.queries import (  # noqa: E402
+    ConfigAnswer,
+    ConfigAsk,
+)
+from godwitrudder.ctl.page import render  # noqa: E402
+from godwitrudder.platform.hosts import HostEntry  # noqa: E402
 from godwitrudder.platform.log import (  # noqa: E402
     Log,
     LogPage,
@@ -42,7 +49,12 @@
 from godwitrudder.process.configuration import Configuration  # noqa: E402
 from godwitrudder.process.daemon import Daemon  # noqa: E402
 from godwitrudder.process.metrics import Metrics  # noqa: E402
-from godwitrudder.process.spread import Spread  # noqa: E402
+from godwitrudder.process.spread import ASK_SECONDS, Spread  # noqa: E402
+from godwitrudder.process.timeline import (  # noqa: E402
+    RING_EVENTS,
+    Timeline,
+    merge,
+)
 from godwitrudder.version.document import Document, build  # noqa: E402
 from godwitrudder.version.edits import STREAM, Change, Edit  # noqa: E402
 from godwitrudder.version.revisions import (  # noqa: E402
@@ -56,7 +68,9 @@
 EDIT_GAP_SECONDS: Final = 0.7
 IN_FORCE_SECONDS: Final = 7.0
 PEER_SECONDS: Final = 0.001
+STEP_SECONDS: Final = 0.001
 RACES: Final = 1000
+PAID_IN_SECONDS: Final = 30.0
 BUDGETS: Final = 10_000
 WORKSPACES: Final = 5_000
 MILLION: Final = 1_000_000
@@ -67,9 +81,12 @@
     yield from _in_force("log healthy", 0.005, set())
     yield from _in_force("log answers in 2 s", 2.0, set())
     yield from _in_force("one cut off", 0.005, {"router-9"})
+    yield from _over_sockets()
     yield from _races()
     yield from _start()
     yield from _memory()
+    yield from _spread_bytes()
+    yield from _merge()
 
 
 class MemoryLog(Log):
@@ -185,6 +202,33 @@
     yield Row(f"config not in force after 7 s, {name}", len(pending), "", 0)
 
 
+def _over_sockets() -> Iterator[Row]:
+    """Publish edits on the stand-in's log and watch three whole daemons."""
+    seconds: list[float] = []
+    with Fleet(3, 1, 0) as fleet:
+        stream = fleet.platform.streams_by_name[STREAM]
+        folds = [daemon.configuration.fold for daemon in fleet.daemons]
+        version = folds[0].version_of("turns")
+        for number in range(EDITS):
+            gevent.sleep(0.1)
+            text = f"{{}} // {number}"
+            edit = Edit(f"op-{number}", "bench", (Change("turns", version, text),))
+            start = time.monotonic()
+            version = stream.append(codec.encode(edit))
+            waiting = list(folds)
+            while waiting and time.monotonic() < start + IN_FORCE_SECONDS:
+                gevent.sleep(STEP_SECONDS)
+                done = [f for f in waiting if f.version_of("turns") >= version]
+                seconds += [time.monotonic() - start] * len(done)
+                waiting = [fold for fold in waiting if fold not in done]
+            seconds += [math.inf] * len(waiting)
+    p50 = statistics.median(seconds)
+    yield Row("config in force on 3 whole daemons, p50", p50, "s", IN_FORCE_SECONDS)
+    yield Row(
+        "config in force on 3 whole daemons, max", max(seconds), "s", IN_FORCE_SECONDS
+    )
+
+
 def _races() -> Iterator[Row]:
     """Let two to four editors race, with lost answers, a thousand times."""
     random, fold, number = Random(11), ConfigFold(), 0
@@ -230,12 +274,27 @@
 
 def _start() -> Iterator[Row]:
     """Start one daemon on a document of ten thousand budgets."""
-    with Platform(PLATFORM, []) as platform:
+    own = settings(1)
+    entry = HostEntry(
+        id=own.host,
+        role="router",
+        address=str(own.peer),
+        failure_domain=own.failure_domain,
+    )
+    with Platform(PLATFORM, [entry]) as platform:
         edit = Edit("op", "bench", (Change("budgets", -1, _budgets(BUDGETS)),))
         platform.streams_by_name[STREAM].append(codec.encode(edit))
         start = time.monotonic()
-        with Daemon(settings(1)):
+        with Daemon(own) as daemon:
             seconds = time.monotonic() - start
+            names = list(daemon.configuration.document.budgets_by_id)
+            end = start + PAID_IN_SECONDS
+            while names and time.monotonic() < end:
+                gevent.sleep(0.01)
+                names = [name for name in names if daemon.ledger.budget(name) is None]
+            paid = time.monotonic() - start
+    yield Row("budgets not paid in after 30 s, of 10,000", len(names), "", 0)
+    yield Row("daemon start to 10,000 budgets paid in", paid, "s")
     yield Row("daemon start to ready with 10,000 budgets", seconds, "s")
 
 
@@ -270,6 +329,11 @@
     fold.apply(0, 0.0, codec.encode(edit))
     spent = (time.process_time() - start) / BUDGETS * MILLION
     yield Row("config processor time of an edit per budget", spent, "us")
+    start = time.process_time()
+    edit = Edit("other", "bench", (Change("targets", -1, targets),))
+    fold.apply(1, 0.0, codec.encode(edit))
+    spent = (time.process_time() - start) / BUDGETS * MILLION
+    yield Row("config processor time of another section's edit per budget", spent, "us")
 
 
 def _weigh(texts: dict[str, str]) -> float:
@@ -282,3 +346,42 @@
     tracemalloc.stop()
     assert isinstance(document, Document)
     return held
+
+
+def _spread_bytes() -> Iterator[Row]:
+    """Weigh the frames of one question a second, asked and answered."""
+    stamp = HybridClock(SystemClock()).tick()
+    ask = Frame(1000, False, stamp, ConfigAsk(100_000))
+    answer = Frame(1000, True, stamp, ConfigAnswer(100_000))
+    size = 2 * (len(codec.encode(ask)) + len(codec.encode(answer)))
+    yield Row("config spread frames per daemon", size / ASK_SECONDS, "bytes/s")
+
+
+def _merge() -> Iterator[Row]:
+    """Merge the full rings of nine daemons and draw the page."""
+    rings = [
+        Timeline(f"router-{number}", HybridClock(SystemClock()))
+        for number in range(DAEMONS)
+    ]
+    gc.collect()
+    tracemalloc.start()
+    for number in range(RING_EVENTS):
+        for ring in rings:
+            ring.note("dispatch", f"request-{number}", "workspace", "engine-1")
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    start = time.process_time()
+    merged = list(merge(ring.events for ring in rings))
+    seconds = time.process_time() - start
+    assert len(merged) == DAEMONS * RING_EVENTS
+    start = time.process_time()
+    render(merged, [])
+    page = time.process_time() - start
+    yield Row("time line merge of 9 x 10,000 events", seconds, "s")
+    yield Row("time line page of the newest 5,000 events", page, "s")
+    yield Row("time line memory per daemon", held / DAEMONS / MILLION, "MB")
+    start = time.process_time()
+    for _ in range(RING_EVENTS):
+        rings[0].note("dispatch", "request", "workspace", "engine-1")
+    noted = (time.process_time() - start) / RING_EVENTS * MILLION
+    yield Row("time line processor time per event", noted, "us")
--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -19,6 +19,7 @@
 from godwitrudder import codec
 from godwitrudder.clock import Clock
 from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
+from godwitrudder.process import guard
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.version.document import Document
 from godwitrudder.version.edits import STREAM
@@ -34,6 +35,7 @@
 SNAPSHOT_SHARE: Final = 0.25
 CHECK_SHARE: Final = 0.02
 MAX_CHECK_SECONDS: Final = 600.0
+AT_START: Final = -1.0
 
 logger = logging.getLogger(__name__)
 
@@ -51,7 +53,10 @@
     loaded : Event
         Set once the document is as new as the log, or as the peers'.
     in_force_seconds : float
-        From the log's time of the newest accepted record to its being in force.
+        From the log's time of the newest accepted record to its being in force;
+        ``AT_START`` if the daemon began with it.
+    diverged : callable
+        Called when another process's snapshot differs from the own state.
     """
 
     def __init__(
@@ -69,7 +74,8 @@
         self._retention_seconds = retention_seconds
         self.fold = ConfigFold()
         self.loaded = Event()
-        self.in_force_seconds = 0.0
+        self.in_force_seconds = AT_START
+        self.diverged: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[Document], None]] = []
         self._advance_listeners: list[Callable[[list[Result]], None]] = []
         self._tasks: list[Greenlet] = []
@@ -89,7 +95,8 @@
 
     def __enter__(self) -> Self:
         """Start to follow the log and to write snapshots."""
-        self._tasks = [gevent.spawn(self._follow), gevent.spawn(self._keep_snapshot)]
+        for task in (self._follow, self._keep_snapshot):
+            self._tasks.append(guard.spawn(self._metrics, task))
         return self
 
     def __exit__(
@@ -115,7 +122,7 @@
     def load_from_peers(self) -> None:
         """Count as loaded though the log says nothing."""
         if not self.loaded.is_set() and self.document.version >= 0:
-            logger.warning("log unreachable: configuration loaded from peers")
+            logger.warning("configuration loaded from peers, not from the log")
             self.loaded.set()
 
     def _follow(self) -> None:
@@ -135,7 +142,7 @@
             results.extend(self.fold.apply(record.offset, record.time, record.data))
         self.took(results, "log")
         if self.fold.diverged > diverged:
-            self._metrics.violations.labels("config_diverged").inc()
+            self.diverged()
 
     def _up_to(self, page: LogPage) -> bool:
         whole = not self.fold.seeking and self.fold.next_offset >= page.first
@@ -152,9 +159,10 @@
 
     def _accepted(self, result: Accepted, source: str) -> None:
         verdict = result.verdict
-        self.in_force_seconds = max(0.0, self._clock.wall() - verdict.time)
         self._metrics.config_records.labels("accepted", source).inc()
+        self.in_force_seconds = AT_START
         if self.loaded.is_set():
+            self.in_force_seconds = max(0.0, self._clock.wall() - verdict.time)
             self._metrics.config_in_force.observe(self.in_force_seconds)
 
     def _in_force(self, source: str) -> None:
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -31,6 +31,7 @@
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
+from godwitrudder.process.monitor import Monitor
 from godwitrudder.process.operator import OperatorApplication
 from godwitrudder.process.orphans import OrphanDesk
 from godwitrudder.process.owners import Owners
@@ -213,6 +214,7 @@
             settings.ledger_partitions,
             self._listed_routers,
             self.clock,
+            self.metrics,
         )
         self.configuration.listen(self._payments.hear)
         application = CallerApplication(
@@ -225,10 +227,15 @@
             settings.caller, application, lambda: self.draining
         )
         self._operators = self._operator_server()
+        self.monitor = Monitor(self.metrics, self.incarnation, self.ledger.budget)
         self._record()
 
     def _record(self) -> None:
-        """Put frames, ledger records and configuration on the time line."""
+        """Put frames, records and configuration on the time line; watch it."""
+        self.timeline.listeners.append(self.monitor.noted)
+        self.ledger.listen(self.monitor.heard)
+        self.configuration.listen(self.monitor.config)
+        self.configuration.diverged = self.monitor.diverged
         recorder = Recorder(self.timeline, self.incarnation)
         self.handlers.sent = recorder.sent
         self.handlers.received = recorder.received
@@ -253,7 +260,9 @@
             settings.operator_keys_by_team, console, publisher
         )
         address = (settings.operator.ip, settings.operator.port)
-        return WSGIServer(address, application, log=None, error_log=logger)
+        return WSGIServer(
+            address, application, log=None, error_log=logger, spawn=application.AT_ONCE
+        )
 
     def _listed_routers(self) -> list[str]:
         """Return the reachable routers, none before the first host list."""
@@ -364,6 +373,7 @@
         self._wait(self._settled, max(deadline, self.clock.now() + CUT_SECONDS))
         if not self.router.in_flight and self.ledger.settled():
             self.budgets.leave()
+        self.monitor.drained(cut)
         return cut
 
     def cut(self) -> int:
--- a/godwitrudder/version/revisions.py
+++ b/godwitrudder/version/revisions.py
@@ -31,6 +31,7 @@
 
 KEPT_VERDICTS: Final = 256
 KEPT_BYTES: Final = 1_000_000
+MAX_PROBLEM_CHARACTERS: Final = 500
 HISTORY: Final = "history"
 
 
@@ -102,6 +103,12 @@
             return self._hold(offset, time, data)
         return self._advance(offset, time, data)
 
+    def fill(self, offset: int, time: float, data: bytes) -> list[Result]:
+        """Apply the very next record, also while a gap waits to be closed."""
+        if offset != self.next_offset:
+            return []
+        return [*self._advance(offset, time, data), *self._release()]
+
     def records_from(self, offset: int) -> list[Kept] | None:
         """Return kept records from ``offset`` on; None if some are gone."""
         if offset >= self.next_offset:
@@ -151,12 +158,16 @@
             {name: part.section_version for name, part in by_section.items()},
             {name: part.text for name, part in by_section.items()},
             frozenset(history.drains),
+            self.document,
         )
         if isinstance(document, Problem):
             return [Rejected(None, document)]
         self.document = document
         self.next_offset = head.covers
         self.verdicts_by_op = {verdict.op: verdict for verdict in history.verdicts}
+        if self.snapshot_time is None:
+            # The log may have no snapshot; this makes one due.
+            self.snapshot_time = 0.0
         self._recent.clear()
         self._recent_bytes = 0
         return [Restored(head.covers), *self._release()]
@@ -178,6 +189,7 @@
         """Apply the held records that follow, unless a gap is left."""
         if not self._held or self._held[0][0] > self.next_offset:
             return []
+        self._parts_by_section = {}
         held, self._held = self._held, []
         results: list[Result] = []
         for offset, time, data in held:
@@ -246,7 +258,7 @@
             offset,
             time,
             made_on,
-            "" if problem is None else str(problem),
+            "" if problem is None else str(problem)[:MAX_PROBLEM_CHARACTERS],
             {name: self.version_of(name) for name in made_on},
             what,
         )
@@ -282,9 +294,9 @@
             return Problem(change.section, "", expected)
         texts[change.section] = change.text
         versions[change.section] = offset
-    if sum(len(change.text) for change in edit.changes) > MAX_RECORD_BYTES:
+    if sum(len(change.text.encode()) for change in edit.changes) > MAX_RECORD_BYTES:
         return Problem("edit", "", f"expected at most {MAX_RECORD_BYTES} bytes")
-    return _checked(build(offset, versions, texts, document.drains))
+    return _checked(build(offset, versions, texts, document.drains, document))
 
 
 def drained(document: Document, offset: int, drain: Drain) -> Document | Problem:
