--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -40,6 +40,7 @@
 from godwitrudder.version.fold import Effect, Voided
 
 TICK_SECONDS: Final = 0.1
+QUIET_SECONDS: Final = 0.25
 BEAT_SECONDS: Final = 1.0
 FIRST_SECONDS: Final = 0.1
 ANSWER_SECONDS: Final = 1.0
@@ -307,7 +308,7 @@
 
     def _tick_all(self) -> None:
         while True:
-            gevent.sleep(TICK_SECONDS)
+            gevent.sleep(TICK_SECONDS if self._woken_by_request else QUIET_SECONDS)
             now = self._clock.now()
             self._run(self.holder.tick(now))
             while self._judged and self._judged[0][0] <= now:
--- a/godwitrudder/process/payments.py
+++ b/godwitrudder/process/payments.py
@@ -18,6 +18,7 @@
 from godwitrudder.version.payments import differing, rank_of, turn_comes
 
 STEP_SECONDS: Final = 0.1
+QUIET_SECONDS: Final = 1.0
 RECHECK_SECONDS: Final = 5.0
 
 
@@ -90,7 +91,8 @@
             now = self._clock.now()
             for partition in self._names_by_partition:
                 self._check(partition, now)
-            self._heard.wait(STEP_SECONDS)
+            settled = now - self._seen_at > RECHECK_SECONDS
+            self._heard.wait(QUIET_SECONDS if settled else STEP_SECONDS)
             self._heard.clear()
 
     def _check(self, partition: int, now: float) -> None:
