Give all owners of tasks one base, so that every crash is seen

Cause: seven classes started and stopped their tasks in lines of their own, and three of them (budgets, witness, runners) without the guard: a crash there ended the task silently and the daemon went on without it.

--- a/godwitrudder/process/budgets.py
+++ b/godwitrudder/process/budgets.py
@@ -9,12 +9,10 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 from uuid import uuid4
 
 import gevent
-from gevent import Greenlet
 from gevent.event import AsyncResult
 
 from godwitrudder.clock import Clock
@@ -26,6 +24,7 @@
     Standing,
 )
 from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.request import events
@@ -86,7 +85,7 @@
         return refused
 
 
-class BudgetDesk:
+class BudgetDesk(Guarded):
     """Reserves, announces, bills and returns tokens for one incarnation.
 
     Parameters
@@ -111,7 +110,7 @@
     ) -> None:
         self._ledger = ledger
         self._clock = clock
-        self._metrics = metrics
+        super().__init__(metrics)
         self._peers = peers
         self._routers = routers
         host = host_of(incarnation)
@@ -125,22 +124,11 @@
         self.holder = Holder(allotment, new_op)
         self._woken_by_request: dict[str, AsyncResult[Woken]] = {}
         self._judged: deque[tuple[float, Refuse]] = deque(maxlen=JUDGED_MOST)
-        self._tasks: list[Greenlet] = []
         ledger.listen(self._hear)
 
-    def __enter__(self) -> Self:
-        """Start to beat time."""
-        self._tasks = [gevent.spawn(self._tick_all), gevent.spawn(self._beat_all)]
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        gevent.killall(self._tasks)
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._tick_all, self._beat_all)
 
     @property
     def witnessed(self) -> bool:
--- a/godwitrudder/process/configuration.py
+++ b/godwitrudder/process/configuration.py
@@ -9,17 +9,15 @@
 import logging
 from collections.abc import Callable
 from random import Random
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
 import gevent
-from gevent import Greenlet
 from gevent.event import Event
 
 from godwitrudder import codec
 from godwitrudder.clock import Clock
 from godwitrudder.platform.log import POLL_SECONDS, Log, LogPage, LogUnavailable
-from godwitrudder.process import guard
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.version.document import Document
 from godwitrudder.version.edits import STREAM
@@ -40,7 +38,7 @@
 logger = logging.getLogger(__name__)
 
 
-class Configuration:
+class Configuration(Guarded):
     """The document in force in this daemon.
 
     Parameters
@@ -68,7 +66,7 @@
         retention_seconds: float,
     ) -> None:
         self._log = log
-        self._metrics = metrics
+        super().__init__(metrics)
         self._clock = clock
         self._random = random
         self._retention_seconds = retention_seconds
@@ -78,7 +76,6 @@
         self.diverged: Callable[[], None] = lambda: None
         self._listeners: list[Callable[[Document], None]] = []
         self._advance_listeners: list[Callable[[list[Result]], None]] = []
-        self._tasks: list[Greenlet] = []
 
     @property
     def document(self) -> Document:
@@ -93,20 +90,9 @@
         """Call ``listener`` with the results of each step of the fold."""
         self._advance_listeners.append(listener)
 
-    def __enter__(self) -> Self:
-        """Start to follow the log and to write snapshots."""
-        for task in (self._follow, self._keep_snapshot):
-            self._tasks.append(guard.spawn(self._metrics, task))
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        gevent.killall(self._tasks)
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._follow, self._keep_snapshot)
 
     def took(self, results: list[Result], source: str) -> None:
         """Put the results of the fold into force; ``source`` is log or peer."""
--- a/godwitrudder/process/guard.py
+++ b/godwitrudder/process/guard.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import logging
+from abc import ABC, abstractmethod
 from collections.abc import Callable
+from types import TracebackType
+from typing import Self
 
 import gevent
 from gevent import Greenlet
@@ -11,6 +14,33 @@
 from godwitrudder.process.metrics import Metrics
 
 logger = logging.getLogger(__name__)
+Loop = Callable[[], None]
+
+
+class Guarded(ABC):
+    """Owns tasks that run as long as it does, as a context manager."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._tasks: list[Greenlet] = []
+
+    @abstractmethod
+    def loops(self) -> tuple[Loop, ...]:
+        """Return what runs from entry to exit, each in a task of its own."""
+
+    def __enter__(self) -> Self:
+        """Start the tasks."""
+        self._tasks = [spawn(self._metrics, loop) for loop in self.loops()]
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """Stop the tasks."""
+        gevent.killall(self._tasks)
 
 
 def spawn(metrics: Metrics, task: Callable[..., None], *arguments: object) -> Greenlet:
--- a/godwitrudder/process/payments.py
+++ b/godwitrudder/process/payments.py
@@ -4,14 +4,12 @@
 
 from collections import defaultdict
 from collections.abc import Callable
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
-from gevent import Greenlet
 from gevent.event import Event
 
 from godwitrudder.clock import Clock
-from godwitrudder.process import guard
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.ledger import Ledger, partition_of
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.version.document import BudgetModel, Document
@@ -22,7 +20,7 @@
 RECHECK_SECONDS: Final = 5.0
 
 
-class Payments:
+class Payments(Guarded):
     """Compares document and ledger in the partitions that are this daemon's.
 
     Parameters
@@ -42,7 +40,7 @@
         metrics: Metrics,
     ) -> None:
         self._host = host
-        self._metrics = metrics
+        super().__init__(metrics)
         self._ledger = ledger
         self._partitions = partitions
         self._hosts = hosts
@@ -54,22 +52,10 @@
         self._checked_at_by_partition: dict[int, float] = {}
         self._version_by_submitted: dict[str, int] = {}
         self._heard = Event()
-        self._task: Greenlet | None = None
 
-    def __enter__(self) -> Self:
-        """Start to compare."""
-        self._task = guard.spawn(self._metrics, self._run)
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._run,)
 
     def hear(self, document: Document) -> None:
         """Take a new document over."""
--- a/godwitrudder/process/relay.py
+++ b/godwitrudder/process/relay.py
@@ -8,15 +8,13 @@
 
 from collections.abc import Callable
 from random import Random
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
 import gevent
-from gevent import Greenlet
 
 from godwitrudder.connection.ledgers import RecordsAnswer, RecordsAsk
 from godwitrudder.connection.peer import Handlers, PeerLinks
-from godwitrudder.process import guard
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.process.partition import Partition
@@ -26,7 +24,7 @@
 ANSWER_BYTES: Final = 500_000
 
 
-class Relay:
+class Relay(Guarded):
     """Asks peers for records while the log is away, and answers theirs.
 
     Parameters
@@ -47,25 +45,13 @@
         self._ledger = ledger
         self._peers = peers
         self._others = others
-        self._metrics = metrics
+        super().__init__(metrics)
         self._random = random
-        self._task: Greenlet | None = None
         handlers.register(RecordsAsk, self._answer)
 
-    def __enter__(self) -> Self:
-        """Start to ask."""
-        self._task = guard.spawn(self._metrics, self._ask_all)
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._ask_all,)
 
     def _ask_all(self) -> None:
         while True:
--- a/godwitrudder/process/runners.py
+++ b/godwitrudder/process/runners.py
@@ -11,16 +11,15 @@
 
 from collections.abc import Callable, Collection
 from random import Random
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
 import gevent
-from gevent import Greenlet
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection import probe
 from godwitrudder.connection.probe import CacheEvents, Unanswered
 from godwitrudder.connection.shares import ShareAnswer
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.request.board import Board, hear
@@ -38,7 +37,7 @@
 IDLE_SECONDS: Final = 60.0
 
 
-class RunnerDesk:
+class RunnerDesk(Guarded):
     """Choice of runners for one daemon.
 
     Parameters
@@ -59,7 +58,7 @@
         slots_of: Callable[[str], int],
     ) -> None:
         self._members = members
-        self._metrics = metrics
+        super().__init__(metrics)
         self._clock = clock
         self._slots_of = slots_of
         self._board = Board(failure_domain, random)
@@ -67,22 +66,10 @@
         self._polled_at_by_runner: dict[str, float] = {}
         self._next_by_runner: dict[str, int] = {}
         self._event_bytes = EVENT_BYTES_MOST
-        self._task: Greenlet | None = None
 
-    def __enter__(self) -> Self:
-        """Start to poll."""
-        self._task = gevent.spawn(self._poll_all)
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._poll_all,)
 
     def choose(
         self, target: str, prompt_text: str, excluded: Collection[str]
--- a/godwitrudder/process/spread.py
+++ b/godwitrudder/process/spread.py
@@ -9,16 +9,14 @@
 
 from collections.abc import Callable
 from random import Random
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 
 import gevent
-from gevent import Greenlet
 
 from godwitrudder.connection.peer import Handlers, PeerLinks
 from godwitrudder.connection.queries import ConfigAnswer, ConfigAsk, ConfigHave
-from godwitrudder.process import guard
 from godwitrudder.process.configuration import Configuration
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.version import catchup
 from godwitrudder.version.catchup import CatchUp
 from godwitrudder.version.revisions import Result
@@ -32,7 +30,7 @@
 WITNESSES: Final = 2
 
 
-class Spread:
+class Spread(Guarded):
     """Takes configuration from peers and tells them of it.
 
     Parameters
@@ -51,32 +49,20 @@
         random: Random,
     ) -> None:
         self._host = host
-        self._metrics = handlers.metrics
+        super().__init__(handlers.metrics)
         self._configuration = configuration
         self._peers = peers
         self._hosts = hosts
         self._random = random
         self._catch_up = CatchUp(configuration.fold)
         self._agreed: set[str] = set()
-        self._tasks: list[Greenlet] = []
         handlers.register(ConfigAsk, self._answer)
         handlers.register(ConfigHave, self._hear)
         configuration.advanced(self._tell)
 
-    def __enter__(self) -> Self:
-        """Start to ask."""
-        for task in (self._ask_all, self._start_alone):
-            self._tasks.append(guard.spawn(self._metrics, task))
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        gevent.killall(self._tasks)
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._ask_all, self._start_alone)
 
     def _ask_all(self) -> None:
         while True:
--- a/godwitrudder/process/witness.py
+++ b/godwitrudder/process/witness.py
@@ -7,12 +7,10 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from types import TracebackType
-from typing import Final, Self
+from typing import Final
 from uuid import uuid4
 
 import gevent
-from gevent import Greenlet
 
 from godwitrudder.clock import Clock
 from godwitrudder.connection.escrow import (
@@ -27,6 +25,7 @@
     Standing,
 )
 from godwitrudder.connection.peer import Handlers, PeerLinks
+from godwitrudder.process.guard import Guarded, Loop
 from godwitrudder.process.ledger import Ledger
 from godwitrudder.process.members import Members
 from godwitrudder.process.metrics import Metrics
@@ -51,7 +50,7 @@
 Listener = Callable[[str, tuple[OpenIntent, ...]], None]
 
 
-class WitnessDesk:
+class WitnessDesk(Guarded):
     """Witnesses for peers, and finds witnesses for this process.
 
     Parameters
@@ -81,26 +80,14 @@
         self._members = members
         self._peers = peers
         self._clock = clock
-        self._metrics = metrics
+        super().__init__(metrics)
         self._named = named
-        self._task: Greenlet | None = None
         self._listeners: list[Listener] = []
         ledger.listen(self._hear)
 
-    def __enter__(self) -> Self:
-        """Start to beat time."""
-        self._task = gevent.spawn(self._tick_all)
-        return self
-
-    def __exit__(
-        self,
-        kind: type[BaseException] | None,
-        error: BaseException | None,
-        trace: TracebackType | None,
-    ) -> None:
-        """Stop."""
-        if self._task is not None:
-            self._task.kill()
+    def loops(self) -> tuple[Loop, ...]:
+        """Return the loops of this owner."""
+        return (self._tick_all,)
 
     def listen(self, listener: Listener) -> None:
         """Call ``listener`` with each holder closed here and its open intents."""
