Close accepted links when a peer server stops

Cause: a daemon stopped inside a process that goes on still answered its peers, since only the listener was closed; a fleet in one process showed less silence than a real one. Before: the new test gets an answer after the stop. After: Unreachable.

--- a/godwitrudder/connection/peer.py
+++ b/godwitrudder/connection/peer.py
@@ -67,6 +67,7 @@
         self._key = key
         self._handlers = handlers
         self._known = known
+        self._links: set[Link] = set()
         self._server = StreamServer((address.ip, address.port), self._serve)
 
     def __enter__(self) -> Self:
@@ -80,8 +81,10 @@
         error: BaseException | None,
         trace: TracebackType | None,
     ) -> None:
-        """Stop listening."""
+        """Stop listening and close the links that were accepted."""
         self._server.stop(timeout=0)
+        for link in list(self._links):
+            link.close()
 
     def _serve(self, sock: socket.socket, address: object) -> None:
         sock.settimeout(CONNECT_SECONDS)
@@ -91,9 +94,16 @@
         except OSError:
             host = None
         if host is not None:
-            Link(sock, protocol, self._handlers, host).read_all()
+            self._read(Link(sock, protocol, self._handlers, host))
         sock.close()
 
+    def _read(self, link: Link) -> None:
+        self._links.add(link)
+        try:
+            link.read_all()
+        finally:
+            self._links.discard(link)
+
     def _handshake(self, sock: socket.socket, protocol: ServerProtocol) -> str | None:
         """Return the host of the peer, None for one that was refused."""
         while True:
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -154,3 +154,11 @@
     monkeypatch.setattr(socket.socket, "sendall", lambda *_: gevent.sleep(60.0))
     sent = [near.tell("far", Ping("x" * 10_000)) for _ in range(100)]
     assert sent[0] and not sent[-1]
+
+
+def test_a_stopped_server_answers_no_more() -> None:
+    """Links that it accepted close with it, though the process goes on."""
+    with links(SERVER) as near:
+        with PeerServer(SERVER, KEY, handlers(), lambda _: True):
+            assert near.ask("far", Ping("near/1"), 5.0) == Ping("near/1")
+        assert isinstance(near.ask("far", Ping("near/1"), 5.0), Unreachable)
