--- /dev/null
+++ b/godwitrudder/platform/documents.py
@@ -0,0 +1,181 @@
+"""The platform's documents, validated and decoded once into the product's types."""
+
+from __future__ import annotations
+
+from typing import Final
+
+import msgspec
+
+from godwitrudder.codec import Malformed
+from godwitrudder.sections import Address, Problem, parse_address
+from godwitrudder.version.catalogue import (
+    CallerLimits,
+    Catalogue,
+    Engine,
+    Entry,
+    Kind,
+    Route,
+    Share,
+    Target,
+    Workspace,
+    index_routes,
+)
+
+KIND_BY_WORD: Final = {
+    "safe": Kind.SAFE,
+    "unsafe": Kind.UNSAFE,
+    "streaming": Kind.STREAM,
+}
+
+
+class ShareModel(msgspec.Struct):
+    """One target of a route that is split."""
+
+    service: str
+    weight: float = 1.0
+
+
+class RouteModel(msgspec.Struct):
+    """A route as the operator writes it."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 1000.0
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[ShareModel] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0.0
+
+
+class EngineModel(msgspec.Struct):
+    """What the engines of a service have in common."""
+
+    slots: int = 1
+    stride: int = 1
+    kv_capacity_tokens: int = 0
+
+
+class ServiceModel(msgspec.Struct):
+    """A service as the operator writes it."""
+
+    name: str
+    max_conns: int = 0
+    engine: EngineModel | None = None
+
+
+class LimitsModel(msgspec.Struct):
+    """Bounds on what consumers send."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class TenantModel(msgspec.Struct):
+    """A tenant with its keys."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    prepaid: int | None = None
+
+
+class ConfigurationModel(msgspec.Struct):
+    """The whole configuration."""
+
+    version: int
+    routes: list[RouteModel] = []
+    services: list[ServiceModel] = []
+    limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
+    tenants: list[TenantModel] | None = None
+
+
+class RunnerModel(msgspec.Struct):
+    """What a runner says of itself in the store."""
+
+    service: str
+    address: str
+    state: str
+    zone: str = ""
+    slots: int = 1
+
+
+def catalogue(data: bytes) -> Catalogue | Malformed:
+    """Decode a configuration."""
+    try:
+        model = msgspec.json.decode(data, type=ConfigurationModel, strict=False)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Malformed(str(error))
+    routes = [_route(route, model.tenants is None) for route in model.routes]
+    workspaces = {
+        tenant.name: Workspace(tenant.name, tenant.priority, tenant.prepaid)
+        for tenant in model.tenants or []
+    }
+    by_key = {
+        key: workspaces[tenant.name]
+        for tenant in model.tenants or []
+        for key in tenant.api_keys
+    }
+    targets = {service.name: _target(service) for service in model.services}
+    limits = CallerLimits(
+        model.limits.max_header_bytes,
+        model.limits.max_body_bytes,
+        model.limits.header_timeout_ms / 1000,
+        model.limits.idle_timeout_ms / 1000,
+    )
+    return Catalogue(
+        model.version, index_routes(routes), targets, workspaces, by_key, limits
+    )
+
+
+def entry(key: str, data: bytes) -> Entry | Malformed:
+    """Decode what the store lists of one runner."""
+    try:
+        model = msgspec.json.decode(data, type=RunnerModel)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Malformed(str(error))
+    if model.state not in ("ready", "draining"):
+        return Malformed(f"state {model.state!r}")
+    address = parse_address("servers", key, model.address)
+    if isinstance(address, Problem):
+        return Malformed(str(address))
+    leaving = model.state != "ready"
+    return Entry(key, model.service, address, model.zone, leaving, max(1, model.slots))
+
+
+def address(text: str) -> Address | Problem:
+    """Decode ``ip:port``."""
+    return parse_address("settings", "address", text)
+
+
+def _route(model: RouteModel, public: bool) -> Route:
+    shares = tuple(Share(part.service, part.weight) for part in model.traffic_split)
+    return Route(
+        name=model.name,
+        host=model.host.lower(),
+        path_prefix=model.path_prefix,
+        kind=KIND_BY_WORD.get(model.kind, Kind.UNSAFE),
+        shares=shares or (Share(model.service, 1.0),),
+        timeout_seconds=model.timeout_ms / 1000,
+        aim_seconds=model.target_latency_ms / 1000,
+        attempts_most=max(1, model.max_attempts),
+        rank=model.priority,
+        public=model.public or public,
+        resumable=model.resumable and model.kind == "streaming",
+        gap_seconds=model.gap_aim_ms / 1000,
+    )
+
+
+def _target(model: ServiceModel) -> Target:
+    engine = model.engine
+    if engine is None:
+        return Target(model.name, model.max_conns, None)
+    shared = Engine(engine.slots, max(1, engine.stride), engine.kv_capacity_tokens)
+    return Target(model.name, model.max_conns, shared)
--- /dev/null
+++ b/godwitrudder/platform/names.py
@@ -0,0 +1,54 @@
+"""Names of the users' platform: headers, calls, topics, words of its documents.
+
+Everything outside this folder uses the product's own words.
+"""
+
+from __future__ import annotations
+
+from typing import Final
+
+REQUEST_ID: Final = b"x-godwitrudder-request-id"
+DEADLINE_MS: Final = b"x-godwitrudder-deadline-ms"
+PREFIX: Final = b"x-godwitrudder-prefix-hash"
+TOKENS: Final = b"x-godwitrudder-token-count"
+MODEL: Final = b"x-godwitrudder-model"
+LENGTH_HINT: Final = b"x-godwitrudder-length-hint"
+SIGNATURE: Final = b"x-godwitrudder-response-signature"
+TENANT: Final = b"x-godwitrudder-tenant"
+EXPECT_INSTANCE: Final = b"x-godwitrudder-expect-instance"
+INSTANCE: Final = b"x-godwitrudder-instance-id"
+NOT_EXECUTED: Final = b"x-godwitrudder-not-executed"
+SERVER_LOAD: Final = b"x-godwitrudder-server-load"
+PRIORITY: Final = b"x-godwitrudder-request-priority"
+LAST_EVENT_ID: Final = b"last-event-id"
+
+SET_BY_SYSTEM: Final = frozenset(
+    {
+        b"authorization",
+        TENANT,
+        EXPECT_INSTANCE,
+        PRIORITY,
+        DEADLINE_MS,
+        b"x-godwitrudder-expect-version",
+        b"x-godwitrudder-pin-ms",
+        b"x-godwitrudder-hold",
+        b"x-godwitrudder-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+        b"wait-ms",
+    }
+)
+"""Request headers that are the system's to set or to keep to itself."""
+
+READY_PATH: Final = "/api/ready"
+APPEND: Final = "/api/log-append"
+READ: Final = "/api/log-read"
+NEWEST: Final = "/api/log-newest"
+
+OPERATOR_TOPIC: Final = "keyed.op"
+CONFIGURATION_KEY: Final = "config"
+RUNNERS_TOPIC: Final = "keyed.servers"
+LEDGER_TOPIC: Final = "keyed.ledger"
+
+SETTINGS_VARIABLE: Final = "GODWITRUDDER_SETTINGS"
+METRICS_VARIABLE: Final = "GODWITRUDDER_METRICS_PORT"
--- /dev/null
+++ b/godwitrudder/platform/settings.py
@@ -0,0 +1,95 @@
+"""The settings file that the platform gives an entry process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from godwitrudder.sections import Address, Problem, parse, parse_address
+
+
+class ListenModel(msgspec.Struct):
+    """Where the process listens."""
+
+    front: str
+    ready: str
+
+
+class StoreModel(msgspec.Struct):
+    """Where the store is."""
+
+    address: str
+
+
+class BoundsModel(msgspec.Struct):
+    """Figures of the rules; every one has the default of the sheet."""
+
+    drain_ms: float = 2000.0
+    grace_s: float = 8.0
+    config_ms: float = 2000.0
+    retry_ratio: float = 0.2
+    retry_window_s: float = 10.0
+    retry_slack: float = 10.0
+    settle_ms: float = 1500.0
+
+
+class SettingsModel(msgspec.Struct):
+    """The fields that the process reads."""
+
+    node: str
+    zone: str
+    listen: ListenModel
+    platform: StoreModel
+    bounds: BoundsModel = msgspec.field(default_factory=BoundsModel)
+    heartbeat_ms: float = 1200.0
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """Who an entry process is and what binds it; times in seconds."""
+
+    host: str
+    failure_domain: str
+    callers: Address
+    ready: Address
+    store: Address
+    leave_seconds: float
+    grace_seconds: float
+    retry_share: float
+    retry_window_seconds: float
+    retry_slack: float
+
+
+def load(path: Path) -> EntrySettings | Problem:
+    """Read and check the settings file."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        return Problem(str(path), "", f"expected a readable file: {error}")
+    model = parse(str(path), text, SettingsModel)
+    if isinstance(model, Problem):
+        return model
+    callers = parse_address(str(path), "listen.front", model.listen.front)
+    ready = parse_address(str(path), "listen.ready", model.listen.ready)
+    store = parse_address(str(path), "platform.address", model.platform.address)
+    for address in (callers, ready, store):
+        if isinstance(address, Problem):
+            return address
+    assert not isinstance(callers, Problem)
+    assert not isinstance(ready, Problem)
+    assert not isinstance(store, Problem)
+    bounds = model.bounds
+    return EntrySettings(
+        model.node,
+        model.zone,
+        callers,
+        ready,
+        store,
+        bounds.drain_ms / 1000,
+        bounds.grace_s,
+        bounds.retry_ratio,
+        bounds.retry_window_s,
+        bounds.retry_slack,
+    )
--- /dev/null
+++ b/godwitrudder/platform/store.py
@@ -0,0 +1,266 @@
+"""Client of the platform's metadata store, the only one.
+
+Every call returns a value: what was asked for, or why there is no answer.  An
+append without an answer may stand, now or seconds later.
+"""
+
+from __future__ import annotations
+
+import base64
+import logging
+import struct
+from dataclasses import dataclass
+from typing import Any, Final
+from urllib.parse import urlencode
+
+import msgspec
+from geventhttpclient import HTTPClient
+
+from godwitrudder.platform import names
+from godwitrudder.sections import Address
+
+TIMEOUT_SECONDS: Final = 1.0
+"""A slow store answers within 0.3 s (4 ms an answer, 74 times as long)."""
+CONNECT_SECONDS: Final = 0.6
+CONNECTIONS: Final = 4
+PAGE_HEADER: Final = struct.Struct(">QQ")
+LENGTH: Final = struct.Struct(">I")
+
+logger = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """No usable answer; what was asked may have been done, or be done later."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """The store answered, and did nothing.
+
+    Attributes
+    ----------
+    expected_sequence : int or None
+        The producer's next sequence number, where that was at fault.
+    """
+
+    status: int
+    reason: str
+    expected_sequence: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Forgotten:
+    """The records asked for are no longer kept."""
+
+    first: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyedRecord:
+    """The record of a key; a value of None drops the key."""
+
+    key: str
+    value: bytes | None
+
+
+@dataclass(frozen=True, slots=True)
+class Page:
+    """Records, and the offset after the last one."""
+
+    next: int
+    records: tuple[KeyedRecord, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Producer:
+    """Names the writer of an append, so that it takes effect once."""
+
+    name: str
+    epoch: int
+    sequence: int
+
+
+class ItemModel(msgspec.Struct):
+    """One item of the newest records."""
+
+    key: str
+    value: str
+    offset: int
+
+
+class NewestModel(msgspec.Struct):
+    """A page of the newest records."""
+
+    items: list[ItemModel]
+    end: int
+    has_more: bool = False
+
+
+class AppendedModel(msgspec.Struct):
+    """The answer to an append."""
+
+    offset: int = 0
+    end: int = 0
+
+
+class Store:
+    """Calls of the store, each bounded in time."""
+
+    def __init__(self, address: Address) -> None:
+        self._address = address
+        self._client = HTTPClient(
+            address.ip,
+            address.port,
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=TIMEOUT_SECONDS,
+            concurrency=CONNECTIONS,
+        )
+        self._waiting: HTTPClient | None = None
+
+    def append(
+        self, topic: str, record: KeyedRecord | None, producer: Producer
+    ) -> int | Rejected | Unavailable:
+        """Append a keyed record, or only set the epoch; return the offset after it."""
+        query = {
+            "topic": topic,
+            "part": 0,
+            "producer": producer.name,
+            "epoch": producer.epoch,
+            "seq": producer.sequence,
+        }
+        body = b"" if record is None else _encode(record)
+        answer = self._ask(self._client, "POST", names.APPEND, query, body)
+        if isinstance(answer, Unavailable):
+            return answer
+        status, data = answer
+        if status != 200:
+            return _rejected(status, data)
+        try:
+            appended = msgspec.json.decode(data or b"{}", type=AppendedModel)
+        except msgspec.MsgspecError as error:
+            return Unavailable(f"append: {error}")
+        return appended.end
+
+    def newest(self, topic: str) -> Page | Rejected | Unavailable:
+        """Return the newest record of each key, and where to read on."""
+        records: list[KeyedRecord] = []
+        next_offset: int | None = None
+        after = ""
+        while True:
+            query: dict[str, Any] = {"topic": topic, "part": 0}
+            if after:
+                query["after"] = after
+            answer = self._ask(self._client, "GET", names.NEWEST, query, b"")
+            if isinstance(answer, Unavailable):
+                return answer
+            status, data = answer
+            if status != 200:
+                return _rejected(status, data)
+            try:
+                page = msgspec.json.decode(data, type=NewestModel)
+                records.extend(
+                    KeyedRecord(item.key, base64.b64decode(item.value))
+                    for item in page.items
+                )
+            except (msgspec.MsgspecError, ValueError) as error:
+                return Unavailable(f"newest: {error}")
+            if next_offset is None:
+                next_offset = page.end
+            if not page.has_more or not page.items:
+                return Page(next_offset, tuple(records))
+            after = page.items[-1].key
+
+    def read(
+        self, topic: str, offset: int, wait_seconds: float = 0.0
+    ) -> Page | Forgotten | Rejected | Unavailable:
+        """Read on from an offset, waiting for a record up to a time."""
+        query = {"topic": topic, "part": 0, "from": offset}
+        client = self._client
+        if wait_seconds:
+            query["wait_ms"] = int(wait_seconds * 1000)
+            client = self._patient(wait_seconds)
+        answer = self._ask(client, "GET", names.READ, query, b"")
+        if isinstance(answer, Unavailable):
+            return answer
+        status, data = answer
+        if status == 410:
+            return Forgotten(offset)
+        if status != 200:
+            return _rejected(status, data)
+        return _decode(offset, data)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self._client.close()
+        if self._waiting is not None:
+            self._waiting.close()
+
+    def _patient(self, wait_seconds: float) -> HTTPClient:
+        """Return the client of reads that wait."""
+        if self._waiting is None:
+            self._waiting = HTTPClient(
+                self._address.ip,
+                self._address.port,
+                connection_timeout=CONNECT_SECONDS,
+                network_timeout=wait_seconds + TIMEOUT_SECONDS,
+                concurrency=1,
+            )
+        return self._waiting
+
+    def _ask(
+        self,
+        client: HTTPClient,
+        method: str,
+        path: str,
+        query: dict[str, Any],
+        body: bytes,
+    ) -> tuple[int, bytes] | Unavailable:
+        try:
+            response = client.request(method, f"{path}?{urlencode(query)}", body=body)
+            return response.status_code, bytes(response.read())
+        except Exception as error:  # the client raises many unrelated types
+            return Unavailable(f"{type(error).__name__}: {error}")
+
+
+def _encode(record: KeyedRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + (record.value or b"")
+    return LENGTH.pack(len(content)) + content
+
+
+def _decode(offset: int, data: bytes) -> Page | Unavailable:
+    """Split a read's bytes into records; a last one that is cut is left out."""
+    if len(data) < PAGE_HEADER.size:
+        return Unavailable("a read without its header")
+    records: list[KeyedRecord] = []
+    at = PAGE_HEADER.size
+    while at + LENGTH.size <= len(data):
+        (length,) = LENGTH.unpack_from(data, at)
+        content = data[at + LENGTH.size : at + LENGTH.size + length]
+        if len(content) < length:
+            break
+        records.append(_record(content))
+        at += LENGTH.size + length
+    return Page(offset + len(records), tuple(records))
+
+
+def _record(content: bytes) -> KeyedRecord:
+    size = content[0] if content else 0
+    key = content[1 : 1 + size].decode("utf-8", "replace")
+    return KeyedRecord(key, content[1 + size :] or None)
+
+
+def _rejected(status: int, data: bytes) -> Rejected:
+    try:
+        body = msgspec.json.decode(data, type=dict[str, Any])
+    except msgspec.MsgspecError as error:
+        return Rejected(status, f"body: {error}")
+    sequence = body.get("seq")
+    return Rejected(
+        status,
+        str(body.get("reason", "")),
+        sequence if isinstance(sequence, int) else None,
+    )
--- /dev/null
+++ b/godwitrudder/process/directory.py
@@ -0,0 +1,187 @@
+"""The directory: the configuration in force and the runners, as the store has them.
+
+Two tasks follow the store.  A version never goes back.  An entry that vanishes
+while the store answered is gone; one that vanished while it did not may only
+have expired, and gets the time in which a live runner is listed again.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Final
+
+import gevent
+
+from godwitrudder.codec import Malformed
+from godwitrudder.platform import documents, names
+from godwitrudder.platform.store import (
+    Forgotten,
+    KeyedRecord,
+    Page,
+    Rejected,
+    Store,
+    Unavailable,
+)
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.request.placement import Candidate
+from godwitrudder.version.catalogue import Catalogue
+
+CONFIGURATION_WAIT_SECONDS: Final = 2.0
+"""How long a read waits for a version; bounds how late a dead link is noticed."""
+RUNNERS_SECONDS: Final = 0.4
+"""Between reads of the entries; a fifth of the time in which leaving is to show."""
+RETRY_SECONDS: Final = 0.4
+"""Between calls of a store that does not answer."""
+SILENT_SECONDS: Final = 1.0
+"""A gap between answers after which entries may have expired unseen."""
+RETURN_SECONDS: Final = 2.0
+"""Time after the store's return in which live runners are listed again."""
+
+
+class Directory:
+    """The configuration and the runners.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    """
+
+    def __init__(self, store: Store, log: DecisionLog) -> None:
+        self._store = store
+        self._log = log
+        self.catalogue: Catalogue | None = None
+        self.listed = False
+        self.candidates_by_target: dict[str, dict[str, Candidate]] = {}
+        self._target_by_id: dict[str, str] = {}
+        self._missing_until_by_id: dict[str, float] = {}
+        self.answered_at = 0.0
+        self._returned_at = 0.0
+
+    def current(self) -> Catalogue | None:
+        """Return the configuration in force."""
+        return self.catalogue
+
+    def candidates(self, target: str) -> list[Candidate]:
+        """Return the runners of a target."""
+        return list(self.candidates_by_target.get(target, {}).values())
+
+    def follow_configuration(self) -> None:
+        """Keep the configuration up to date."""
+        offset: int | None = None
+        while True:
+            page = self._page(names.OPERATOR_TOPIC, offset, CONFIGURATION_WAIT_SECONDS)
+            if page is None:
+                offset = None if self.catalogue is None else offset
+                gevent.sleep(RETRY_SECONDS)
+                continue
+            if isinstance(page, Forgotten):
+                offset = None
+                continue
+            offset = page.next
+            for record in page.records:
+                self._configured(record)
+
+    def follow_runners(self) -> None:
+        """Keep the runners up to date."""
+        offset: int | None = None
+        while True:
+            page = self._page(names.RUNNERS_TOPIC, offset, 0.0)
+            now = time.monotonic()
+            if isinstance(page, Page):
+                if now - self.answered_at > SILENT_SECONDS:
+                    self._returned_at = now
+                self.answered_at = now
+                if offset is None:
+                    self._vanished({record.key for record in page.records}, now)
+                offset = page.next
+                for record in page.records:
+                    self._entry(record, now)
+                self.listed = True
+            elif isinstance(page, Forgotten):
+                offset = None
+                continue
+            self._expire(now)
+            gevent.sleep(RUNNERS_SECONDS)
+
+    def _page(
+        self, topic: str, offset: int | None, wait: float
+    ) -> Page | Forgotten | None:
+        if offset is None:
+            page: Page | Forgotten | Rejected | Unavailable = self._store.newest(topic)
+        else:
+            page = self._store.read(topic, offset, wait)
+        if isinstance(page, Rejected | Unavailable):
+            self._log.note("store_no_answer", topic=topic, answer=str(page))
+            return None
+        return page
+
+    def _configured(self, record: KeyedRecord) -> None:
+        if record.key != names.CONFIGURATION_KEY or record.value is None:
+            return
+        catalogue = documents.catalogue(record.value)
+        if isinstance(catalogue, Malformed):
+            self._log.note("configuration_unread", why=catalogue.reason)
+            return
+        if self.catalogue is not None and catalogue.version <= self.catalogue.version:
+            return
+        self.catalogue = catalogue
+        self._log.note(
+            "configuration", version=catalogue.version, bytes=len(record.value)
+        )
+
+    def _entry(self, record: KeyedRecord, now: float) -> None:
+        if record.value is None:
+            self._gone(record.key, now)
+            return
+        entry = documents.entry(record.key, record.value)
+        if isinstance(entry, Malformed):
+            self._log.note("entry_unread", runner=record.key, why=entry.reason)
+            return
+        self._missing_until_by_id.pop(entry.id, None)
+        former = self._target_by_id.get(entry.id)
+        if former is not None and former != entry.target:
+            self._drop(entry.id, "target")
+        group = self.candidates_by_target.setdefault(entry.target, {})
+        known = group.get(entry.id)
+        if known is None:
+            group[entry.id] = Candidate(entry)
+            self._target_by_id[entry.id] = entry.target
+            self._log.note(
+                "runner_listed",
+                runner=entry.id,
+                target=entry.target,
+                address=str(entry.address),
+                leaving=entry.leaving,
+            )
+            return
+        if known.entry.leaving != entry.leaving:
+            self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
+        known.entry = entry
+
+    def _vanished(self, listed: set[str], now: float) -> None:
+        """Note those that a whole list no longer has."""
+        for runner in list(self._target_by_id):
+            if runner not in listed:
+                self._gone(runner, now)
+
+    def _gone(self, runner: str, now: float) -> None:
+        if runner not in self._target_by_id:
+            return
+        until = self._returned_at + RETURN_SECONDS
+        if self.listed and now < until:
+            self._missing_until_by_id.setdefault(runner, until)
+            return
+        self._drop(runner, "entry removed")
+
+    def _expire(self, now: float) -> None:
+        for runner, until in list(self._missing_until_by_id.items()):
+            if now >= until:
+                self._drop(runner, "not listed again")
+
+    def _drop(self, runner: str, why: str) -> None:
+        self._missing_until_by_id.pop(runner, None)
+        target = self._target_by_id.pop(runner, None)
+        if target is not None:
+            del self.candidates_by_target[target][runner]
+            self._log.note("runner_gone", runner=runner, target=target, why=why)
--- /dev/null
+++ b/godwitrudder/process/entry.py
@@ -0,0 +1,210 @@
+"""The entry: one process before the runners, on the users' platform."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Any, Final
+
+import gevent
+from gevent import Greenlet, socket
+from gevent.server import StreamServer
+
+from godwitrudder.connection.http import CallerGone, CallerLink, Malformed
+from godwitrudder.connection.links import LinkPool
+from godwitrudder.platform import names
+from godwitrudder.platform.settings import EntrySettings
+from godwitrudder.platform.store import Store
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.directory import Directory
+from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarder import Forwarder
+from godwitrudder.process.purse import Purse
+from godwitrudder.request.holding import Policy
+from godwitrudder.request.retries import RetryWindow
+from godwitrudder.version.catalogue import CallerLimits
+
+BACKLOG: Final = 512
+"""Connections that wait to be accepted."""
+LATE_SECONDS: Final = 3.0
+"""How long new connections come after a stop began: two misses of the balancer's
+question, one a second, and a margin."""
+MARGIN_SECONDS: Final = 1.0
+"""Left of the grace period when the process ends."""
+STEP_SECONDS: Final = 0.05
+
+logger = logging.getLogger(__name__)
+
+
+class Entry:
+    """Owns the tasks of one entry process.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Who it is and where it listens.
+    metrics_port : int or None
+        Where it shows its metrics.
+    """
+
+    def __init__(
+        self, settings: EntrySettings, metrics_port: int | None, log: DecisionLog
+    ) -> None:
+        self.settings = settings
+        self._log = log
+        self._metrics = EntryMetrics()
+        self._store = Store(settings.store)
+        self.directory = Directory(self._store, log)
+        self.purse = Purse(
+            self._store, settings.host, self.directory.current, log, Policy()
+        )
+        self._pool = LinkPool(names.REQUEST_ID)
+        self.forwarder = Forwarder(
+            settings.host,
+            settings.failure_domain,
+            self.directory,
+            self.purse,
+            self._pool,
+            log,
+            self._metrics,
+            Random(),
+            self._window,
+        )
+        self.forwarder.hosts = self.purse.hosts
+        self.draining = False
+        self._links: set[CallerLink] = set()
+        self._servers = [
+            StreamServer(
+                (settings.callers.ip, settings.callers.port),
+                self._caller,
+                backlog=BACKLOG,
+            ),
+            StreamServer((settings.ready.ip, settings.ready.port), self._probe),
+        ]
+        if metrics_port is not None:
+            address = (settings.ready.ip, metrics_port)
+            self._servers.append(StreamServer(address, self._show))
+
+    def start(self) -> None:
+        """Start all tasks and open the ports."""
+        for task in (
+            self.directory.follow_configuration,
+            self.directory.follow_runners,
+            self.purse.run,
+        ):
+            self._spawn(task)
+        for server in self._servers:
+            server.start()
+
+    def stop(self) -> None:
+        """Stop gracefully: finish what is in flight within the grace period."""
+        began = time.monotonic()
+        self.draining = True
+        self._log.note("stop_begins", in_flight=self.forwarder.in_flight)
+        for link in self._links:
+            link.closing = True
+        until = began + self.settings.grace_seconds - MARGIN_SECONDS
+        while time.monotonic() < until:
+            late = time.monotonic() - began < LATE_SECONDS
+            if not late and not self.forwarder.in_flight:
+                break
+            gevent.sleep(STEP_SECONDS)
+        self.purse.leave()
+        self._log.note(
+            "stop_ends",
+            in_flight=self.forwarder.in_flight,
+            seconds=round(time.monotonic() - began, 3),
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether it takes requests."""
+        known = self.directory.current() is not None and self.directory.listed
+        return known and self.purse.opened.is_set() and not self.draining
+
+    def _spawn(self, task: Callable[[], None]) -> Greenlet:
+        """Run a task; an error in it is a broken invariant and ends the process."""
+
+        def guarded() -> None:
+            try:
+                task()
+            except Exception as error:
+                logger.critical("task %s crashed", task.__qualname__, exc_info=error)
+                raise SystemExit(1) from error
+
+        return gevent.spawn(guarded)
+
+    def _window(self) -> RetryWindow:
+        settings = self.settings
+        return RetryWindow(
+            settings.retry_share, settings.retry_slack, settings.retry_window_seconds
+        )
+
+    def _caller(self, sock: socket.socket, _address: Any) -> None:
+        """Serve one connection of a caller."""
+        catalogue = self.directory.current()
+        limits = CallerLimits() if catalogue is None else catalogue.limits
+        link = CallerLink(sock, limits)
+        link.closing = self.draining
+        self._links.add(link)
+        try:
+            while self._request(link):
+                pass
+        except CallerGone:
+            self._log.note("caller_gone")
+        except OSError as error:
+            self._log.note("caller_lost", why=f"{type(error).__name__}: {error}")
+        finally:
+            self._links.discard(link)
+            link.close()
+
+    def _request(self, link: CallerLink) -> bool:
+        """Serve one request; False where the connection is over."""
+        request = link.receive()
+        if request is None:
+            return False
+        if isinstance(request, Malformed):
+            self._log.note("malformed", status=request.status, why=request.reason)
+            link.reject(request.status)
+            return False
+        served = gevent.getcurrent()
+        watch = gevent.spawn(link.watch)
+        watch.link(lambda _: gevent.kill(served, CallerGone))
+        try:
+            keep = self.forwarder.serve(link, request)
+        finally:
+            watch.unlink_all()
+            watch.kill()
+        return keep and link.next()
+
+    def _probe(self, sock: socket.socket, _address: Any) -> None:
+        """Tell the balancer whether to send callers here."""
+        self._plain(sock, lambda: (200, b"ok\n") if self.ready else (503, b"no\n"))
+
+    def _show(self, sock: socket.socket, _address: Any) -> None:
+        """Show the metrics."""
+        self._metrics.in_flight.set(self.forwarder.in_flight)
+        self._metrics.store_silent.set(self.purse.silent_seconds)
+        self._metrics.lines_left_out.set(self._log.left_out)
+        self._metrics.connections_opened.set(self._pool.opened)
+        self._plain(sock, lambda: (200, self._metrics.render()))
+
+    def _plain(
+        self, sock: socket.socket, answer: Callable[[], tuple[int, bytes]]
+    ) -> None:
+        link = CallerLink(sock, CallerLimits())
+        try:
+            while True:
+                request = link.receive()
+                if request is None or isinstance(request, Malformed):
+                    return
+                status, body = answer()
+                link.answer(status, [(b"content-type", b"text/plain")], body)
+                if not link.next():
+                    return
+        except OSError as error:
+            self._log.note("probe_lost", why=str(error))
+        finally:
+            link.close()
--- /dev/null
+++ b/godwitrudder/process/entry_metrics.py
@@ -0,0 +1,69 @@
+"""Counters and histograms of an entry process."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+SECONDS = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
+
+
+class EntryMetrics:
+    """What the metrics address shows."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.requests = Counter(
+            "godwitrudder_answers",
+            "Answers by target and status",
+            ["target", "status"],
+            registry=self.registry,
+        )
+        self.refused = Counter(
+            "godwitrudder_refusals",
+            "Refused requests by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.failed = Counter(
+            "godwitrudder_failures",
+            "Failed requests by reason",
+            ["reason"],
+            registry=self.registry,
+        )
+        self.first_event = Histogram(
+            "godwitrudder_first_event_seconds",
+            "Time to a stream's first event",
+            ["target"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.seconds = Histogram(
+            "godwitrudder_answer_seconds",
+            "Time to the end of an answer",
+            ["target"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.in_flight = Gauge(
+            "godwitrudder_in_flight", "Requests under way", registry=self.registry
+        )
+        self.store_silent = Gauge(
+            "godwitrudder_store_silent_seconds",
+            "Time since the store last answered",
+            registry=self.registry,
+        )
+        self.lines_left_out = Gauge(
+            "godwitrudder_lines_left_out",
+            "Log lines that were not written",
+            registry=self.registry,
+        )
+        self.connections_opened = Gauge(
+            "godwitrudder_runner_connections_opened",
+            "Connections opened to runners",
+            registry=self.registry,
+        )
+
+    def render(self) -> bytes:
+        """Return the text exposition."""
+        return bytes(generate_latest(self.registry))
--- /dev/null
+++ b/godwitrudder/process/forwarder.py
@@ -0,0 +1,590 @@
+"""The forwarder: carries a caller's request to runners until it has its answer.
+
+The tokens are reserved first, then a runner is placed, then the request is
+sent.  What may be sent again follows from the route's kind; what a caller is
+told follows from whether a runner can have run the request.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from random import Random
+from typing import Final
+
+import msgspec
+
+from godwitrudder.connection.http import (
+    Broken,
+    CallerLink,
+    CallerRequest,
+    End,
+    Head,
+    Headers,
+)
+from godwitrudder.connection.links import LinkPool
+from godwitrudder.connection.shape import error_body
+from godwitrudder.platform import headers as wire
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.directory import Directory
+from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.purse import NoTokens, Purse, Reservation
+from godwitrudder.request.event_stream import EventReader
+from godwitrudder.request.outcome import (
+    Failed,
+    Ran,
+    Reason,
+    Refused,
+    fail,
+    refuse,
+)
+from godwitrudder.request.placement import Candidate, place
+from godwitrudder.request.retries import RetryWindow
+from godwitrudder.version.catalogue import Kind, Route, Target, Workspace
+
+REJECTIONS_MOST: Final = 3
+"""Runners that may turn a request away before it is refused."""
+TOKEN_PATIENCE: Final = 0.4
+"""Part of the aim for which a request waits for tokens."""
+RETURN_SHARE: Final = 0.3
+"""Part of the time left after which a refused caller may come back; callers
+honour up to a third."""
+SOON_SECONDS: Final = 0.25
+"""When to come back where only a runner is missing."""
+CUT_SECONDS: Final = 3.0
+"""When to come back where the store is out of reach; cuts last 7 to 9 s."""
+SAFE_PATIENCE: Final = 2.0
+"""Silence after which a safe request goes to another runner, in aims."""
+READ_TOKENS_PER_SECOND: Final = 20_000.0
+"""Prompt tokens that a busy engine reads for one request, with others beside."""
+GAP_PATIENCE: Final = 3.0
+"""Silence after which a stream goes on at another runner, in gap aims."""
+CONNECTIONS_LEAST: Final = 4
+
+
+@dataclass(slots=True)
+class Forwarding:
+    """One request under way.
+
+    Attributes
+    ----------
+    until : float
+        Monotonic seconds at which its time is over.
+    ran_on : int
+        Runners that may have run it.
+    begun : bool
+        Whether the caller has the head of its answer.
+    events : int
+        Events that the caller was sent.
+    """
+
+    link: CallerLink
+    request: CallerRequest
+    ask: wire.Ask
+    route: Route
+    target: Target
+    workspace: Workspace | None
+    started_at: float
+    until: float
+    excluded: set[str] = field(default_factory=set)
+    ran_on: int = 0
+    arrivals: int = 0
+    rejections: int = 0
+    begun: bool = False
+    events: int = 0
+    last_event: int | None = None
+    problem: str = ""
+    busy: bool = False
+
+    @property
+    def name(self) -> str:
+        """Return the request's id for logs."""
+        return self.ask.request.decode("latin-1")
+
+    @property
+    def left(self) -> float:
+        """Return the seconds left."""
+        return self.until - time.monotonic()
+
+
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A runner's answer that is not a stream."""
+
+    head: Head
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Streamed:
+    """A stream was passed on to its end."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """The runner did not run the request."""
+
+    reason: str
+    busy: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """The runner may have run the request, and gave no whole answer."""
+
+    reason: str
+
+
+Attempted = Whole | Streamed | NotRun | Lost
+
+
+class Forwarder:
+    """Serves callers' requests; one per process."""
+
+    def __init__(
+        self,
+        host: str,
+        failure_domain: str,
+        directory: Directory,
+        purse: Purse,
+        pool: LinkPool,
+        log: DecisionLog,
+        metrics: EntryMetrics,
+        random: Random,
+        window: Callable[[], RetryWindow],
+    ) -> None:
+        self._host = host
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._purse = purse
+        self._pool = pool
+        self._log = log
+        self._metrics = metrics
+        self._random = random
+        self._window = window
+        self._windows_by_target: dict[str, RetryWindow] = {}
+        self.in_flight = 0
+        self.hosts: Callable[[], int] = lambda: 1
+
+    def serve(self, link: CallerLink, request: CallerRequest) -> bool:
+        """Answer one request; False where the connection must be closed."""
+        self.in_flight += 1
+        try:
+            return self._serve(link, request)
+        finally:
+            self.in_flight -= 1
+
+    def _serve(self, link: CallerLink, request: CallerRequest) -> bool:
+        now = time.monotonic()
+        ask = wire.ask(request)
+        if isinstance(ask, str):
+            refused = refuse(Reason.BAD_REQUEST, problem=ask)
+            return self._refuse(link, "", refused, None)
+        forwarding = self._admit(link, request, ask, now)
+        if isinstance(forwarding, Refused):
+            left = ask.deadline_seconds
+            return self._refuse(link, ask.request.decode("latin-1"), forwarding, left)
+        return self._reserved(forwarding)
+
+    def _admit(
+        self, link: CallerLink, request: CallerRequest, ask: wire.Ask, now: float
+    ) -> Forwarding | Refused:
+        """Find route, target and workspace, or say why there is none."""
+        catalogue = self._directory.current()
+        if catalogue is None:
+            return refuse(Reason.DRAINING, SOON_SECONDS)
+        route = catalogue.route(ask.host, ask.path)
+        if route is None:
+            return refuse(Reason.UNKNOWN_PATH, path=ask.path)
+        workspace = catalogue.workspaces_by_key.get(ask.key)
+        if workspace is None and not route.public:
+            return refuse(Reason.UNKNOWN_KEY)
+        name = self._share(route)
+        target = catalogue.targets_by_name.get(name) or Target(name, 0, None)
+        seconds = route.timeout_seconds
+        if ask.deadline_seconds is not None:
+            seconds = min(seconds, ask.deadline_seconds)
+        return Forwarding(
+            link, request, ask, route, target, workspace, now, now + seconds
+        )
+
+    def _share(self, route: Route) -> str:
+        shares = route.shares
+        if len(shares) == 1:
+            return shares[0].target
+        weights = [max(0.0, share.weight) for share in shares]
+        if not sum(weights):
+            return shares[0].target
+        return self._random.choices(shares, weights)[0].target
+
+    def _reserved(self, forwarding: Forwarding) -> bool:
+        """Reserve tokens around the attempts, where the request has a price."""
+        ask, workspace = forwarding.ask, forwarding.workspace
+        most = ask.prompt_tokens + ask.output_tokens
+        if workspace is None or workspace.prepaid is None or not most:
+            return self._attempts(forwarding)
+        patience = forwarding.route.aim_seconds * TOKEN_PATIENCE
+        reservation = self._purse.reserve(
+            forwarding.name, workspace.name, most, min(patience, forwarding.left)
+        )
+        if isinstance(reservation, NoTokens):
+            refused = self._no_tokens(reservation, workspace.name, most)
+            link, name = forwarding.link, forwarding.name
+            return self._refuse(link, name, refused, forwarding.left)
+        with self._settled(forwarding, reservation):
+            return self._attempts(forwarding)
+
+    @contextmanager
+    def _settled(
+        self, forwarding: Forwarding, reservation: Reservation
+    ) -> Iterator[None]:
+        """Give back what was not used, however the request ends."""
+        try:
+            yield
+        finally:
+            used = 0
+            if forwarding.ran_on or forwarding.events:
+                engine = forwarding.target.engine
+                per_event = 1 if engine is None else engine.tokens_per_event
+                used = forwarding.ask.prompt_tokens + forwarding.events * per_event
+            self._purse.settle(reservation, used)
+
+    def _no_tokens(self, none: NoTokens, workspace: str, needed: int) -> Refused:
+        if none.exhausted:
+            left = max(0, none.free)
+            return refuse(
+                Reason.BUDGET_EXHAUSTED,
+                None,
+                budget=workspace,
+                needed=needed,
+                left=left,
+            )
+        seconds = CUT_SECONDS * self._random.uniform(0.7, 1.3)
+        if none.silent_seconds < 1.0:
+            seconds = SOON_SECONDS * self._random.uniform(1.0, 2.0)
+        return refuse(Reason.BUDGET_UNREACHABLE, seconds, budget=workspace)
+
+    def _attempts(self, forwarding: Forwarding) -> bool:
+        """Try runners until there is an answer or none can be had."""
+        window = self._retries(forwarding.target.name)
+        window.request(time.monotonic())
+        while True:
+            if forwarding.left <= 0:
+                return self._over(forwarding)
+            if forwarding.arrivals and not window.take(self.hosts(), time.monotonic()):
+                forwarding.problem = forwarding.problem or "no retries left"
+                return self._give_up(forwarding)
+            candidate = self._place(forwarding)
+            if candidate is None:
+                return self._give_up(forwarding)
+            result = self._attempt(forwarding, candidate)
+            if isinstance(result, Streamed):
+                return self._done(forwarding, 200)
+            if isinstance(result, Whole):
+                if self._again_after(forwarding, result):
+                    continue
+                return self._answer(forwarding, result)
+            forwarding.problem = result.reason
+            if isinstance(result, NotRun):
+                forwarding.rejections += 1
+                if forwarding.rejections > REJECTIONS_MOST:
+                    return self._give_up(forwarding)
+                continue
+            if not forwarding.route.repeatable:
+                return self._give_up(forwarding)
+            if forwarding.ran_on >= forwarding.route.attempts_most:
+                return self._give_up(forwarding)
+
+    def _again_after(self, forwarding: Forwarding, whole: Whole) -> bool:
+        """Whether a failed answer is better asked for once more."""
+        route = forwarding.route
+        if whole.head.status < 500 or not route.repeatable:
+            return False
+        if (
+            forwarding.ran_on >= route.attempts_most
+            or forwarding.left < route.aim_seconds / 2
+        ):
+            return False
+        window = self._retries(forwarding.target.name)
+        return window.left(self.hosts(), time.monotonic()) > 1
+
+    def _place(self, forwarding: Forwarding) -> Candidate | None:
+        target = forwarding.target
+        candidates = self._directory.candidates(target.name)
+        share = target.connections_most // max(1, self.hosts()) or CONNECTIONS_LEAST
+        now = time.monotonic()
+        candidate = place(
+            candidates,
+            forwarding.ask.parts,
+            self._failure_domain,
+            forwarding.excluded,
+            max(CONNECTIONS_LEAST, share),
+            self._random,
+            now,
+        )
+        self._log.note(
+            "place",
+            forwarding.name,
+            target=target.name,
+            candidates=len(candidates),
+            excluded=len(forwarding.excluded),
+            runner=None if candidate is None else candidate.entry.id,
+            load=None if candidate is None else round(candidate.load(now), 1),
+            entries_age=round(now - self._directory.answered_at, 3),
+            left=round(forwarding.left, 3),
+        )
+        return candidate
+
+    def _attempt(self, forwarding: Forwarding, candidate: Candidate) -> Attempted:
+        """Send the request to one runner."""
+        entry = candidate.entry
+        forwarding.excluded.add(entry.id)
+        link = self._pool.take(entry.id, entry.address)
+        now = time.monotonic()
+        if isinstance(link, str):
+            candidate.unreachable(now)
+            self._note_attempt(forwarding, candidate, link, now)
+            return NotRun(link, False)
+        ask = forwarding.ask
+        forwarding.arrivals += 1
+        candidate.in_flight += 1
+        fresh = ask.prompt_tokens - candidate.cached(ask.parts)
+        pending = max(0, fresh)
+        candidate.pending_tokens += pending
+        candidate.has_read(ask.parts)
+        result: Attempted = Lost("the caller left")
+        idle: float | None = None
+        forwarding.ran_on += 1
+        try:
+            after = forwarding.last_event
+            sent = wire.to_runner(
+                forwarding.request,
+                entry.id,
+                None if forwarding.workspace is None else forwarding.workspace.name,
+                self._rank(forwarding),
+                forwarding.left,
+                ask.after_event if after is None else after,
+            )
+            link.wait_until = self._first_until(forwarding)
+            reader = EventReader()
+            parts: list[bytes] = []
+            head: Head | None = None
+            result = Lost("no answer")
+            for event in link.exchange(
+                forwarding.request.method,
+                forwarding.request.path,
+                sent,
+                forwarding.request.body,
+                ask.request,
+            ):
+                if isinstance(event, Head):
+                    head = event
+                    idle = wire.idle_seconds(head)
+                    self._reported(candidate, head)
+                elif isinstance(event, bytes):
+                    assert head is not None
+                    candidate.pending_tokens -= pending
+                    pending = 0
+                    if not self._streams(forwarding, head):
+                        parts.append(event)
+                        continue
+                    self._pass_on(forwarding, head, reader, event)
+                    link.wait_until = self._next_until(forwarding)
+                elif isinstance(event, End):
+                    assert head is not None
+                    result = self._ended(forwarding, head, reader, b"".join(parts))
+                else:
+                    result = Lost(event.reason)
+        finally:
+            candidate.in_flight -= 1
+            candidate.pending_tokens -= pending
+            if isinstance(result, NotRun):
+                forwarding.ran_on -= 1
+            if not isinstance(result, Whole | Streamed | NotRun):
+                link.close()
+            ok = isinstance(result, Streamed | NotRun) or (
+                isinstance(result, Whole) and result.head.status < 500
+            )
+            candidate.ended(ok, time.monotonic())
+            self._pool.give(entry.id, entry.address, link, idle)
+            self._note_attempt(forwarding, candidate, result, now)
+        return result
+
+    def _note_attempt(
+        self,
+        forwarding: Forwarding,
+        candidate: Candidate,
+        result: Attempted | str,
+        began: float,
+    ) -> None:
+        status = result.head.status if isinstance(result, Whole) else None
+        self._log.note(
+            "attempt",
+            forwarding.name,
+            runner=candidate.entry.id,
+            outcome=result if isinstance(result, str) else type(result).__name__,
+            reason=getattr(result, "reason", None),
+            status=status,
+            events=forwarding.events,
+            seconds=round(time.monotonic() - began, 4),
+        )
+
+    def _streams(self, forwarding: Forwarding, head: Head) -> bool:
+        good = 200 <= head.status < 300 and wire.proven(head)
+        return forwarding.route.kind is Kind.STREAM and good
+
+    def _reported(self, candidate: Candidate, head: Head) -> None:
+        load = wire.load(head)
+        if load is not None:
+            candidate.reported(load.running, load.waiting, time.monotonic())
+
+    def _pass_on(
+        self, forwarding: Forwarding, head: Head, reader: EventReader, data: bytes
+    ) -> None:
+        """Pass on the events that are whole, each once."""
+        ready: list[bytes] = []
+        for event in reader.feed(data):
+            if event.id is not None:
+                last = forwarding.last_event
+                if last is not None and event.id <= last:
+                    continue
+                forwarding.last_event = event.id
+            forwarding.events += 1
+            ready.append(event.data)
+        if not ready:
+            return
+        if not forwarding.begun:
+            forwarding.begun = True
+            seconds = time.monotonic() - forwarding.started_at
+            self._metrics.first_event.labels(forwarding.target.name).observe(seconds)
+            forwarding.link.begin(head.status, head.headers, None)
+        forwarding.link.piece(b"".join(ready))
+
+    def _ended(
+        self, forwarding: Forwarding, head: Head, reader: EventReader, body: bytes
+    ) -> Attempted:
+        """Judge an answer that is whole as far as the protocol goes."""
+        if wire.not_executed(head):
+            return NotRun(f"status {head.status}", head.status != 421)
+        if self._streams(forwarding, head):
+            if reader.rest or not forwarding.begun:
+                return Lost("the stream ended in mid-event")
+            forwarding.link.finish()
+            return Streamed()
+        if 200 <= head.status < 300 and not wire.proven(head):
+            return Lost("a success without proof")
+        return Whole(head, body)
+
+    def _first_until(self, forwarding: Forwarding) -> float:
+        """Return until when a first byte is waited for."""
+        route = forwarding.route
+        if not route.repeatable or forwarding.ran_on >= route.attempts_most:
+            return forwarding.until
+        patience = route.aim_seconds * SAFE_PATIENCE
+        patience += forwarding.ask.prompt_tokens / READ_TOKENS_PER_SECOND
+        return min(forwarding.until, time.monotonic() + patience)
+
+    def _next_until(self, forwarding: Forwarding) -> float:
+        """Return until when a stream's next event is waited for."""
+        route = forwarding.route
+        if not route.repeatable or forwarding.ran_on >= route.attempts_most:
+            return forwarding.until
+        patience = max(1.0, route.gap_seconds * GAP_PATIENCE)
+        return min(forwarding.until, time.monotonic() + patience)
+
+    def _rank(self, forwarding: Forwarding) -> int:
+        workspace = forwarding.workspace
+        if workspace is not None and workspace.rank is not None:
+            return workspace.rank
+        return forwarding.route.rank
+
+    def _retries(self, target: str) -> RetryWindow:
+        if target not in self._windows_by_target:
+            self._windows_by_target[target] = self._window()
+        return self._windows_by_target[target]
+
+    def _answer(self, forwarding: Forwarding, whole: Whole) -> bool:
+        """Pass a runner's answer on; a promise only if it was the runner's."""
+        status = whole.head.status
+        if status in (408, 421, 429, 503):
+            forwarding.problem = f"status {status} without proof of not running"
+            return self._give_up(forwarding)
+        forwarding.link.answer(status, whole.head.headers, whole.body)
+        return self._done(forwarding, status)
+
+    def _done(self, forwarding: Forwarding, status: int) -> bool:
+        seconds = time.monotonic() - forwarding.started_at
+        name = forwarding.target.name
+        self._metrics.requests.labels(name, str(status)).inc()
+        self._metrics.seconds.labels(name).observe(seconds)
+        self._log.note(
+            "answered",
+            forwarding.name,
+            status=status,
+            events=forwarding.events,
+            arrivals=forwarding.arrivals,
+            seconds=round(seconds, 4),
+        )
+        return True
+
+    def _over(self, forwarding: Forwarding) -> bool:
+        """End a request whose time is over."""
+        if not forwarding.ran_on:
+            refused = refuse(Reason.NO_RUNNER, 0.0, target=forwarding.target.name)
+            return self._refuse(forwarding.link, forwarding.name, refused, 0.0)
+        failed = fail(Reason.DEADLINE, Ran.UNKNOWN)
+        return self._fail(forwarding, failed)
+
+    def _give_up(self, forwarding: Forwarding) -> bool:
+        """Tell the caller that no runner answered, and whether one may have run it."""
+        if forwarding.ran_on or forwarding.begun:
+            if forwarding.left <= 0:
+                return self._over(forwarding)
+            problem = forwarding.problem
+            failed = fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
+            return self._fail(forwarding, failed)
+        seconds = SOON_SECONDS * self._random.uniform(0.6, 1.4)
+        refused = refuse(Reason.NO_RUNNER, seconds, target=forwarding.target.name)
+        return self._refuse(forwarding.link, forwarding.name, refused, forwarding.left)
+
+    def _refuse(
+        self, link: CallerLink, request: str, refused: Refused, left: float | None
+    ) -> bool:
+        status = wire.STATUS_BY_REASON[refused.reason]
+        headers: Headers = [(b"content-type", b"application/json")]
+        after = refused.retry_after
+        if after is not None:
+            if left is not None:
+                after = min(after, max(0.0, left) * RETURN_SHARE)
+            headers += wire.retry_after(after)
+        link.answer(status, headers, msgspec.json.encode(error_body(refused)))
+        self._metrics.refused.labels(str(refused.reason)).inc()
+        self._log.note(
+            "refused",
+            request,
+            reason=str(refused.reason),
+            status=status,
+            retry_after=after,
+            detail=refused.detail,
+        )
+        return True
+
+    def _fail(self, forwarding: Forwarding, failed: Failed) -> bool:
+        self._metrics.failed.labels(str(failed.reason)).inc()
+        self._log.note(
+            "failed",
+            forwarding.name,
+            reason=str(failed.reason),
+            problem=forwarding.problem,
+            begun=forwarding.begun,
+            events=forwarding.events,
+        )
+        if forwarding.begun:
+            return False
+        status = wire.STATUS_BY_REASON[failed.reason]
+        headers: Headers = [(b"content-type", b"application/json")]
+        body = msgspec.json.encode(error_body(failed))
+        forwarding.link.answer(status, headers, body)
+        return True
--- /dev/null
+++ b/godwitrudder/request/event_stream.py
@@ -0,0 +1,48 @@
+"""An event stream, cut into whole events.
+
+Only whole events are passed on, so that a stream which breaks in mid-event goes
+on at another runner without a piece twice or missing.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Final
+
+END: Final = re.compile(rb"\r?\n\r?\n")
+ID: Final = re.compile(rb"^id: *(\d+)", re.MULTILINE)
+
+
+@dataclass(frozen=True, slots=True)
+class StreamEvent:
+    """One event with its bytes; ``id`` is None for a comment."""
+
+    id: int | None
+    data: bytes
+
+
+@dataclass(slots=True)
+class EventReader:
+    """Collects bytes until events are whole.
+
+    Attributes
+    ----------
+    rest : bytearray
+        Bytes of an event that is not whole.
+    """
+
+    rest: bytearray = field(default_factory=bytearray)
+
+    def feed(self, data: bytes) -> Iterator[StreamEvent]:
+        """Yield the events that the bytes complete."""
+        self.rest += data
+        while True:
+            end = END.search(self.rest)
+            if end is None:
+                return
+            event = bytes(self.rest[: end.end()])
+            del self.rest[: end.end()]
+            number = ID.search(event)
+            yield StreamEvent(None if number is None else int(number[1]), event)
--- /dev/null
+++ b/godwitrudder/version/statements.py
@@ -0,0 +1,142 @@
+"""Statements: what each host says that it holds of the prepaid tokens.
+
+Every host keeps one record in the store, which replaces its former one.  It
+states, for each workspace, three cumulative figures since the budgets began:
+
+- the *limit* up to which the host wants to spend,
+- the *cap* up to which it may have spent when the statement was sent,
+- the *pace* at which the cap rises from then on, up to the limit.
+
+A host may spend up to what all newest statements leave of the prepaid amount
+once its own stands in the store.  Let hosts i and j hold authority from readings
+at offsets a < b.  The reading at b counted the newest limit of i, which is never
+below what i may spend, since i lowers what it spends up to before it states a lower
+limit.  So the authorities add up to no more than the prepaid amount, in every
+order of loss, delay and repetition; only newest records matter, and a history
+that was forgotten changes nothing.
+
+The cap and pace tell the successor on the same host what its predecessor cannot
+have spent: all above cap + pace x time since the statement was sent.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from godwitrudder import codec
+
+
+class Row(msgspec.Struct, frozen=True, array_like=True):
+    """One workspace in a statement.
+
+    Attributes
+    ----------
+    limit, cap : int
+        Tokens, cumulative.
+    pace, demand : float
+        Tokens a second.
+    """
+
+    limit: int
+    cap: int
+    pace: float = 0.0
+    demand: float = 0.0
+
+
+class Statement(msgspec.Struct, frozen=True, array_like=True):
+    """What one host says.
+
+    Attributes
+    ----------
+    epoch : int
+        Number of the host's incarnation; a later one fences earlier ones.
+    sent : float
+        Seconds on the machine's clock that counts suspension.
+    booted : float
+        Wall seconds at which that clock was zero; tells boots apart.
+    """
+
+    epoch: int
+    sent: float
+    booted: float
+    rows_by_workspace: dict[str, Row]
+
+
+BOOT_SLACK_SECONDS = 1.0
+"""Two boots of a machine lie further apart than its clock is corrected by."""
+
+
+def spent_at_most(row: Row, statement: Statement, now: float, booted: float) -> int:
+    """Return what a host can have spent by ``now``, if it is gone by then.
+
+    Parameters
+    ----------
+    now, booted : float
+        As ``sent`` and ``booted``, read on the same machine.  After a reboot
+        nobody knows the time since, so the limit counts.
+    """
+    if abs(booted - statement.booted) > BOOT_SLACK_SECONDS or now < statement.sent:
+        return row.limit
+    risen = row.cap + math.ceil(row.pace * (now - statement.sent))
+    return min(row.limit, risen)
+
+
+@dataclass(slots=True)
+class Book:
+    """The newest statement of every host."""
+
+    statements_by_host: dict[str, Statement] = field(default_factory=dict)
+
+    def put(self, host: str, data: bytes | None) -> codec.Malformed | None:
+        """Take a record; one that can't be read leaves the former in force."""
+        if data is None:
+            return codec.Malformed("a statement was dropped")
+        statement = codec.decode(data, Statement)
+        if isinstance(statement, codec.Malformed):
+            return statement
+        self.statements_by_host[host] = statement
+        return None
+
+    def others(self, host: str, workspace: str) -> Totals:
+        """Return the sums over all hosts but one."""
+        rows = (
+            statement.rows_by_workspace.get(workspace)
+            for name, statement in self.statements_by_host.items()
+            if name != host
+        )
+        return _sum(row for row in rows if row is not None)
+
+    @property
+    def hosts(self) -> int:
+        """Hosts that ever made a statement."""
+        return len(self.statements_by_host)
+
+    def totals(self) -> Mapping[str, Totals]:
+        """Return the sums over all hosts, by workspace."""
+        rows: dict[str, list[Row]] = {}
+        for statement in self.statements_by_host.values():
+            for workspace, row in statement.rows_by_workspace.items():
+                rows.setdefault(workspace, []).append(row)
+        return {workspace: _sum(group) for workspace, group in rows.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class Totals:
+    """Sums of rows: tokens, and tokens a second."""
+
+    limit: int = 0
+    cap: int = 0
+    demand: float = 0.0
+
+
+def _sum(rows: Iterable[Row]) -> Totals:
+    limit, cap, demand = 0, 0, 0.0
+    for row in rows:
+        limit += row.limit
+        cap += row.cap
+        demand += row.demand
+    return Totals(limit, cap, demand)
