--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -53,8 +53,8 @@
 honour up to a third."""
 SOON_SECONDS: Final = 0.25
 """When to come back where only a runner is missing."""
-CUT_SECONDS: Final = 3.0
-"""When to come back where the store is out of reach; cuts last 7 to 9 s."""
+ELSEWHERE_SECONDS: Final = 0.15
+"""When to come back where another host may hold tokens: a retry reaches another."""
 SAFE_PATIENCE: Final = 2.0
 """Silence after which a safe request goes to another runner, in aims."""
 READ_TOKENS_PER_SECOND: Final = 20_000.0
@@ -261,9 +261,7 @@
                 needed=needed,
                 left=left,
             )
-        seconds = CUT_SECONDS * self._random.uniform(0.7, 1.3)
-        if none.silent_seconds < 1.0:
-            seconds = SOON_SECONDS * self._random.uniform(1.0, 2.0)
+        seconds = ELSEWHERE_SECONDS * self._random.uniform(0.7, 1.3)
         return refuse(Reason.BUDGET_UNREACHABLE, seconds, budget=workspace)
 
     def _attempts(self, forwarding: Forwarding) -> bool:
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -15,14 +15,18 @@
 
 from godwitrudder.version.statements import Row, Totals
 
-DEMAND_SECONDS: Final = 4.0
-"""Time constant of the demand's mean: a few statements, less than a cut."""
+DEMAND_SECONDS: Final = 10.0
+"""Time constant of the demand's mean: an outage horizon."""
 OPEN_SECONDS: Final = 1.0
 """Demand that may be spent without a further statement: two of its intervals."""
+OPEN_SHARE: Final = 0.25
+"""Part of a holding that may be open for one large request."""
+SHORT_SHARE: Final = 0.3
+"""Part of its holding that a host keeps while another lacks tokens."""
 SURPLUS: Final = 1.3
 """A holding above its aim by this factor is given back."""
-LARGEST_SECONDS: Final = 15.0
-"""How long the largest request seen is kept in mind."""
+LARGEST_SECONDS: Final = 20.0
+"""How long the largest request seen is kept in mind: two outage horizons."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,14 +41,20 @@
         Part of all that is left which all hosts together hold ahead.
     first_share : float
         The same before any demand is known.
+    even_share : float
+        Part of that which hosts get alike, whatever their demand.
     pace_factor : float
         Pace of the cap, in multiples of the demand.
+    unlock_seconds : float
+        Time in which the cap rises to the limit at the latest.
     """
 
-    horizon_seconds: float = 10.0
-    share: float = 0.7
-    first_share: float = 0.35
+    horizon_seconds: float = 15.0
+    share: float = 0.6
+    first_share: float = 0.4
+    even_share: float = 0.3
     pace_factor: float = 1.5
+    unlock_seconds: float = 8.0
 
 
 @dataclass(slots=True)
@@ -131,12 +141,12 @@
         limit = max(self.spent, min(limit, max(prepaid - others.limit, self._kept())))
         if self.waiting:
             limit = max(limit, self.spent + self.waiting)
-        open_now = max(demand * OPEN_SECONDS, float(self.waiting))
+        held = limit - self.spent
+        large = min(float(self.demand.largest), OPEN_SHARE * held)
+        open_now = max(demand * OPEN_SECONDS, float(self.waiting), large)
         cap = min(limit, self.spent + math.ceil(open_now))
-        pace = demand * policy.pace_factor + (limit - self.spent) / (
-            2 * policy.horizon_seconds
-        )
-        return Row(limit, cap, round(pace, 1), round(demand, 1))
+        pace = max(demand * policy.pace_factor, held / policy.unlock_seconds)
+        return Row(limit, cap, round(pace, 1), round(demand, 1), self.waiting)
 
     def aim(
         self, now: float, prepaid: int, others: Totals, hosts: int, policy: Policy
@@ -147,11 +157,14 @@
         total = demand + others.demand
         if total <= 0:
             return int(left * policy.first_share / max(1, hosts))
-        most = left * policy.share * demand / total
-        wanted = demand * policy.horizon_seconds + self.demand.largest
-        if others.limit + self.spent + wanted > prepaid:
-            most = min(most, left * policy.share / 2 * demand / total)
-        return int(min(most, wanted))
+        even = policy.even_share / max(1, hosts)
+        part = even + (1 - policy.even_share) * demand / total
+        most = left * policy.share * part
+        if others.short and not self.waiting:
+            most *= SHORT_SHARE
+        least = left * policy.share * even / 2
+        wanted = demand * policy.horizon_seconds + 2 * self.demand.largest
+        return int(min(most, max(wanted, least)))
 
     def send(self, row: Row, now: float) -> None:
         """Note that a statement is on its way: it binds where it is lower."""
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -39,12 +39,15 @@
         Tokens, cumulative.
     pace, demand : float
         Tokens a second.
+    short : int
+        Tokens of requests that wait for this statement.
     """
 
     limit: int
     cap: int
     pace: float = 0.0
     demand: float = 0.0
+    short: int = 0
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
@@ -131,12 +134,14 @@
     limit: int = 0
     cap: int = 0
     demand: float = 0.0
+    short: int = 0
 
 
 def _sum(rows: Iterable[Row]) -> Totals:
-    limit, cap, demand = 0, 0, 0.0
+    limit, cap, demand, short = 0, 0, 0.0, 0
     for row in rows:
         limit += row.limit
         cap += row.cap
         demand += row.demand
-    return Totals(limit, cap, demand)
+        short += row.short
+    return Totals(limit, cap, demand, short)
