--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -105,13 +105,13 @@
         self._log.note("stop_begins", in_flight=self.forwarder.in_flight)
         for link in self._links:
             link.closing = True
+        self.purse.leave()
         until = began + self.settings.grace_seconds - MARGIN_SECONDS
         while time.monotonic() < until:
             late = time.monotonic() - began < LATE_SECONDS
-            if not late and not self.forwarder.in_flight:
+            if not late and not self.forwarder.in_flight and self.purse.settled():
                 break
             gevent.sleep(STEP_SECONDS)
-        self.purse.leave()
         self._log.note(
             "stop_ends",
             in_flight=self.forwarder.in_flight,
--- a/godwitrudder/process/purse.py
+++ b/godwitrudder/process/purse.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -39,6 +38,8 @@
 """Without an answer for so long the store counts as out of reach."""
 STEP_SECONDS: Final = 0.03
 """Between statements for waiting requests, so that they share one."""
+REFRESH_SECONDS: Final = 0.7
+"""A statement that holds something is stated anew while it is young."""
 CHANGE_LEAST: Final = 0.02
 """Rows that changed by less, relative, are not stated anew."""
 
@@ -156,10 +157,18 @@
             gevent.sleep(STEP_SECONDS)
 
     def leave(self) -> None:
-        """State that nothing is held beyond what was spent."""
+        """Hold nothing ahead from now on; requests draw what they need."""
         self.leaving = True
-        if self.opened.is_set() and self.silent_seconds < SILENT_SECONDS:
-            self._wanted.set()
+        self._wanted.set()
+
+    def settled(self) -> bool:
+        """Whether the store knows that nothing is held beyond what was spent."""
+        return not self.opened.is_set() or all(
+            holding.pending is None
+            and holding.stated is not None
+            and holding.stated.limit <= holding.spent
+            for holding in self._holdings.values()
+        )
 
     def _waits_for(self, workspace: str) -> bool:
         return any(name == workspace for name, _, _ in self._waiters)
@@ -226,7 +235,11 @@
         holding = self._holdings.get(workspace)
         if holding is None:
             base = self._bases.get(workspace, 0)
-            holding = Holding(spent=base, granted=base)
+            holding = Holding(
+                spent=base,
+                granted=base,
+                young_seconds=self._policy.young_seconds,
+            )
             self._holdings[workspace] = holding
         return holding
 
@@ -246,6 +259,8 @@
         page = self._newest()
         self._offset = page
         own = self._book.statements_by_host.get(self._host)
+        if self._host in self._book.unread:
+            raise RuntimeError("the former statement of this host can't be read")
         now, booted = self.now(), self.booted()
         rows = {} if own is None else own.rows_by_workspace
         for workspace, row in rows.items():
@@ -295,7 +310,8 @@
         if rows is None:
             return
         now = self.now()
-        statement = Statement(self._epoch, round(now, 4), self.booted(), rows)
+        young = self._policy.young_seconds
+        statement = Statement(self._epoch, now, self.booted(), young, rows)
         for workspace, row in rows.items():
             self._holding(workspace).send(row, now)
         record = KeyedRecord(self._host, codec.encode(statement))
@@ -343,7 +359,7 @@
     def _row(self, workspace: str, holding: Holding, now: float) -> Row:
         if self.leaving:
             spent = holding.spent + holding.waiting
-            return Row(spent, spent, 0.0, 0.0)
+            return Row(spent, spent, 0.0, holding.waiting)
         others = self._book.others(self._host, workspace)
         hosts = max(self._book.hosts, 1)
         prepaid = self._prepaid(workspace)
@@ -377,10 +393,7 @@
     stated = holding.stated
     if stated is None or holding.waiting:
         return True
-    slack = CHANGE_LEAST * max(1, stated.limit - holding.spent)
-    if abs(row.limit - stated.limit) > slack:
+    if now - holding.stated_at > REFRESH_SECONDS and row.limit > holding.spent:
         return True
-    risen = min(
-        stated.limit, stated.cap + math.ceil(stated.pace * (now - holding.stated_at))
-    )
-    return risen - row.cap > slack or row.cap - stated.cap > slack
+    slack = CHANGE_LEAST * max(0, stated.limit - holding.spent)
+    return abs(row.limit - stated.limit) > slack or abs(row.cap - stated.cap) > slack
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -19,7 +19,7 @@
 """Time constant of the demand's mean: an outage horizon."""
 OPEN_SECONDS: Final = 1.0
 """Demand that may be spent without a further statement: two of its intervals."""
-OPEN_SHARE: Final = 0.25
+OPEN_SHARE: Final = 0.5
 """Part of a holding that may be open for one large request."""
 SHORT_SHARE: Final = 0.3
 """Part of its holding that a host keeps while another lacks tokens."""
@@ -35,26 +35,17 @@
 
     Attributes
     ----------
-    horizon_seconds : float
-        Time without the store that a host is to bridge at its own demand.
     share : float
         Part of all that is left which all hosts together hold ahead.
-    first_share : float
-        The same before any demand is known.
     even_share : float
         Part of that which hosts get alike, whatever their demand.
-    pace_factor : float
-        Pace of the cap, in multiples of the demand.
-    unlock_seconds : float
-        Time in which the cap rises to the limit at the latest.
+    young_seconds : float
+        Time after a statement in which only its cap is spent.
     """
 
-    horizon_seconds: float = 15.0
     share: float = 0.6
-    first_share: float = 0.4
-    even_share: float = 0.3
-    pace_factor: float = 1.5
-    unlock_seconds: float = 8.0
+    even_share: float = 0.5
+    young_seconds: float = 1.5
 
 
 @dataclass(slots=True)
@@ -96,6 +87,8 @@
         The last row that stands in the store, and the one that may stand there.
     waiting : int
         Tokens of requests that wait for this holding.
+    young_seconds : float
+        As in the policy.
     """
 
     spent: int = 0
@@ -105,15 +98,20 @@
     pending: Row | None = None
     pending_at: float = 0.0
     waiting: int = 0
+    young_seconds: float = 1.5
     demand: Demand = field(default_factory=Demand)
 
     def spendable(self, now: float) -> int:
         """Return the tokens that may be reserved now."""
         if self.stated is None:
             return 0
-        bound = min(self.granted, _risen(self.stated, self.stated_at, now))
+        bound = min(
+            self.granted, _bound(self.stated, self.stated_at, now, self.young_seconds)
+        )
         if self.pending is not None:
-            bound = min(bound, _risen(self.pending, self.pending_at, now))
+            bound = min(
+                bound, _bound(self.pending, self.pending_at, now, self.young_seconds)
+            )
         return bound - self.spent
 
     def reserve(self, tokens: int, now: float) -> bool:
@@ -141,12 +139,10 @@
         limit = max(self.spent, min(limit, max(prepaid - others.limit, self._kept())))
         if self.waiting:
             limit = max(limit, self.spent + self.waiting)
-        held = limit - self.spent
-        large = min(float(self.demand.largest), OPEN_SHARE * held)
+        large = min(float(self.demand.largest), OPEN_SHARE * (limit - self.spent))
         open_now = max(demand * OPEN_SECONDS, float(self.waiting), large)
         cap = min(limit, self.spent + math.ceil(open_now))
-        pace = max(demand * policy.pace_factor, held / policy.unlock_seconds)
-        return Row(limit, cap, round(pace, 1), round(demand, 1), self.waiting)
+        return Row(limit, cap, round(demand, 1), self.waiting)
 
     def aim(
         self, now: float, prepaid: int, others: Totals, hosts: int, policy: Policy
@@ -155,16 +151,14 @@
         left = max(0, prepaid - self.spent - others.cap)
         demand = self.demand.decay(now)
         total = demand + others.demand
-        if total <= 0:
-            return int(left * policy.first_share / max(1, hosts))
-        even = policy.even_share / max(1, hosts)
-        part = even + (1 - policy.even_share) * demand / total
+        part = 1 / max(1, hosts)
+        if total > 0:
+            even = policy.even_share
+            part = even * part + (1 - even) * demand / total
         most = left * policy.share * part
         if others.short and not self.waiting:
             most *= SHORT_SHARE
-        least = left * policy.share * even / 2
-        wanted = demand * policy.horizon_seconds + 2 * self.demand.largest
-        return int(min(most, max(wanted, least)))
+        return int(most)
 
     def send(self, row: Row, now: float) -> None:
         """Note that a statement is on its way: it binds where it is lower."""
@@ -193,6 +187,6 @@
         return self.granted
 
 
-def _risen(row: Row, at: float, now: float) -> int:
-    """Return a row's cap after the time since it was sent."""
-    return min(row.limit, row.cap + int(row.pace * max(0.0, now - at)))
+def _bound(row: Row, at: float, now: float, young_seconds: float) -> int:
+    """Return up to what a row allows to spend at a time since it was sent."""
+    return min(row.cap, row.limit) if now - at < young_seconds else row.limit
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -4,8 +4,8 @@
 states, for each workspace, three cumulative figures since the budgets began:
 
 - the *limit* up to which the host wants to spend,
-- the *cap* up to which it may have spent when the statement was sent,
-- the *pace* at which the cap rises from then on, up to the limit.
+- the *cap* up to which it spends while the statement is young,
+- and for how long that is: from then on it may spend up to the limit.
 
 A host may spend up to what all newest statements leave of the prepaid amount
 once its own stands in the store.  Let hosts i and j hold authority from readings
@@ -15,15 +15,18 @@
 order of loss, delay and repetition; only newest records matter, and a history
 that was forgotten changes nothing.
 
-The cap and pace tell the successor on the same host what its predecessor cannot
-have spent: all above cap + pace x time since the statement was sent.
+The cap tells the successor on the same host what its predecessor cannot have
+spent: all above the cap, if the statement was still young when the successor
+began.  While the store answers a statement is followed by the next one long
+before that, so the rest is only touched in a silence, and a process that is killed
+and started again at once gets nearly all of it back.
 """
 
 from __future__ import annotations
 
-import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
+from typing import Final
 
 import msgspec
 
@@ -37,7 +40,7 @@
     ----------
     limit, cap : int
         Tokens, cumulative.
-    pace, demand : float
+    demand : float
         Tokens a second.
     short : int
         Tokens of requests that wait for this statement.
@@ -45,7 +48,6 @@
 
     limit: int
     cap: int
-    pace: float = 0.0
     demand: float = 0.0
     short: int = 0
 
@@ -61,15 +63,20 @@
         Seconds on the machine's clock that counts suspension.
     booted : float
         Wall seconds at which that clock was zero; tells boots apart.
+    young_seconds : float
+        How long only the caps are spent.
     """
 
     epoch: int
     sent: float
     booted: float
+    young_seconds: float
     rows_by_workspace: dict[str, Row]
 
 
-BOOT_SLACK_SECONDS = 1.0
+ALL: Final = 2**53
+"""More tokens than any budget has."""
+BOOT_SLACK_SECONDS: Final = 1.0
 """Two boots of a machine lie further apart than its clock is corrected by."""
 
 
@@ -84,23 +91,32 @@
     """
     if abs(booted - statement.booted) > BOOT_SLACK_SECONDS or now < statement.sent:
         return row.limit
-    risen = row.cap + math.ceil(row.pace * (now - statement.sent))
-    return min(row.limit, risen)
+    young = now - statement.sent < statement.young_seconds
+    return min(row.limit, row.cap) if young else row.limit
 
 
 @dataclass(slots=True)
 class Book:
-    """The newest statement of every host."""
+    """The newest statement of every host.
+
+    Attributes
+    ----------
+    unread : set of str
+        Hosts whose newest statement can't be read: nobody knows what they hold.
+    """
 
     statements_by_host: dict[str, Statement] = field(default_factory=dict)
+    unread: set[str] = field(default_factory=set)
 
     def put(self, host: str, data: bytes | None) -> codec.Malformed | None:
-        """Take a record; one that can't be read leaves the former in force."""
-        if data is None:
-            return codec.Malformed("a statement was dropped")
-        statement = codec.decode(data, Statement)
+        """Take a record; while one can't be read, no host may spend further."""
+        statement: Statement | codec.Malformed = codec.Malformed("it was dropped")
+        if data is not None:
+            statement = codec.decode(data, Statement)
         if isinstance(statement, codec.Malformed):
+            self.unread.add(host)
             return statement
+        self.unread.discard(host)
         self.statements_by_host[host] = statement
         return None
 
@@ -111,7 +127,10 @@
             for name, statement in self.statements_by_host.items()
             if name != host
         )
-        return _sum(row for row in rows if row is not None)
+        totals = _sum(row for row in rows if row is not None)
+        if self.unread - {host}:
+            return Totals(ALL, ALL, totals.demand, totals.short)
+        return totals
 
     @property
     def hosts(self) -> int:
