--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -141,6 +141,9 @@
                     return None
                 self.idle = False
             elif isinstance(event, h11.Request):
+                names = {bytes(name) for name, _ in event.headers}
+                if {b"content-length", b"transfer-encoding"} <= names:
+                    return Malformed(400, "the body has two lengths")
                 return event
             else:
                 return None
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -21,7 +21,7 @@
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarder import Forwarder
-from godwitrudder.process.purse import Purse
+from godwitrudder.process.purse import PurseTask
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.retries import RetryWindow
 from godwitrudder.version.catalogue import CallerLimits
@@ -57,7 +57,7 @@
         self._metrics = EntryMetrics()
         self._store = Store(settings.store)
         self.directory = Directory(self._store, log)
-        self.purse = Purse(
+        self.purse = PurseTask(
             self._store, settings.host, self.directory.current, log, Policy()
         )
         self._pool = LinkPool(names.REQUEST_ID)
@@ -75,6 +75,7 @@
         self.forwarder.hosts = self.purse.hosts
         self.draining = False
         self._links: set[CallerLink] = set()
+        self._tasks: list[Greenlet] = []
         self._servers = [
             StreamServer(
                 (settings.callers.ip, settings.callers.port),
@@ -94,7 +95,7 @@
             self.directory.follow_runners,
             self.purse.run,
         ):
-            self._spawn(task)
+            self._tasks.append(self._spawn(task))
         for server in self._servers:
             server.start()
 
@@ -118,6 +119,13 @@
             seconds=round(time.monotonic() - began, 3),
         )
 
+    def close(self) -> None:
+        """Close the ports and end all tasks at once."""
+        for server in self._servers:
+            server.stop(timeout=0)
+        gevent.killall(self._tasks)
+        self._store.close()
+
     @property
     def ready(self) -> bool:
         """Whether it takes requests."""
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -17,7 +17,6 @@
 import msgspec
 
 from godwitrudder.connection.http import (
-    Broken,
     CallerLink,
     CallerRequest,
     End,
@@ -30,7 +29,7 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
-from godwitrudder.process.purse import NoTokens, Purse, Reservation
+from godwitrudder.process.purse import NoTokens, PurseTask, Reservation
 from godwitrudder.request.event_stream import EventReader
 from godwitrudder.request.outcome import (
     Failed,
@@ -46,7 +45,7 @@
 
 REJECTIONS_MOST: Final = 3
 """Runners that may turn a request away before it is refused."""
-TOKEN_PATIENCE: Final = 0.4
+TOKEN_PATIENCE: Final = 0.7
 """Part of the aim for which a request waits for tokens."""
 RETURN_SHARE: Final = 0.3
 """Part of the time left after which a refused caller may come back; callers
@@ -148,7 +147,7 @@
         host: str,
         failure_domain: str,
         directory: Directory,
-        purse: Purse,
+        purse: PurseTask,
         pool: LinkPool,
         log: DecisionLog,
         metrics: EntryMetrics,
--- a/godwitrudder/process/purse.py
+++ b/godwitrudder/process/purse.py
@@ -1,4 +1,4 @@
-"""The purse: this host's holdings, and the task that states them in the store.
+"""The purse's task: carries statements to the store and back.
 
 One statement at a time is under way.  It is repeated, word for word and under
 the same sequence number, until the store says that it stands or that a later
@@ -27,8 +27,9 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.holding import Holding, Policy
+from godwitrudder.request.purse import Purse
 from godwitrudder.version.catalogue import Catalogue
-from godwitrudder.version.statements import Book, Row, Statement, spent_at_most
+from godwitrudder.version.statements import Statement
 
 INTERVAL_SECONDS: Final = 0.5
 """Between statements without a waiting request: two calls a second and host."""
@@ -38,10 +39,6 @@
 """Without an answer for so long the store counts as out of reach."""
 STEP_SECONDS: Final = 0.03
 """Between statements for waiting requests, so that they share one."""
-REFRESH_SECONDS: Final = 0.7
-"""A statement that holds something is stated anew while it is young."""
-CHANGE_LEAST: Final = 0.02
-"""Rows that changed by less, relative, are not stated anew."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +49,10 @@
     ----------
     exhausted : bool
         The prepaid amount does not cover the request, as far as is known.
+    free : int
+        What is left of the budget, in tokens.
+    silent_seconds : float
+        Time since the store answered: the age of what is known.
     """
 
     exhausted: bool
@@ -67,8 +68,23 @@
     tokens: int
 
 
-class Purse:
-    """The holdings of one host by workspace."""
+@dataclass(slots=True)
+class Waiter:
+    """A request that waits for tokens; ``served`` is set when it has them."""
+
+    workspace: str
+    tokens: int
+    served: AsyncResult
+
+
+class PurseTask:
+    """Reserves tokens for requests, and states what this host holds.
+
+    Parameters
+    ----------
+    catalogue : callable
+        Returns the configuration in force.
+    """
 
     def __init__(
         self,
@@ -79,21 +95,16 @@
         policy: Policy,
     ) -> None:
         self._store = store
-        self._host = host
         self._catalogue = catalogue
         self._log = log
-        self._policy = policy
-        self._book = Book()
-        self._holdings: dict[str, Holding] = {}
-        self._bases: dict[str, int] = {}
+        self.purse = Purse(host, policy)
+        self._version = -1
         self._wanted = Event()
-        self._waiters: list[tuple[str, int, AsyncResult]] = []
+        self._waiters: list[Waiter] = []
         self._sequence = 0
         self._epoch = 0
-        self._offset: int | None = None
-        self._stated_end = 0
+        self._offset = 0
         self.answered_at = 0.0
-        self.leaving = False
         self.opened = Event()
 
     def now(self) -> float:
@@ -111,22 +122,23 @@
 
     def hosts(self) -> int:
         """Return the hosts that ever made a statement, at least one."""
-        return max(1, self._book.hosts)
+        return max(1, self.purse.book.hosts)
 
     def reserve(
         self, request: str, workspace: str, tokens: int, patience: float
     ) -> Reservation | NoTokens:
-        """Take tokens, waiting a while for a further statement."""
-        holding = self._holding(workspace)
+        """Take tokens, waiting up to some seconds for a further statement."""
+        self._configure()
+        holding = self.purse.holding(workspace)
         now = self.now()
         holding.demand.asked(tokens, now)
-        if not self._waits_for(workspace) and holding.reserve(tokens, now):
+        first = all(waiter.workspace != workspace for waiter in self._waiters)
+        if first and holding.reserve(tokens, now):
             return Reservation(workspace, tokens)
-        refused = self._hopeless(workspace, tokens)
-        if refused is None:
-            refused = self._wait(workspace, holding, tokens, patience)
-        if refused is None:
+        refused = self._none(workspace, tokens)
+        if not refused.exhausted and self._wait(workspace, holding, tokens, patience):
             return Reservation(workspace, tokens)
+        refused = self._none(workspace, tokens)
         self._log.note(
             "no_tokens",
             request,
@@ -143,7 +155,7 @@
 
     def settle(self, reservation: Reservation, used: int) -> None:
         """Give back what a request did not use."""
-        self._holding(reservation.workspace).settle(reservation.tokens, used)
+        self.purse.holding(reservation.workspace).settle(reservation.tokens, used)
 
     def run(self) -> None:
         """State and read for as long as the process lives."""
@@ -151,6 +163,7 @@
         while True:
             self._wanted.wait(INTERVAL_SECONDS)
             self._wanted.clear()
+            self._configure()
             self._state()
             self._read()
             self._serve()
@@ -158,95 +171,79 @@
 
     def leave(self) -> None:
         """Hold nothing ahead from now on; requests draw what they need."""
-        self.leaving = True
+        self.purse.leaving = True
         self._wanted.set()
 
     def settled(self) -> bool:
         """Whether the store knows that nothing is held beyond what was spent."""
-        return not self.opened.is_set() or all(
-            holding.pending is None
-            and holding.stated is not None
-            and holding.stated.limit <= holding.spent
-            for holding in self._holdings.values()
-        )
+        return not self.opened.is_set() or self.purse.settled()
 
-    def _waits_for(self, workspace: str) -> bool:
-        return any(name == workspace for name, _, _ in self._waiters)
+    def _configure(self) -> None:
+        catalogue = self._catalogue()
+        if catalogue is None or catalogue.version == self._version:
+            return
+        self._version = catalogue.version
+        self.purse.configure(
+            {name: each.prepaid for name, each in catalogue.workspaces_by_name.items()}
+        )
 
     def _wait(
         self, workspace: str, holding: Holding, tokens: int, patience: float
-    ) -> NoTokens | None:
-        if self.silent_seconds > SILENT_SECONDS:
-            return self._none(workspace, tokens)
-        result: AsyncResult = AsyncResult()
-        waiter = (workspace, tokens, result)
+    ) -> bool:
+        """Wait in turn for tokens; whether they were had."""
+        opens_at = holding.opens_at(tokens)
+        opens = opens_at is not None and opens_at <= self.now() + patience
+        if self.silent_seconds > SILENT_SECONDS and not opens:
+            return False
+        waiter = Waiter(workspace, tokens, AsyncResult())
         self._waiters.append(waiter)
         holding.waiting += tokens
         self._wanted.set()
         try:
-            result.wait(patience)
+            self._await(waiter, holding, patience)
         except BaseException:
-            if result.ready():
+            if waiter.served.ready():
                 holding.settle(tokens, 0)
             raise
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
                 holding.waiting -= tokens
-        if result.ready() or holding.reserve(tokens, self.now()):
-            return None
-        return self._none(workspace, tokens)
+        return waiter.served.ready() or holding.reserve(tokens, self.now())
+
+    def _await(self, waiter: Waiter, holding: Holding, patience: float) -> None:
+        """Wait until served, or until the holding opens by itself."""
+        until = self.now() + patience
+        opens_at = holding.opens_at(waiter.tokens)
+        if opens_at is not None:
+            waiter.served.wait(max(0.0, min(opens_at, until) - self.now()))
+        if waiter.served.ready() or holding.spendable(self.now()) >= waiter.tokens:
+            return
+        waiter.served.wait(max(0.0, until - self.now()))
 
     def _serve(self) -> None:
         """Give reservations to those that wait, in their order."""
         now = self.now()
         passed: set[str] = set()
         for waiter in list(self._waiters):
-            workspace, tokens, result = waiter
-            holding = self._holding(workspace)
-            if workspace in passed or not holding.reserve(tokens, now):
-                passed.add(workspace)
+            holding = self.purse.holding(waiter.workspace)
+            if waiter.workspace in passed or not holding.reserve(waiter.tokens, now):
+                passed.add(waiter.workspace)
                 continue
             self._waiters.remove(waiter)
-            holding.waiting -= tokens
-            result.set(True)
-
-    def _hopeless(self, workspace: str, tokens: int) -> NoTokens | None:
-        """Refuse at once what no statement could cover."""
-        refused = self._none(workspace, tokens)
-        return refused if refused.exhausted else None
+            holding.waiting -= waiter.tokens
+            waiter.served.set(True)
 
     def _none(self, workspace: str, tokens: int) -> NoTokens:
-        prepaid = self._prepaid(workspace)
-        others = self._book.others(self._host, workspace)
-        free = prepaid - others.cap - self._holding(workspace).spent
+        free = self.purse.free(workspace).tokens
         silent = self.silent_seconds
         known = silent < SILENT_SECONDS and self.opened.is_set()
         return NoTokens(known and free < tokens, free, silent)
 
-    def _prepaid(self, workspace: str) -> int:
-        catalogue = self._catalogue()
-        if catalogue is None or workspace not in catalogue.workspaces_by_name:
-            return 0
-        prepaid = catalogue.workspaces_by_name[workspace].prepaid
-        return 2**53 if prepaid is None else prepaid
-
-    def _holding(self, workspace: str) -> Holding:
-        holding = self._holdings.get(workspace)
-        if holding is None:
-            base = self._bases.get(workspace, 0)
-            holding = Holding(
-                spent=base,
-                granted=base,
-                young_seconds=self._policy.young_seconds,
-            )
-            self._holdings[workspace] = holding
-        return holding
-
     def _open(self) -> None:
         """Fence former incarnations, then take over what they can't have spent."""
-        page = self._newest()
-        own = self._book.statements_by_host.get(self._host)
+        self._offset = self._newest()
+        own = self.purse.book.statements_by_host.get(self.purse.host)
         self._epoch = 1 if own is None else own.epoch + 1
         while True:
             answer = self._store.append(names.LEDGER_TOPIC, None, self._producer())
@@ -256,30 +253,20 @@
                 self._epoch += 1
             self._log.note("ledger_open", epoch=self._epoch, answer=str(answer))
             gevent.sleep(RETRY_SECONDS)
-        page = self._newest()
-        self._offset = page
-        own = self._book.statements_by_host.get(self._host)
-        if self._host in self._book.unread:
-            raise RuntimeError("the former statement of this host can't be read")
+        self._offset = self._newest()
         now, booted = self.now(), self.booted()
-        rows = {} if own is None else own.rows_by_workspace
-        for workspace, row in rows.items():
-            assert own is not None
-            base = spent_at_most(row, own, now, booted)
-            self._bases[workspace] = base
-            holding = self._holding(workspace)
-            holding.spent = base
-            holding.granted = base
+        taken = self.purse.open(now, booted)
+        former = taken.former
         self._log.note(
             "ledger_opened",
             epoch=self._epoch,
-            hosts=self._book.hosts,
+            hosts=self.purse.book.hosts,
             clock=round(now, 3),
             booted=round(booted, 3),
-            former_sent=None if own is None else round(own.sent, 3),
-            former_booted=None if own is None else round(own.booted, 3),
-            held=sum(row.limit - row.cap for row in rows.values()),
-            stranded=sum(self._bases[name] - row.cap for name, row in rows.items()),
+            former_sent=None if former is None else round(former.sent, 3),
+            former_booted=None if former is None else round(former.booted, 3),
+            held=taken.held,
+            stranded=taken.stranded,
         )
         self.opened.set()
         self._wanted.set()
@@ -297,35 +284,33 @@
             gevent.sleep(RETRY_SECONDS)
 
     def _put(self, record: KeyedRecord) -> None:
-        problem = self._book.put(record.key, record.value)
+        problem = self.purse.put(record.key, record.value, self.now())
         if problem is not None:
             self._log.note("statement_unread", host_of=record.key, why=problem.reason)
 
     def _producer(self) -> Producer:
-        return Producer(self._host, self._epoch, self._sequence)
+        return Producer(self.purse.host, self._epoch, self._sequence)
 
     def _state(self) -> None:
         """Put a statement into the store, if one is due."""
-        rows = self._rows()
-        if rows is None:
+        statement = self.purse.statement(self.now(), self.booted(), self._epoch)
+        if statement is None:
             return
-        now = self.now()
-        young = self._policy.young_seconds
-        statement = Statement(self._epoch, now, self.booted(), young, rows)
-        for workspace, row in rows.items():
-            self._holding(workspace).send(row, now)
-        record = KeyedRecord(self._host, codec.encode(statement))
+        self.purse.sent(statement)
         self._sequence += 1
+        end = self._append(statement)
+        self.answered_at = self.now()
+        self.purse.stands(statement, end)
+
+    def _append(self, statement: Statement) -> int:
+        """Repeat a statement until it stands; return the offset after it."""
+        record = KeyedRecord(self.purse.host, codec.encode(statement))
         while True:
             answer = self._store.append(names.LEDGER_TOPIC, record, self._producer())
             if isinstance(answer, int):
-                break
+                return answer
             self._rejected(answer)
             gevent.sleep(RETRY_SECONDS)
-        self._stated_end = answer
-        self.answered_at = self.now()
-        for workspace in rows:
-            self._holding(workspace).stands()
 
     def _rejected(self, answer: Rejected | Unavailable) -> None:
         self._log.note("statement_open", sequence=self._sequence, answer=str(answer))
@@ -334,66 +319,21 @@
         if answer.expected_sequence is not None:
             self._sequence = answer.expected_sequence
             return
-        self._log.note("fenced", epoch=self._epoch)
         raise RuntimeError("a later incarnation of this host has begun")
 
-    def _rows(self) -> dict[str, Row] | None:
-        """Return all rows, None where none has changed enough."""
-        catalogue = self._catalogue()
-        if catalogue is None:
-            return None
-        now = self.now()
-        rows: dict[str, Row] = {}
-        due = False
-        names_known = dict.fromkeys([*catalogue.workspaces_by_name, *self._holdings])
-        for workspace in names_known:
-            known = catalogue.workspaces_by_name.get(workspace)
-            if known is not None and known.prepaid is None:
-                continue
-            holding = self._holding(workspace)
-            row = self._row(workspace, holding, now)
-            rows[workspace] = row
-            due = due or _differs(row, holding, now)
-        return rows if due else None
-
-    def _row(self, workspace: str, holding: Holding, now: float) -> Row:
-        if self.leaving:
-            spent = holding.spent + holding.waiting
-            return Row(spent, spent, 0.0, holding.waiting)
-        others = self._book.others(self._host, workspace)
-        hosts = max(self._book.hosts, 1)
-        prepaid = self._prepaid(workspace)
-        return holding.plan(now, prepaid, others, hosts, self._policy)
-
     def _read(self) -> None:
         """Read on; where the history was forgotten, read the newest records."""
-        assert self._offset is not None
         page = self._store.read(names.LEDGER_TOPIC, self._offset)
+        if isinstance(page, Unavailable | Rejected):
+            self._log.note("ledger_read", answer=str(page))
+            return
         if isinstance(page, Forgotten):
             self._log.note("ledger_forgotten", offset=self._offset)
             self._offset = self._newest()
-        elif isinstance(page, Unavailable | Rejected):
-            self._log.note("ledger_read", answer=str(page))
-            return
         else:
             for record in page.records:
                 self._put(record)
             self._offset = page.next
             self.answered_at = self.now()
-        if self._offset < self._stated_end:
+        if not self.purse.read_to(self._offset):
             self._wanted.set()
-            return
-        for workspace, holding in self._holdings.items():
-            others = self._book.others(self._host, workspace)
-            holding.read(self._prepaid(workspace), others)
-
-
-def _differs(row: Row, holding: Holding, now: float) -> bool:
-    """Whether a row says something that the standing one does not."""
-    stated = holding.stated
-    if stated is None or holding.waiting:
-        return True
-    if now - holding.stated_at > REFRESH_SECONDS and row.limit > holding.spent:
-        return True
-    slack = CHANGE_LEAST * max(0, stated.limit - holding.spent)
-    return abs(row.limit - stated.limit) > slack or abs(row.cap - stated.cap) > slack
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -15,8 +15,8 @@
 
 from godwitrudder.version.statements import Row, Totals
 
-DEMAND_SECONDS: Final = 10.0
-"""Time constant of the demand's mean: an outage horizon."""
+DEMAND_SECONDS: Final = 12.0
+"""Time constant of the demand's mean: more than an outage of 7 to 9 s."""
 OPEN_SECONDS: Final = 1.0
 """Demand that may be spent without a further statement: two of its intervals."""
 OPEN_SHARE: Final = 0.5
@@ -27,6 +27,12 @@
 """A holding above its aim by this factor is given back."""
 LARGEST_SECONDS: Final = 20.0
 """How long the largest request seen is kept in mind: two outage horizons."""
+WARM_SECONDS: Final = 2.0
+"""Least time that a mean is taken over."""
+KNOWN_LEAST: Final = 0.1
+"""Least reliance on a mean when it bounds a holding."""
+DEVIATIONS: Final = 1.5
+"""Standard deviations of the demand that a holding covers: 13 in 14 horizons."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,42 +41,92 @@
 
     Attributes
     ----------
-    share : float
-        Part of all that is left which all hosts together hold ahead.
+    first_share, last_share : float
+        Part of all that is left which all hosts together hold ahead at most, when
+        nothing is spent and towards the end.
     even_share : float
-        Part of that which hosts get alike, whatever their demand.
+        Weight of a host's traffic over all workspaces, which is better known than
+        its traffic of one.
+    horizon_seconds : float
+        Time without the store that a host is to bridge.
     young_seconds : float
         Time after a statement in which only its cap is spent.
     """
 
-    share: float = 0.6
+    first_share: float = 0.6
+    last_share: float = 0.1
     even_share: float = 0.5
+    horizon_seconds: float = 10.0
     young_seconds: float = 1.5
 
 
+@dataclass(frozen=True, slots=True)
+class TrafficShare:
+    """Part of the fleet's traffic that comes to this host, 0 to 1.
+
+    Attributes
+    ----------
+    equal, measured : float
+        As if all active hosts got alike, and as stated demand says.
+    """
+
+    equal: float
+    measured: float
+
+
 @dataclass(slots=True)
 class Demand:
-    """Mean of what is asked for, tokens a second, and the largest request."""
+    """What is asked for: aged sums of tokens and of their squares.
+
+    Attributes
+    ----------
+    largest : int
+        Tokens of the largest request of late.
+    """
 
-    per_second: float = 0.0
+    tokens: float = 0.0
+    squares: float = 0.0
     at: float = 0.0
+    began: float | None = None
     largest: int = 0
     largest_at: float = 0.0
 
     def asked(self, tokens: int, now: float) -> None:
         """Note a request."""
-        self.decay(now)
-        self.per_second += tokens / DEMAND_SECONDS
+        self._age(now)
+        if self.began is None:
+            self.began = now
+        self.tokens += tokens
+        self.squares += float(tokens) * tokens
         if tokens >= self.largest or now - self.largest_at > LARGEST_SECONDS:
             self.largest = tokens
             self.largest_at = now
 
-    def decay(self, now: float) -> float:
-        """Return the mean as of now."""
+    def per_second(self, now: float) -> float:
+        """Return the mean, in tokens a second."""
+        self._age(now)
+        if self.began is None:
+            return 0.0
+        age = max(WARM_SECONDS, now - self.began)
+        return self.tokens / (DEMAND_SECONDS * -math.expm1(-age / DEMAND_SECONDS))
+
+    def known(self, now: float) -> float:
+        """Return how far the mean can be relied on, 0 to 1."""
+        if self.began is None:
+            return 0.0
+        return -math.expm1(-(now - self.began) / DEMAND_SECONDS)
+
+    @property
+    def weight(self) -> float:
+        """Return the size of a request as it counts for the variance, in tokens."""
+        return self.squares / self.tokens if self.tokens > 1 else float(self.largest)
+
+    def _age(self, now: float) -> None:
         if now > self.at:
-            self.per_second *= math.exp(-(now - self.at) / DEMAND_SECONDS)
+            factor = math.exp(-(now - self.at) / DEMAND_SECONDS)
+            self.tokens *= factor
+            self.squares *= factor
             self.at = now
-        return self.per_second
 
 
 @dataclass(slots=True)
@@ -114,6 +170,13 @@
             )
         return bound - self.spent
 
+    def opens_at(self, tokens: int) -> float | None:
+        """Return when tokens can be reserved without a further statement, if ever."""
+        if self.stated is None or tokens > self.granted - self.spent:
+            return None
+        sent = self.stated_at if self.pending is None else self.pending_at
+        return max(sent, self.stated_at) + self.young_seconds
+
     def reserve(self, tokens: int, now: float) -> bool:
         """Take tokens for a request at its most; False where they can't be had."""
         if tokens > self.spendable(now):
@@ -126,11 +189,22 @@
         self.spent -= reserved - min(used, reserved)
 
     def plan(
-        self, now: float, prepaid: int, others: Totals, hosts: int, policy: Policy
+        self,
+        now: float,
+        prepaid: int,
+        others: Totals,
+        share: TrafficShare,
+        policy: Policy,
     ) -> Row:
-        """Return the row to state next."""
-        demand = self.demand.decay(now)
-        ahead = max(self.aim(now, prepaid, others, hosts, policy), self.waiting)
+        """Return the row to state next.
+
+        Parameters
+        ----------
+        share : TrafficShare
+            Part of the fleet's traffic that comes to this host.
+        """
+        demand = self.demand.per_second(now)
+        ahead = max(self.aim(now, prepaid, others, share, policy), self.waiting)
         limit = self.spent + ahead
         if self.stated is not None and not self.waiting:
             held = self.stated.limit - self.spent
@@ -145,20 +219,39 @@
         return Row(limit, cap, round(demand, 1), self.waiting)
 
     def aim(
-        self, now: float, prepaid: int, others: Totals, hosts: int, policy: Policy
+        self,
+        now: float,
+        prepaid: int,
+        others: Totals,
+        share: TrafficShare,
+        policy: Policy,
     ) -> int:
         """Return the tokens to hold ahead."""
         left = max(0, prepaid - self.spent - others.cap)
-        demand = self.demand.decay(now)
+        if not left:
+            return 0
+        demand = self.demand.per_second(now)
         total = demand + others.demand
-        part = 1 / max(1, hosts)
+        part = share.equal
+        known = self.demand.known(now)
         if total > 0:
-            even = policy.even_share
-            part = even * part + (1 - even) * demand / total
-        most = left * policy.share * part
+            measured = policy.even_share * share.measured
+            measured += (1 - policy.even_share) * demand / total
+            part += known * (measured - part)
+        least, most = policy.last_share, policy.first_share
+        together = least + (most - least) * left / prepaid
+        bound = left * together * part
         if others.short and not self.waiting:
-            most *= SHORT_SHARE
-        return int(most)
+            bound *= SHORT_SHARE
+        if total > 0:
+            wanted = self._wanted(total * part, policy.horizon_seconds)
+            bound = min(bound, wanted / max(KNOWN_LEAST, known))
+        return int(bound)
+
+    def _wanted(self, per_second: float, seconds: float) -> float:
+        """Return what a horizon takes: the mean and some deviations above it."""
+        mean = per_second * seconds
+        return mean + DEVIATIONS * math.sqrt(mean * self.demand.weight)
 
     def send(self, row: Row, now: float) -> None:
         """Note that a statement is on its way: it binds where it is lower."""
--- /dev/null
+++ b/godwitrudder/request/purse.py
@@ -0,0 +1,195 @@
+"""The purse: all holdings of one host, without I/O.
+
+A task feeds it what the store answers and sends what it states.  Every method
+takes the reading of the clock that statements carry.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
+
+from godwitrudder import codec
+from godwitrudder.request.holding import Holding, Policy, TrafficShare
+from godwitrudder.version.statements import (
+    ALL,
+    Book,
+    Row,
+    Statement,
+    spent_at_most,
+)
+
+REFRESH_SECONDS: Final = 0.7
+"""A statement that holds something is stated anew while it is young."""
+CHANGE_LEAST: Final = 0.02
+"""Rows that changed by less, relative to what is held, are not stated anew."""
+
+
+@dataclass(frozen=True, slots=True)
+class Free:
+    """What the fleet has left of a budget, as far as this host knows.
+
+    Attributes
+    ----------
+    tokens : int
+        Prepaid, less what every host may have spent.
+    held_elsewhere : int
+        Tokens that other hosts hold and have not spent.
+    """
+
+    tokens: int
+    held_elsewhere: int
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """What a host took over from its former incarnation, in tokens."""
+
+    held: int
+    stranded: int
+    former: Statement | None
+
+
+class Purse:
+    """The holdings of one host by workspace.
+
+    Parameters
+    ----------
+    host : str
+        Key of its statements; the same for all incarnations on one machine.
+    """
+
+    def __init__(self, host: str, policy: Policy) -> None:
+        self.host = host
+        self.policy = policy
+        self.book = Book()
+        self.holdings: dict[str, Holding] = {}
+        self.leaving = False
+        self._prepaid: dict[str, int | None] = {}
+        self._stated_end = 0
+
+    def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
+        """Take the prepaid amounts in force; None stands for no limit."""
+        self._prepaid = dict(prepaid_by_workspace)
+
+    def holding(self, workspace: str) -> Holding:
+        """Return a holding, an empty one for a new workspace."""
+        holding = self.holdings.get(workspace)
+        if holding is None:
+            holding = Holding(young_seconds=self.policy.young_seconds)
+            self.holdings[workspace] = holding
+        return holding
+
+    def put(self, host: str, data: bytes | None, now: float) -> codec.Malformed | None:
+        """Take one host's newest statement as the store has it."""
+        return self.book.put(host, data, now)
+
+    def open(self, now: float, booted: float) -> Taken:
+        """Begin with what the former incarnation on this machine may have spent.
+
+        Raises
+        ------
+        RuntimeError
+            The former statement can't be read: what was spent is unknown.
+        """
+        if self.host in self.book.unread:
+            raise RuntimeError("the former statement of this host can't be read")
+        former = self.book.statements_by_host.get(self.host)
+        rows = {} if former is None else former.rows_by_workspace
+        stranded = 0
+        for workspace, row in rows.items():
+            assert former is not None
+            spent = spent_at_most(row, former, now, booted)
+            holding = self.holding(workspace)
+            holding.spent = spent
+            holding.granted = spent
+            stranded += spent - row.cap
+        held = sum(row.limit - row.cap for row in rows.values())
+        return Taken(held, stranded, former)
+
+    def free(self, workspace: str) -> Free:
+        """Return what is left of a budget."""
+        others = self.book.others(self.host, workspace)
+        spent = self.holding(workspace).spent
+        tokens = self.prepaid(workspace) - others.cap - spent
+        return Free(tokens, others.limit - others.cap)
+
+    def prepaid(self, workspace: str) -> int:
+        """Return the prepaid amount; nothing for an unknown workspace."""
+        prepaid = self._prepaid.get(workspace, 0)
+        return ALL if prepaid is None else prepaid
+
+    def statement(self, now: float, booted: float, epoch: int) -> Statement | None:
+        """Return the statement to send now, None where none is due."""
+        rows: dict[str, Row] = {}
+        due = False
+        share = self.traffic_share(now)
+        for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
+            if self._prepaid.get(workspace, 0) is None:
+                continue
+            holding = self.holding(workspace)
+            row = self._row(workspace, holding, now, share)
+            rows[workspace] = row
+            due = due or _differs(row, holding, now)
+        if not due:
+            return None
+        return Statement(epoch, now, booted, self.policy.young_seconds, rows)
+
+    def sent(self, statement: Statement) -> None:
+        """Note that a statement is about to be sent: it binds where it is lower."""
+        for workspace, row in statement.rows_by_workspace.items():
+            self.holding(workspace).send(row, statement.sent)
+
+    def stands(self, statement: Statement, end: int) -> None:
+        """Note that a statement stands before an offset."""
+        self._stated_end = end
+        for workspace in statement.rows_by_workspace:
+            self.holding(workspace).stands()
+
+    def read_to(self, offset: int) -> bool:
+        """Note that all before an offset was read; False where that is not enough."""
+        if offset < self._stated_end:
+            return False
+        for workspace, holding in self.holdings.items():
+            others = self.book.others(self.host, workspace)
+            holding.read(self.prepaid(workspace), others)
+        return True
+
+    def traffic_share(self, now: float) -> TrafficShare:
+        """Return this host's part of the fleet's traffic."""
+        others, hosts = self.book.demand_of_others(self.host)
+        own = sum(holding.demand.per_second(now) for holding in self.holdings.values())
+        equal = 1 / (hosts + 1)
+        measured = own / (own + others) if own + others > 0 else equal
+        return TrafficShare(equal, measured)
+
+    def settled(self) -> bool:
+        """Whether the store knows that nothing is held beyond what was spent."""
+        return all(
+            holding.pending is None
+            and holding.stated is not None
+            and holding.stated.limit <= holding.spent
+            for holding in self.holdings.values()
+        )
+
+    def _row(
+        self, workspace: str, holding: Holding, now: float, share: TrafficShare
+    ) -> Row:
+        if self.leaving:
+            spent = holding.spent + holding.waiting
+            return Row(spent, spent, 0.0, holding.waiting)
+        others = self.book.others(self.host, workspace)
+        prepaid = self.prepaid(workspace)
+        return holding.plan(now, prepaid, others, share, self.policy)
+
+
+def _differs(row: Row, holding: Holding, now: float) -> bool:
+    """Whether a row says something that the standing one does not."""
+    stated = holding.stated
+    if stated is None or holding.waiting:
+        return True
+    if now - holding.stated_at > REFRESH_SECONDS and row.limit > holding.spent:
+        return True
+    slack = CHANGE_LEAST * max(0, stated.limit - holding.spent)
+    return abs(row.limit - stated.limit) > slack or abs(row.cap - stated.cap) > slack
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -24,7 +24,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -76,6 +75,8 @@
 
 ALL: Final = 2**53
 """More tokens than any budget has."""
+ACTIVE_SECONDS: Final = 3.0
+"""A host that made no statement for so long, though others did, has no demand."""
 BOOT_SLACK_SECONDS: Final = 1.0
 """Two boots of a machine lie further apart than its clock is corrected by."""
 
@@ -103,12 +104,15 @@
     ----------
     unread : set of str
         Hosts whose newest statement can't be read: nobody knows what they hold.
+    heard_by_host : dict
+        When a statement of each host was last read, in seconds of the reader.
     """
 
     statements_by_host: dict[str, Statement] = field(default_factory=dict)
     unread: set[str] = field(default_factory=set)
+    heard_by_host: dict[str, float] = field(default_factory=dict)
 
-    def put(self, host: str, data: bytes | None) -> codec.Malformed | None:
+    def put(self, host: str, data: bytes | None, at: float) -> codec.Malformed | None:
         """Take a record; while one can't be read, no host may spend further."""
         statement: Statement | codec.Malformed = codec.Malformed("it was dropped")
         if data is not None:
@@ -118,33 +122,42 @@
             return statement
         self.unread.discard(host)
         self.statements_by_host[host] = statement
+        self.heard_by_host[host] = at
         return None
 
     def others(self, host: str, workspace: str) -> Totals:
-        """Return the sums over all hosts but one."""
-        rows = (
-            statement.rows_by_workspace.get(workspace)
-            for name, statement in self.statements_by_host.items()
-            if name != host
-        )
-        totals = _sum(row for row in rows if row is not None)
+        """Return the sums over all hosts but one; demand only of active ones."""
+        since = max(self.heard_by_host.values(), default=0.0) - ACTIVE_SECONDS
+        limit, cap, demand, short = 0, 0, 0.0, 0
+        for name, statement in self.statements_by_host.items():
+            row = statement.rows_by_workspace.get(workspace)
+            if row is None or name == host:
+                continue
+            limit += row.limit
+            cap += row.cap
+            if self.heard_by_host[name] >= since:
+                demand += row.demand
+                short += row.short
         if self.unread - {host}:
-            return Totals(ALL, ALL, totals.demand, totals.short)
-        return totals
+            limit, cap = ALL, ALL
+        return Totals(limit, cap, demand, short)
+
+    def demand_of_others(self, host: str) -> tuple[float, int]:
+        """Return demand over all workspaces, and number, of the other active hosts."""
+        since = max(self.heard_by_host.values(), default=0.0) - ACTIVE_SECONDS
+        demand, hosts = 0.0, 0
+        for name, statement in self.statements_by_host.items():
+            if name == host or self.heard_by_host[name] < since:
+                continue
+            hosts += 1
+            demand += sum(row.demand for row in statement.rows_by_workspace.values())
+        return demand, hosts
 
     @property
     def hosts(self) -> int:
         """Hosts that ever made a statement."""
         return len(self.statements_by_host)
 
-    def totals(self) -> Mapping[str, Totals]:
-        """Return the sums over all hosts, by workspace."""
-        rows: dict[str, list[Row]] = {}
-        for statement in self.statements_by_host.values():
-            for workspace, row in statement.rows_by_workspace.items():
-                rows.setdefault(workspace, []).append(row)
-        return {workspace: _sum(group) for workspace, group in rows.items()}
-
 
 @dataclass(frozen=True, slots=True)
 class Totals:
@@ -154,13 +167,3 @@
     cap: int = 0
     demand: float = 0.0
     short: int = 0
-
-
-def _sum(rows: Iterable[Row]) -> Totals:
-    limit, cap, demand, short = 0, 0, 0.0, 0
-    for row in rows:
-        limit += row.limit
-        cap += row.cap
-        demand += row.demand
-        short += row.short
-    return Totals(limit, cap, demand, short)
--- /dev/null
+++ b/standins/platform_runner.py
@@ -0,0 +1,139 @@
+"""A runner of the users' platform whose answers a test scripts, byte by byte."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+
+@dataclass(frozen=True)
+class Seen:
+    """A request as it reached the runner."""
+
+    line: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Step = bytes | float | None
+Script = Callable[[Seen, int], list[Step]]
+
+
+class PlatformRunner:
+    """Plays a script for each request: bytes to send, seconds to wait, None to reset.
+
+    Parameters
+    ----------
+    script : callable
+        Returns the steps for a request, given how many came before it.
+    """
+
+    def __init__(self, script: Script) -> None:
+        self.script = script
+        self.seen: list[Seen] = []
+        self.hung_up = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+
+    def __enter__(self) -> PlatformRunner:
+        """Start to listen."""
+        self._server.start()
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Stop."""
+        self._server.stop(timeout=0)
+
+    @property
+    def address(self) -> str:
+        """Where it listens."""
+        return f"127.0.0.1:{self._server.server_port}"
+
+    def _serve(self, sock: socket.socket, _address: object) -> None:
+        stream = sock.makefile("rb")
+        while True:
+            line = stream.readline().decode().strip()
+            if not line:
+                return
+            seen = Seen(line, *_rest(stream))
+            self.seen.append(seen)
+            for step in self.script(seen, len(self.seen) - 1):
+                if step is None:
+                    sock.setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
+                    )
+                    sock.close()
+                    return
+                if isinstance(step, bytes):
+                    try:
+                        sock.sendall(step)
+                    except OSError:
+                        self.hung_up += 1
+                        return
+                elif self._left(sock, step):
+                    self.hung_up += 1
+                    return
+
+    def _left(self, sock: socket.socket, seconds: float) -> bool:
+        """Wait; whether the caller closed meanwhile."""
+        sock.settimeout(seconds)
+        try:
+            return not sock.recv(1, socket.MSG_PEEK)
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        finally:
+            sock.settimeout(None)
+            gevent.sleep(0)
+
+
+def _rest(stream: object) -> tuple[dict[str, str], bytes]:
+    headers: dict[str, str] = {}
+    while True:
+        line = stream.readline().decode().strip()  # type: ignore[attr-defined]
+        if not line:
+            break
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    length = int(headers.get("content-length", "0"))
+    return headers, stream.read(length)  # type: ignore[attr-defined]
+
+
+def answer(
+    seen: Seen, status: str, body: bytes, *more: str, proven: bool = True
+) -> bytes:
+    """Return a whole answer that echoes the request's id."""
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"X-Godwitrudder-Request-Id: {seen.headers['x-godwitrudder-request-id']}",
+        f"Content-Length: {len(body)}",
+        *more,
+    ]
+    if proven:
+        lines.append("X-Godwitrudder-Response-Signature: proof")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(seen: Seen) -> bytes:
+    """Return the head of a stream in chunks."""
+    request = seen.headers["x-godwitrudder-request-id"]
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Godwitrudder-Request-Id: {request}\r\n"
+        "X-Godwitrudder-Response-Signature: proof\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk."""
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def event(number: int) -> bytes:
+    """Return one event."""
+    return f"id: {number}\ndata: piece {number}\n\n".encode()
--- /dev/null
+++ b/tests/ports.py
@@ -0,0 +1,12 @@
+"""Ports that the system gives, so that any number of runs share a machine."""
+
+from __future__ import annotations
+
+import socket
+
+
+def free_port(ip: str = "127.0.0.1") -> int:
+    """Return a port that is free now."""
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return int(sock.getsockname()[1])
--- /dev/null
+++ b/tests/test_holding.py
@@ -0,0 +1,81 @@
+"""What a host holds ahead, by the load pattern that each bound answers."""
+
+from __future__ import annotations
+
+import pytest
+
+from godwitrudder import codec
+from godwitrudder.request.holding import Holding, Policy, TrafficShare
+from godwitrudder.version.statements import (
+    ALL,
+    Book,
+    Row,
+    Statement,
+    Totals,
+    spent_at_most,
+)
+
+POLICY = Policy()
+EVEN = TrafficShare(1 / 9, 1 / 9)
+
+
+def test_hosts_that_have_seen_nothing_share_what_may_be_held() -> None:
+    aim = Holding().aim(0.0, 900_000, Totals(), EVEN, POLICY)
+    assert aim * 9 == pytest.approx(900_000 * POLICY.first_share, rel=0.01)
+
+
+def test_less_of_what_is_left_is_held_towards_the_end() -> None:
+    early = Holding().aim(0.0, 900_000, Totals(cap=100_000), EVEN, POLICY)
+    late = Holding().aim(0.0, 900_000, Totals(cap=800_000), EVEN, POLICY)
+    assert late / 100_000 < early / 800_000
+
+
+def test_a_host_gives_way_to_one_that_lacks_tokens() -> None:
+    calm = Holding().aim(0.0, 900_000, Totals(), EVEN, POLICY)
+    short = Holding().aim(0.0, 900_000, Totals(short=5000), EVEN, POLICY)
+    assert short < calm / 2
+
+
+def test_only_the_cap_is_spent_while_a_statement_is_young() -> None:
+    holding = Holding(granted=1000)
+    holding.stated, holding.stated_at = Row(1000, 100), 5.0
+    assert holding.spendable(6.4) == 100
+    assert holding.spendable(6.6) == 1000
+
+
+def test_a_lower_statement_binds_before_it_stands() -> None:
+    holding = Holding(granted=1000)
+    holding.stated, holding.stated_at = Row(1000, 1000), 5.0
+    holding.send(Row(300, 300), 6.0)
+    assert holding.spendable(60.0) == 300
+
+
+def test_a_grant_is_what_others_leave() -> None:
+    holding = Holding()
+    holding.send(Row(500, 500), 0.0)
+    holding.stands()
+    holding.read(1000, Totals(limit=800))
+    assert holding.granted == 200
+
+
+@pytest.mark.parametrize(
+    ("now", "booted", "spent"),
+    [(11.0, 0.0, 100), (11.6, 0.0, 1000), (11.0, 50.0, 1000), (9.0, 0.0, 1000)],
+)
+def test_a_successor_counts_what_may_be_gone(
+    now: float, booted: float, spent: int
+) -> None:
+    """Young: the cap.  Old, after a reboot, or with a clock gone back: the limit."""
+    statement = Statement(1, 10.0, 0.0, 1.5, {"w": Row(1000, 100)})
+    row = statement.rows_by_workspace["w"]
+    assert spent_at_most(row, statement, now, booted) == spent
+
+
+def test_a_statement_that_cannot_be_read_stops_all_grants() -> None:
+    """As processes of two versions met: the former statement read as nothing."""
+    book = Book()
+    assert book.put("h1", codec.encode(["other", "format"]), 0.0) is not None
+    assert book.others("h0", "w").limit == ALL
+    good = Statement(1, 0.0, 0.0, 1.5, {"w": Row(10, 5)})
+    assert book.put("h1", codec.encode(good), 1.0) is None
+    assert book.others("h0", "w").limit == 10
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,362 @@
+"""The path on the users' platform, over loopback: what callers and runners see."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from contextlib import ExitStack, contextmanager
+from dataclasses import dataclass
+
+import gevent
+import pytest
+
+from godwitrudder.platform import names
+from godwitrudder.platform.settings import EntrySettings
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.entry import Entry
+from godwitrudder.sections import Address
+from standins.platform_runner import (
+    PlatformRunner,
+    Script,
+    Seen,
+    Step,
+    answer,
+    chunk,
+    event,
+    stream_head,
+)
+from standins.store import Store
+from tests.ports import free_port
+
+PREPAID = 100_000
+
+
+@dataclass
+class Site:
+    """One entry, its store and two runners."""
+
+    entry: Entry
+    store: Store
+    runners: list[PlatformRunner]
+
+    def ask(
+        self,
+        path: str = "/safe/1",
+        method: str = "GET",
+        key: str = "key-1",
+        headers: str = "",
+        body: bytes = b"",
+    ) -> bytes:
+        """Send one request on a connection of its own; return all that comes."""
+        address = self.entry.settings.callers
+        with socket.create_connection((address.ip, address.port)) as sock:
+            sock.sendall(request(path, method, key, headers, body))
+            return read_all(sock)
+
+
+def request(
+    path: str,
+    method: str = "GET",
+    key: str = "key-1",
+    headers: str = "",
+    body: bytes = b"",
+) -> bytes:
+    """Return a request's bytes, with an id."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
+        "X-Godwitrudder-Request-Id: r-1\r\nX-Godwitrudder-Deadline-Ms: 2000\r\n"
+        f"Authorization: Bearer {key}\r\nConnection: close\r\n{headers}{length}\r\n"
+    ).encode() + body
+
+
+def read_all(sock: socket.socket) -> bytes:
+    """Read until the other side closes."""
+    data = b""
+    while part := sock.recv(65536):
+        data += part
+    return data
+
+
+def route(prefix: str, kind: str, **more: object) -> dict[str, object]:
+    """Return a route to the only service."""
+    return {
+        "name": prefix,
+        "host": "shop.example",
+        "path_prefix": f"/{prefix}/",
+        "kind": kind,
+        "timeout_ms": 2000,
+        "target_latency_ms": 300,
+        "priority": 1,
+        "service": "s",
+        "max_attempts": 2,
+        **more,
+    }
+
+
+def configuration(version: int = 1, prepaid: int = PREPAID) -> dict[str, object]:
+    """Return a configuration with all kinds of route."""
+    return {
+        "version": version,
+        "routes": [
+            route("safe", "safe"),
+            route("unsafe", "unsafe", max_attempts=1),
+            route("stream", "streaming", resumable=True, gap_aim_ms=300),
+            route("fixed", "streaming", max_attempts=1, gap_aim_ms=300),
+        ],
+        "services": [{"name": "s", "max_conns": 100, "engine": {"stride": 2}}],
+        "tenants": [{"name": "w", "api_keys": ["key-1"], "prepaid": prepaid}],
+    }
+
+
+@contextmanager
+def site(*scripts: Script) -> Iterator[Site]:
+    """Run an entry before runners that play scripts."""
+    with ExitStack() as stack:
+        store = stack.enter_context(Store(Address("127.0.0.1", free_port())))
+        runners = [stack.enter_context(PlatformRunner(script)) for script in scripts]
+        store.put(names.OPERATOR_TOPIC, "config", configuration())
+        for number, runner in enumerate(runners):
+            entry = {"service": "s", "address": runner.address, "state": "ready"}
+            store.put(names.RUNNERS_TOPIC, f"i-{number}", {**entry, "slots": 4})
+        settings = EntrySettings(
+            host="front-1",
+            failure_domain="magong",
+            callers=Address("127.0.0.1", free_port()),
+            ready=Address("127.0.0.1", free_port()),
+            store=store.address,
+            leave_seconds=2.0,
+            grace_seconds=2.0,
+            retry_share=0.2,
+            retry_window_seconds=10.0,
+            retry_slack=50.0,
+        )
+        with open("/dev/null", "wb") as sink:
+            process = Entry(settings, None, DecisionLog("front-1", sink.fileno()))
+            stack.callback(process.close)
+            process.start()
+            while not process.ready:
+                gevent.sleep(0.01)
+            gevent.sleep(0.1)
+            yield Site(process, store, runners)
+
+
+def good(seen: Seen, _number: int) -> list[Step]:
+    return [answer(seen, "200 OK", b"hello")]
+
+
+def rejecting(seen: Seen, _number: int) -> list[Step]:
+    not_run = "X-Godwitrudder-Not-Executed: 1"
+    return [answer(seen, "503 Full", b"", not_run, proven=False)]
+
+
+def silent(_seen: Seen, _number: int) -> list[Step]:
+    return [30.0]
+
+
+def resetting(_seen: Seen, _number: int) -> list[Step]:
+    return [None]
+
+
+def garbled(_seen: Seen, _number: int) -> list[Step]:
+    return [b"\x00\x01 this is no answer\r\n\r\n", None]
+
+
+def cut(seen: Seen, _number: int) -> list[Step]:
+    return [answer(seen, "200 OK", b"hello")[:-2], None]
+
+
+def unproven(seen: Seen, _number: int) -> list[Step]:
+    return [answer(seen, "200 OK", b"hello", proven=False)]
+
+
+def late_extra(seen: Seen, _number: int) -> list[Step]:
+    """Put a second answer where the next request's is due."""
+    extra = answer(seen, "200 OK", b"wrong")
+    return [answer(seen, "200 OK", b"hello"), 0.01, extra]
+
+
+def status_of(data: bytes) -> int:
+    """Return the status of an answer."""
+    return int(data.split(b" ", 2)[1])
+
+
+def test_an_answer_is_passed_on_with_its_proof() -> None:
+    with site(good) as place:
+        data = place.ask()
+        seen = place.runners[0].seen[0].headers
+    assert status_of(data) == 200 and data.endswith(b"hello")
+    assert b"x-godwitrudder-response-signature: proof" in data.lower()
+    assert "authorization" not in seen
+    assert seen["x-godwitrudder-tenant"] == "w"
+    assert seen["x-godwitrudder-expect-instance"] == "i-0"
+    assert 0 < int(seen["x-godwitrudder-deadline-ms"]) <= 2000
+
+
+def test_headers_of_the_system_are_never_the_callers() -> None:
+    forged = (
+        "X-Godwitrudder-Tenant: other\r\nX-Godwitrudder-Hold: h\r\n"
+        "X-Godwitrudder-Pin-Ms: 9\r\nKv-From: 1.2.3.4:5/6\r\nX-Other: kept\r\n"
+    )
+    with site(good) as place:
+        place.ask(headers=forged)
+        seen = place.runners[0].seen[0].headers
+    assert seen["x-godwitrudder-tenant"] == "w" and seen["x-other"] == "kept"
+    for name in ("x-godwitrudder-hold", "x-godwitrudder-pin-ms", "kv-from"):
+        assert name not in seen
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/none/1", "key-1", 404), ("/safe/1", "other", 401), ("/safe", "key-1", 404)],
+)
+def test_a_bad_request_reaches_no_runner(path: str, key: str, status: int) -> None:
+    with site(good) as place:
+        assert status_of(place.ask(path, key=key)) == status
+        assert not place.runners[0].seen
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        "Content-Length: 3\r\nContent-Length: 5\r\n",
+        "X-Godwitrudder-Request-Id: r-2\r\n",
+        "X-Godwitrudder-Token-Count: many\r\n",
+    ],
+)
+def test_a_request_that_can_be_read_in_two_ways_is_turned_away(headers: str) -> None:
+    with site(good) as place:
+        data = place.ask(headers=headers, method="POST")
+        assert status_of(data) == 400
+        assert not place.runners[0].seen
+
+
+@pytest.mark.parametrize(
+    "fault", [rejecting, silent, resetting, garbled, cut, unproven]
+)
+def test_a_safe_request_goes_to_another_runner(fault: Script) -> None:
+    calls: list[int] = []
+
+    def first_bad(seen: Seen, number: int) -> list[Step]:
+        calls.append(1)
+        return fault(seen, number) if len(calls) == 1 else good(seen, number)
+
+    with site(first_bad, first_bad) as place:
+        data = place.ask()
+    assert status_of(data) == 200 and data.endswith(b"hello")
+    assert len(calls) == 2
+
+
+@pytest.mark.parametrize(
+    ("fault", "status"),
+    [(rejecting, 503), (resetting, 502), (garbled, 502), (cut, 502), (unproven, 502)],
+)
+def test_an_unsafe_request_is_refused_only_if_it_did_not_run(
+    fault: Script, status: int
+) -> None:
+    with site(fault, fault) as place:
+        data = place.ask("/unsafe/1", method="POST", body=b"x")
+        ran = sum(len(runner.seen) for runner in place.runners)
+    assert status_of(data) == status
+    assert ran == (2 if fault is rejecting else 1)
+    assert (b"retry-after" in data.lower()) == (status == 503)
+
+
+def test_an_answer_to_another_request_is_skipped() -> None:
+    with site(late_extra) as place:
+        first = place.ask()
+        gevent.sleep(0.05)
+        second = place.ask()
+    assert first.endswith(b"hello") and second.endswith(b"hello")
+
+
+def streaming(*numbers: int, whole: bool = True) -> Script:
+    def script(seen: Seen, _number: int) -> list[Step]:
+        steps: list[Step] = [stream_head(seen)]
+        steps += [chunk(event(number)) for number in numbers]
+        return [*steps, b"0\r\n\r\n"] if whole else [*steps, chunk(b"id: 9\nda"), None]
+
+    return script
+
+
+def resumed(seen: Seen, number: int) -> list[Step]:
+    """Break off in mid-event, then go on after the last event."""
+    after = seen.headers.get("last-event-id")
+    if after is None:
+        return streaming(0, 1, whole=False)(seen, number)
+    assert after == "1"
+    return streaming(2, 3)(seen, number)
+
+
+def test_a_stream_goes_on_where_it_broke() -> None:
+    with site(resumed, resumed) as place:
+        data = place.ask("/stream/1", method="POST", body=b"x")
+    pieces = [data.count(event(number)) for number in range(4)]
+    assert pieces == [1, 1, 1, 1] and data.endswith(b"0\r\n\r\n")
+
+
+def test_a_stream_that_may_not_go_on_never_looks_complete() -> None:
+    with site(streaming(0, 1, whole=False)) as place:
+        data = place.ask("/fixed/1", method="POST", body=b"x")
+    assert data.count(event(1)) == 1 and not data.endswith(b"0\r\n\r\n")
+
+
+def test_a_runner_is_left_when_the_caller_leaves() -> None:
+    with site(silent) as place:
+        address = place.entry.settings.callers
+        sock = socket.create_connection((address.ip, address.port))
+        sock.sendall(request("/fixed/1", "POST", body=b"x"))
+        gevent.sleep(0.2)
+        sock.close()
+        gevent.sleep(0.2)
+        assert place.runners[0].hung_up == 1
+        assert place.entry.forwarder.in_flight == 0
+
+
+def test_tokens_are_charged_as_delivered() -> None:
+    tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
+    with site(streaming(0, 1, 2)) as place:
+        place.ask("/stream/1", method="POST", headers=tokens, body=b"x")
+        spent = place.entry.purse.purse.holding("w").spent
+    assert spent == 1000 + 3 * 2
+
+
+def test_a_request_beyond_the_budget_is_refused() -> None:
+    tokens = f"X-Godwitrudder-Token-Count: {PREPAID},1\r\n"
+    with site(good) as place:
+        data = place.ask("/stream/1", method="POST", headers=tokens, body=b"x")
+        assert status_of(data) == 402
+        assert not place.runners[0].seen
+
+
+def test_a_new_version_is_in_force_and_an_old_one_never_again() -> None:
+    with site(good) as place:
+        changed = configuration(version=7)
+        changed["routes"] = []
+        place.store.put(names.OPERATOR_TOPIC, "config", changed)
+        gevent.sleep(0.1)
+        assert status_of(place.ask()) == 404
+        place.store.put(names.OPERATOR_TOPIC, "config", configuration(version=3))
+        gevent.sleep(0.1)
+        assert status_of(place.ask()) == 404
+
+
+def test_an_unreadable_entry_names_no_runner() -> None:
+    with site(good) as place:
+        for key, value in (("x", "text"), ("y", {"service": "s", "state": "odd"})):
+            place.store.put(names.RUNNERS_TOPIC, key, value)
+        gevent.sleep(0.6)
+        assert [c.entry.id for c in place.entry.directory.candidates("s")] == ["i-0"]
+        assert status_of(place.ask()) == 200
+
+
+def test_history_that_was_forgotten_changes_nothing() -> None:
+    with site(good) as place:
+        for topic in place.store.topics.values():
+            topic.forget()
+        place.store.put(names.OPERATOR_TOPIC, "config", configuration(version=2))
+        gevent.sleep(1.0)
+        catalogue = place.entry.directory.current()
+        assert catalogue is not None and catalogue.version == 2
+        assert status_of(place.ask()) == 200
