--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -226,7 +226,11 @@
             return self._attempts(forwarding)
         patience = forwarding.route.aim_seconds * TOKEN_PATIENCE
         reservation = self._purse.reserve(
-            forwarding.name, workspace.name, most, min(patience, forwarding.left)
+            forwarding.name,
+            workspace.name,
+            most,
+            min(patience, forwarding.left),
+            forwarding.route.rank,
         )
         if isinstance(reservation, NoTokens):
             refused = self._no_tokens(reservation, workspace.name, most)
--- a/godwitrudder/process/purse.py
+++ b/godwitrudder/process/purse.py
@@ -26,7 +26,7 @@
     Unavailable,
 )
 from godwitrudder.process.decisions import DecisionLog
-from godwitrudder.request.holding import Holding, Policy
+from godwitrudder.request.holding import Holding, Policy, kept_share
 from godwitrudder.request.purse import Purse
 from godwitrudder.version.catalogue import Catalogue
 from godwitrudder.version.statements import Statement
@@ -125,18 +125,20 @@
         return max(1, self.purse.book.hosts)
 
     def reserve(
-        self, request: str, workspace: str, tokens: int, patience: float
+        self, request: str, workspace: str, tokens: int, patience: float, rank: int
     ) -> Reservation | NoTokens:
         """Take tokens, waiting up to some seconds for a further statement."""
+        kept = kept_share(rank, self.silent_seconds > SILENT_SECONDS)
         self._configure()
         holding = self.purse.holding(workspace)
         now = self.now()
-        holding.demand.asked(tokens, now)
+        self.purse.asked(workspace, tokens, now)
         first = all(waiter.workspace != workspace for waiter in self._waiters)
-        if first and holding.reserve(tokens, now):
+        if first and holding.reserve(tokens, now, kept):
             return Reservation(workspace, tokens)
         refused = self._none(workspace, tokens)
-        if not refused.exhausted and self._wait(workspace, holding, tokens, patience):
+        waits = not refused.exhausted and not kept
+        if waits and self._wait(workspace, holding, tokens, patience):
             return Reservation(workspace, tokens)
         refused = self._none(workspace, tokens)
         self._log.note(
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -23,12 +23,22 @@
 """Part of a holding that may be open for one large request."""
 SHORT_SHARE: Final = 0.3
 """Part of its holding that a host keeps while another lacks tokens."""
-SURPLUS: Final = 1.3
+SURPLUS: Final = 1.15
 """A holding above its aim by this factor is given back."""
 LARGEST_SECONDS: Final = 20.0
 """How long the largest request seen is kept in mind: two outage horizons."""
+KEPT_SHARE_BY_RANK: Final = (0.0, 0.1, 0.45)
+"""Part of a holding that is kept for more urgent requests in a silence of the store,
+by rank: a most urgent request asks for a tenth of the tokens of the next, and both
+are worth more a token than the rest (the users' sheets)."""
+STRANGERS_SHARE: Final = 0.1
+"""Part of a mean host's demand that each host expects besides its own callers'."""
+WARM_MEANS: Final = 4.0
+"""Age of a mean that was taken over, in time constants."""
 WARM_SECONDS: Final = 2.0
 """Least time that a mean is taken over."""
+KNOWN_SECONDS: Final = 3.0
+"""Time constant by which a new mean is relied on: a few requests of a caller."""
 KNOWN_LEAST: Final = 0.1
 """Least reliance on a mean when it bounds a holding."""
 DEVIATIONS: Final = 1.5
@@ -44,9 +54,6 @@
     first_share, last_share : float
         Part of all that is left which all hosts together hold ahead at most, when
         nothing is spent and towards the end.
-    even_share : float
-        Weight of a host's traffic over all workspaces, which is better known than
-        its traffic of one.
     horizon_seconds : float
         Time without the store that a host is to bridge.
     young_seconds : float
@@ -54,32 +61,19 @@
     """
 
     first_share: float = 0.6
-    last_share: float = 0.1
-    even_share: float = 0.5
+    last_share: float = 0.42
     horizon_seconds: float = 10.0
     young_seconds: float = 1.5
 
 
-@dataclass(frozen=True, slots=True)
-class TrafficShare:
-    """Part of the fleet's traffic that comes to this host, 0 to 1.
-
-    Attributes
-    ----------
-    equal, measured : float
-        As if all active hosts got alike, and as stated demand says.
-    """
-
-    equal: float
-    measured: float
-
-
 @dataclass(slots=True)
 class Demand:
     """What is asked for: aged sums of tokens and of their squares.
 
     Attributes
     ----------
+    began : float or None
+        When the host got its first request of any workspace.
     largest : int
         Tokens of the largest request of late.
     """
@@ -94,8 +88,6 @@
     def asked(self, tokens: int, now: float) -> None:
         """Note a request."""
         self._age(now)
-        if self.began is None:
-            self.began = now
         self.tokens += tokens
         self.squares += float(tokens) * tokens
         if tokens >= self.largest or now - self.largest_at > LARGEST_SECONDS:
@@ -110,11 +102,17 @@
         age = max(WARM_SECONDS, now - self.began)
         return self.tokens / (DEMAND_SECONDS * -math.expm1(-age / DEMAND_SECONDS))
 
+    def expect(self, per_second: float, now: float) -> None:
+        """Begin with a mean that is known from before."""
+        self.tokens = per_second * DEMAND_SECONDS
+        self.at = now
+        self.began = now - DEMAND_SECONDS * WARM_MEANS
+
     def known(self, now: float) -> float:
         """Return how far the mean can be relied on, 0 to 1."""
         if self.began is None:
             return 0.0
-        return -math.expm1(-(now - self.began) / DEMAND_SECONDS)
+        return -math.expm1(-(now - self.began) / KNOWN_SECONDS)
 
     @property
     def weight(self) -> float:
@@ -177,9 +175,16 @@
         sent = self.stated_at if self.pending is None else self.pending_at
         return max(sent, self.stated_at) + self.young_seconds
 
-    def reserve(self, tokens: int, now: float) -> bool:
-        """Take tokens for a request at its most; False where they can't be had."""
-        if tokens > self.spendable(now):
+    def reserve(self, tokens: int, now: float, kept_share: float = 0.0) -> bool:
+        """Take tokens for a request at its most; False where they can't be had.
+
+        Parameters
+        ----------
+        kept_share : float
+            Part of what is held that is left for more urgent requests.
+        """
+        kept = int(kept_share * (self.granted - self.spent))
+        if tokens > self.spendable(now) - kept:
             return False
         self.spent += tokens
         return True
@@ -193,18 +198,11 @@
         now: float,
         prepaid: int,
         others: Totals,
-        share: TrafficShare,
         policy: Policy,
     ) -> Row:
-        """Return the row to state next.
-
-        Parameters
-        ----------
-        share : TrafficShare
-            Part of the fleet's traffic that comes to this host.
-        """
+        """Return the row to state next."""
         demand = self.demand.per_second(now)
-        ahead = max(self.aim(now, prepaid, others, share, policy), self.waiting)
+        ahead = max(self.aim(now, prepaid, others, policy), self.waiting)
         limit = self.spent + ahead
         if self.stated is not None and not self.waiting:
             held = self.stated.limit - self.spent
@@ -216,38 +214,44 @@
         large = min(float(self.demand.largest), OPEN_SHARE * (limit - self.spent))
         open_now = max(demand * OPEN_SECONDS, float(self.waiting), large)
         cap = min(limit, self.spent + math.ceil(open_now))
-        return Row(limit, cap, round(demand, 1), self.waiting)
+        expected = round(self.expected(now, others), 1)
+        return Row(limit, cap, round(demand, 1), self.waiting, expected)
 
     def aim(
         self,
         now: float,
         prepaid: int,
         others: Totals,
-        share: TrafficShare,
         policy: Policy,
     ) -> int:
         """Return the tokens to hold ahead."""
         left = max(0, prepaid - self.spent - others.cap)
         if not left:
             return 0
-        demand = self.demand.per_second(now)
-        total = demand + others.demand
-        part = share.equal
-        known = self.demand.known(now)
-        if total > 0:
-            measured = policy.even_share * share.measured
-            measured += (1 - policy.even_share) * demand / total
-            part += known * (measured - part)
+        expected = self.expected(now, others)
+        total = expected + others.expected
+        part = expected / total if total > 0 else 1 / (others.hosts + 1)
         least, most = policy.last_share, policy.first_share
         together = least + (most - least) * left / prepaid
         bound = left * together * part
         if others.short and not self.waiting:
             bound *= SHORT_SHARE
         if total > 0:
-            wanted = self._wanted(total * part, policy.horizon_seconds)
-            bound = min(bound, wanted / max(KNOWN_LEAST, known))
+            wanted = self._wanted(expected, policy.horizon_seconds)
+            bound = min(bound, wanted / max(KNOWN_LEAST, self.demand.known(now)))
         return int(bound)
 
+    def expected(self, now: float, others: Totals) -> float:
+        """Return the demand to expect here, in tokens a second.
+
+        What this host has seen counts as far as it is known; the rest is the mean of
+        the other hosts.  Hosts state both figures, so that their parts add up to one.
+        """
+        mean = others.demand / others.hosts if others.hosts else 0.0
+        known = self.demand.known(now)
+        own = self.demand.per_second(now)
+        return known * own + (1 - known + STRANGERS_SHARE) * mean
+
     def _wanted(self, per_second: float, seconds: float) -> float:
         """Return what a horizon takes: the mean and some deviations above it."""
         mean = per_second * seconds
@@ -280,6 +284,13 @@
         return self.granted
 
 
+def kept_share(rank: int, silent: bool) -> float:
+    """Return the part that a request leaves while nothing more can be drawn."""
+    if not silent:
+        return 0.0
+    return KEPT_SHARE_BY_RANK[max(0, min(rank, len(KEPT_SHARE_BY_RANK) - 1))]
+
+
 def _bound(row: Row, at: float, now: float, young_seconds: float) -> int:
     """Return up to what a row allows to spend at a time since it was sent."""
     return min(row.cap, row.limit) if now - at < young_seconds else row.limit
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -20,7 +20,10 @@
 
 from godwitrudder.version.catalogue import Entry
 
-REQUEST_TOKENS: Final = 600.0
+READ_WEIGHT: Final = 3.0
+"""Weight of tokens to be read against tokens to be waited for: reading again is
+priced, a wait within the aim is not."""
+REQUEST_TOKENS: Final = 300.0
 """Cost of one running request, in prompt tokens: what a step's slowdown comes to."""
 WAITING_TOKENS: Final = 3000.0
 """Cost of one request that waits at the runner."""
@@ -30,7 +33,7 @@
 """Cost of a runner that fails every request."""
 DISTANCE_TOKENS: Final = 150.0
 """Cost of another failure domain; bytes between domains are priced."""
-HOME_BELIEF: Final = 0.8
+HOME_BELIEF: Final = 0.9
 """Part of a shared prompt that is taken for cached at its home."""
 REPORT_SECONDS: Final = 1.0
 """Time constant by which a report of others' work loses its weight."""
@@ -179,7 +182,8 @@
     if first and parts:
         cached = max(cached, HOME_BELIEF * (total - parts[-1].tokens))
     load = candidate.load(now)
-    cost = total - cached + candidate.pending_tokens + REQUEST_TOKENS * load
+    cost = READ_WEIGHT * (total - cached) + candidate.pending_tokens
+    cost += REQUEST_TOKENS * load
     if now - candidate.others_at < REPORT_SECONDS:
         cost += WAITING_TOKENS * candidate.waiting
     if load >= candidate.entry.slots:
--- a/godwitrudder/request/purse.py
+++ b/godwitrudder/request/purse.py
@@ -11,7 +11,7 @@
 from typing import Final
 
 from godwitrudder import codec
-from godwitrudder.request.holding import Holding, Policy, TrafficShare
+from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.version.statements import (
     ALL,
     Book,
@@ -68,6 +68,7 @@
         self.leaving = False
         self._prepaid: dict[str, int | None] = {}
         self._stated_end = 0
+        self._began: float | None = None
 
     def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
         """Take the prepaid amounts in force; None stands for no limit."""
@@ -78,9 +79,18 @@
         holding = self.holdings.get(workspace)
         if holding is None:
             holding = Holding(young_seconds=self.policy.young_seconds)
+            holding.demand.began = self._began
             self.holdings[workspace] = holding
         return holding
 
+    def asked(self, workspace: str, tokens: int, now: float) -> None:
+        """Note what a request asks for."""
+        if self._began is None:
+            self._began = now
+            for holding in self.holdings.values():
+                holding.demand.began = holding.demand.began or now
+        self.holding(workspace).demand.asked(tokens, now)
+
     def put(self, host: str, data: bytes | None, now: float) -> codec.Malformed | None:
         """Take one host's newest statement as the store has it."""
         return self.book.put(host, data, now)
@@ -104,6 +114,8 @@
             holding = self.holding(workspace)
             holding.spent = spent
             holding.granted = spent
+            if row.demand:
+                holding.demand.expect(row.demand, now)
             stranded += spent - row.cap
         held = sum(row.limit - row.cap for row in rows.values())
         return Taken(held, stranded, former)
@@ -124,12 +136,11 @@
         """Return the statement to send now, None where none is due."""
         rows: dict[str, Row] = {}
         due = False
-        share = self.traffic_share(now)
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
                 continue
             holding = self.holding(workspace)
-            row = self._row(workspace, holding, now, share)
+            row = self._row(workspace, holding, now)
             rows[workspace] = row
             due = due or _differs(row, holding, now)
         if not due:
@@ -156,14 +167,6 @@
             holding.read(self.prepaid(workspace), others)
         return True
 
-    def traffic_share(self, now: float) -> TrafficShare:
-        """Return this host's part of the fleet's traffic."""
-        others, hosts = self.book.demand_of_others(self.host)
-        own = sum(holding.demand.per_second(now) for holding in self.holdings.values())
-        equal = 1 / (hosts + 1)
-        measured = own / (own + others) if own + others > 0 else equal
-        return TrafficShare(equal, measured)
-
     def settled(self) -> bool:
         """Whether the store knows that nothing is held beyond what was spent."""
         return all(
@@ -173,15 +176,13 @@
             for holding in self.holdings.values()
         )
 
-    def _row(
-        self, workspace: str, holding: Holding, now: float, share: TrafficShare
-    ) -> Row:
+    def _row(self, workspace: str, holding: Holding, now: float) -> Row:
         if self.leaving:
             spent = holding.spent + holding.waiting
             return Row(spent, spent, 0.0, holding.waiting)
         others = self.book.others(self.host, workspace)
         prepaid = self.prepaid(workspace)
-        return holding.plan(now, prepaid, others, share, self.policy)
+        return holding.plan(now, prepaid, others, self.policy)
 
 
 def _differs(row: Row, holding: Holding, now: float) -> bool:
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -39,8 +39,8 @@
     ----------
     limit, cap : int
         Tokens, cumulative.
-    demand : float
-        Tokens a second.
+    demand, expected : float
+        Tokens a second that were asked for, and that the host counts with.
     short : int
         Tokens of requests that wait for this statement.
     """
@@ -49,6 +49,7 @@
     cap: int
     demand: float = 0.0
     short: int = 0
+    expected: float = 0.0
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
@@ -75,8 +76,9 @@
 
 ALL: Final = 2**53
 """More tokens than any budget has."""
-ACTIVE_SECONDS: Final = 3.0
-"""A host that made no statement for so long, though others did, has no demand."""
+ACTIVE_SECONDS: Final = 15.0
+"""A host that made no statement for so long, though others did, has no demand; longer
+than a cut of 7 to 9 s, after which hosts are heard again one after the other."""
 BOOT_SLACK_SECONDS: Final = 1.0
 """Two boots of a machine lie further apart than its clock is corrected by."""
 
@@ -128,7 +130,7 @@
     def others(self, host: str, workspace: str) -> Totals:
         """Return the sums over all hosts but one; demand only of active ones."""
         since = max(self.heard_by_host.values(), default=0.0) - ACTIVE_SECONDS
-        limit, cap, demand, short = 0, 0, 0.0, 0
+        limit, cap, demand, short, hosts, expected = 0, 0, 0.0, 0, 0, 0.0
         for name, statement in self.statements_by_host.items():
             row = statement.rows_by_workspace.get(workspace)
             if row is None or name == host:
@@ -138,20 +140,11 @@
             if self.heard_by_host[name] >= since:
                 demand += row.demand
                 short += row.short
+                hosts += 1
+                expected += row.expected
         if self.unread - {host}:
             limit, cap = ALL, ALL
-        return Totals(limit, cap, demand, short)
-
-    def demand_of_others(self, host: str) -> tuple[float, int]:
-        """Return demand over all workspaces, and number, of the other active hosts."""
-        since = max(self.heard_by_host.values(), default=0.0) - ACTIVE_SECONDS
-        demand, hosts = 0.0, 0
-        for name, statement in self.statements_by_host.items():
-            if name == host or self.heard_by_host[name] < since:
-                continue
-            hosts += 1
-            demand += sum(row.demand for row in statement.rows_by_workspace.values())
-        return demand, hosts
+        return Totals(limit, cap, demand, short, hosts, expected)
 
     @property
     def hosts(self) -> int:
@@ -161,9 +154,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Totals:
-    """Sums of rows: tokens, and tokens a second."""
+    """Sums of rows.
+
+    Attributes
+    ----------
+    limit, cap, short : int
+        Tokens.
+    demand, expected : float
+        Tokens a second of the active hosts.
+    hosts : int
+        Active hosts.
+    """
 
     limit: int = 0
     cap: int = 0
     demand: float = 0.0
     short: int = 0
+    hosts: int = 0
+    expected: float = 0.0
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -111,7 +111,7 @@
     def ask(self, host: str, tokens: int) -> bool:
         process = self.processes[host]
         holding = process.purse.holding(WORKSPACE)
-        holding.demand.asked(tokens, self.clock(host))
+        process.purse.asked(WORKSPACE, tokens, self.clock(host))
         if not holding.reserve(tokens, self.clock(host)):
             return False
         self.truth += tokens
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitrudder import codec
-from godwitrudder.request.holding import Holding, Policy, TrafficShare
+from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.version.statements import (
     ALL,
     Book,
@@ -16,23 +16,65 @@
 )
 
 POLICY = Policy()
-EVEN = TrafficShare(1 / 9, 1 / 9)
 
 
 def test_hosts_that_have_seen_nothing_share_what_may_be_held() -> None:
-    aim = Holding().aim(0.0, 900_000, Totals(), EVEN, POLICY)
+    aim = Holding().aim(0.0, 900_000, Totals(hosts=8), POLICY)
     assert aim * 9 == pytest.approx(900_000 * POLICY.first_share, rel=0.01)
 
 
 def test_less_of_what_is_left_is_held_towards_the_end() -> None:
-    early = Holding().aim(0.0, 900_000, Totals(cap=100_000), EVEN, POLICY)
-    late = Holding().aim(0.0, 900_000, Totals(cap=800_000), EVEN, POLICY)
+    early = Holding().aim(0.0, 900_000, Totals(hosts=8, cap=100_000), POLICY)
+    late = Holding().aim(0.0, 900_000, Totals(hosts=8, cap=800_000), POLICY)
     assert late / 100_000 < early / 800_000
 
 
+def parts(seen: int, new: int, idle: int) -> list[int]:
+    """Return the aims of hosts with traffic, just restarted, and without traffic."""
+    holdings = [Holding() for _ in range(seen + new + idle)]
+    for index, holding in enumerate(holdings):
+        if not seen <= index < seen + new:
+            holding.demand.began = 0.0
+        for at in range(60 if index < seen else 0):
+            holding.demand.asked(5000, float(at))
+    rows = [(0.0, 0.0)] * len(holdings)
+    policy = Policy(horizon_seconds=1e6)
+    aims: list[int] = []
+    for _ in range(5):
+        aims = []
+        for index, holding in enumerate(holdings):
+            rest = rows[:index] + rows[index + 1 :]
+            others = Totals(
+                demand=sum(row[0] for row in rest),
+                expected=sum(row[1] for row in rest),
+                hosts=len(rest),
+            )
+            rows[index] = (
+                holding.demand.per_second(60.0),
+                holding.expected(60.0, others),
+            )
+            aims.append(holding.aim(60.0, 900_000, others, policy))
+    return aims
+
+
+@pytest.mark.parametrize("hosts", [(1, 2, 0), (1, 0, 8), (4, 4, 1)])
+def test_parts_add_up_though_hosts_have_just_restarted(
+    hosts: tuple[int, int, int],
+) -> None:
+    """As in a rolled restart: new hosts took an equal part beside the measured ones."""
+    expected = 900_000 * POLICY.first_share
+    assert sum(parts(*hosts)) == pytest.approx(expected, rel=0.01)
+
+
+def test_a_workspace_of_one_host_is_held_there() -> None:
+    """Hosts without its callers took each other's expectations for traffic."""
+    aims = parts(1, 0, 8)
+    assert aims[0] > 0.5 * sum(aims)
+
+
 def test_a_host_gives_way_to_one_that_lacks_tokens() -> None:
-    calm = Holding().aim(0.0, 900_000, Totals(), EVEN, POLICY)
-    short = Holding().aim(0.0, 900_000, Totals(short=5000), EVEN, POLICY)
+    calm = Holding().aim(0.0, 900_000, Totals(hosts=8), POLICY)
+    short = Holding().aim(0.0, 900_000, Totals(hosts=8, short=5000), POLICY)
     assert short < calm / 2
 
 
