Explain a request from log files; give each run a loopback number of its own

Two runs of tests or benches at once met on the examples' ports (1 failed, 23 errors, address in use). Log lines carry wall time, so that files of several hosts sort.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
@@ -10,6 +9,7 @@
 
 import gevent
 
+from bench.loopback import IP
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
 from godwitrudder.process.partition import stream_of
@@ -24,9 +24,8 @@
 
 EXAMPLES: Final = Path(__file__).parent.parent / "examples"
 DOMAINS: Final = ("magong", "budai", "anping", "donggang")
-# A loopback number of one's own lets several runs share a machine.
-IP: Final = os.environ.get("GODWITRUDDER_IP", "127.0.0.1")
-PLATFORM: Final = Address(IP, 8090)
+PLATFORM_PORT: Final = 8090
+PLATFORM: Final = Address(IP, PLATFORM_PORT)
 
 
 class Fleet:
--- a/bench/measure_requests.py
+++ b/bench/measure_requests.py
@@ -22,7 +22,8 @@
 from gevent.pool import Pool
 from geventhttpclient import HTTPClient
 
-from bench.fleet import EXAMPLES, IP, PLATFORM
+from bench.fleet import EXAMPLES, PLATFORM
+from bench.loopback import IP
 from bench.processes import DaemonProcess
 from bench.report import Row
 from godwitrudder.platform.hosts import HostEntry
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -14,7 +14,8 @@
 import pyjson5
 from geventhttpclient import HTTPClient
 
-from bench.fleet import EXAMPLES, IP
+from bench.fleet import EXAMPLES
+from bench.loopback import IP
 from godwitrudder.sections import Address
 
 START_SECONDS: Final = 30.0
--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -9,7 +9,7 @@
 from cleo.application import Application
 from cleo.commands.completions_command import CompletionsCommand
 
-from godwitrudder.ctl import config, daily, load, timeline, verify
+from godwitrudder.ctl import config, daily, explain, load, timeline, verify
 from godwitrudder.ctl.command import FleetCommand
 
 COMMANDS: Final[tuple[type[FleetCommand], ...]] = (
@@ -18,6 +18,7 @@
     *timeline.COMMANDS,
     *verify.COMMANDS,
     *load.COMMANDS,
+    *explain.COMMANDS,
 )
 
 
--- a/godwitrudder/process/decisions.py
+++ b/godwitrudder/process/decisions.py
@@ -48,7 +48,12 @@
         if self._written[kind] > LINES_PER_SECOND:
             self.left_out += 1
             return
-        line: dict[str, Any] = {"at": round(now, 4), "host": self._host, "kind": kind}
+        line: dict[str, Any] = {
+            "at": round(now, 4),
+            "wall": round(time.time(), 3),
+            "host": self._host,
+            "kind": kind,
+        }
         if request:
             line["request"] = request
         if self.left_out:
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -4,8 +4,10 @@
 
 import socket
 
+from bench.loopback import IP
 
-def free_port(ip: str = "127.0.0.1") -> int:
+
+def free_port(ip: str = IP) -> int:
     """Return a port that is free now."""
     with socket.socket() as sock:
         sock.bind((ip, 0))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import os
-
+from bench.loopback import IP
 from godwitrudder.clock import SystemClock
 from godwitrudder.connection.runner import Broken, RunnerLinks
 from godwitrudder.connection.shares import ShareAnswer
@@ -13,7 +12,7 @@
 from godwitrudder.sections import Address
 from standins.engine import Engine
 
-ADDRESS = Address(os.environ.get("GODWITRUDDER_IP", "127.0.0.1"), 8710)
+ADDRESS = Address(IP, 8710)
 
 
 def test_a_leaving_engine_took_nothing() -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,7 +11,8 @@
 import pytest
 from cleo.testers.application_tester import ApplicationTester
 
-from bench.fleet import EXAMPLES, IP, Fleet
+from bench.fleet import EXAMPLES, Fleet
+from bench.loopback import IP
 from godwitrudder.ctl.command import Exit
 from godwitrudder.ctl.main import application
 from godwitrudder.ctl.verify import broken
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Iterator
 from contextlib import ExitStack
 from random import Random
@@ -13,6 +12,7 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
+from bench.loopback import IP
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection import link, peer
 from godwitrudder.connection.frames import Ping
@@ -20,7 +20,6 @@
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.sections import Address
 
-IP = os.environ.get("GODWITRUDDER_IP", "127.0.0.1")
 SERVER = Address(IP, 8701)
 PROXY = Address(IP, 8702)
 KEY = "key"
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,6 +10,7 @@
 import gevent
 import pytest
 
+from bench.loopback import IP
 from godwitrudder.platform import names
 from godwitrudder.platform.settings import EntrySettings
 from godwitrudder.process.decisions import DecisionLog
@@ -113,7 +114,7 @@
 def site(*scripts: Script) -> Iterator[Site]:
     """Run an entry before runners that play scripts."""
     with ExitStack() as stack:
-        store = stack.enter_context(Store(Address("127.0.0.1", free_port())))
+        store = stack.enter_context(Store(Address(IP, free_port())))
         runners = [stack.enter_context(PlatformRunner(script)) for script in scripts]
         store.put(names.OPERATOR_TOPIC, "config", configuration())
         for number, runner in enumerate(runners):
@@ -122,8 +123,8 @@
         settings = EntrySettings(
             host="front-1",
             failure_domain="magong",
-            callers=Address("127.0.0.1", free_port()),
-            ready=Address("127.0.0.1", free_port()),
+            callers=Address(IP, free_port()),
+            ready=Address(IP, free_port()),
             store=store.address,
             leave_seconds=2.0,
             grace_seconds=2.0,
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -12,7 +12,8 @@
 import pytest
 
 from bench.callers import post
-from bench.fleet import EXAMPLES, IP, PLATFORM
+from bench.fleet import EXAMPLES, PLATFORM
+from bench.loopback import IP
 from bench.processes import DaemonProcess
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.partition import stream_of
--- a/tests/test_runner_links.py
+++ b/tests/test_runner_links.py
@@ -11,7 +11,8 @@
 from gevent.server import StreamServer
 
 from bench.callers import post
-from bench.fleet import IP, Fleet
+from bench.fleet import Fleet
+from bench.loopback import IP
 from godwitrudder.clock import SystemClock
 from godwitrudder.connection.runner import Broken, Patience, Reply, RunnerLinks
 from godwitrudder.request.answer import Chunk, Prompt, Usage
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -6,7 +6,8 @@
 
 import gevent
 
-from bench.fleet import IP, Fleet, settings
+from bench.fleet import Fleet, settings
+from bench.loopback import IP
 from godwitrudder import codec
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.process.daemon import Daemon
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -9,6 +9,7 @@
 import gevent
 import pytest
 
+from bench.loopback import IP
 from godwitrudder import codec
 from godwitrudder.platform.hosts import HostEntry
 from godwitrudder.platform.log import LogPage
@@ -18,7 +19,7 @@
 from standins.http import Request
 from standins.platform import Platform
 
-ADDRESS = Address("127.0.0.1", 8999)
+ADDRESS = Address(IP, 8999)
 HOST = HostEntry(id="a", role="router", address="127.0.0.1:1", failure_domain="d")
 PROMPT = "which boat owns tag TW-0417 " * 8
 
