--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -60,8 +60,8 @@
         Time after a statement in which only its cap is spent.
     """
 
-    first_share: float = 0.6
-    last_share: float = 0.42
+    first_share: float = 0.7
+    last_share: float = 0.05
     horizon_seconds: float = 10.0
     young_seconds: float = 1.5
 
