Keep the product's log in the platform's store; remove the private log protocol

StoreLog speaks the published calls through the one client of the store; the stand-in answers them. The store keeps no times, so a record begins with its writer's wall clock; folds take the greatest seen, as before. The two tests of the private protocol became three of the published one: offsets after ageing (410 with first), a reader that goes on where the log still is, an append whose answer is lost.

--- a/godwitrudder/ctl/verify.py
+++ b/godwitrudder/ctl/verify.py
@@ -18,7 +18,7 @@
 from godwitrudder.ctl.client import OperatorClient
 from godwitrudder.ctl.command import Exit, FleetCommand
 from godwitrudder.ctl.settings import CtlSettings
-from godwitrudder.platform.log import HttpLog, Log, LogRecord, LogUnavailable
+from godwitrudder.platform.log import Log, LogRecord, LogUnavailable, StoreLog
 from godwitrudder.process.ledger import partition_of
 from godwitrudder.process.partition import stream_of
 from godwitrudder.process.snapshots import snapshot_stream_of
@@ -130,7 +130,7 @@
             return Exit.USAGE
         tallies: list[Tally] = []
         violations: list[Violation] = []
-        log = HttpLog(settings.log)
+        log = StoreLog(settings.log)
         bar = self.progress_bar(settings.ledger_partitions)
         for partition in range(settings.ledger_partitions):
             tally = Tally(partition)
@@ -229,7 +229,7 @@
         fold = LedgerFold()
         name = self.argument("budget")
         stream = stream_of(partition_of(name, settings.ledger_partitions))
-        for record in read_stream(HttpLog(settings.log), stream):
+        for record in read_stream(StoreLog(settings.log), stream):
             if isinstance(record, LogUnavailable):
                 self.fail(f"the log gave no answer: {record.reason}")
                 return Exit.UNREACHABLE
--- a/godwitrudder/platform/log.py
+++ b/godwitrudder/platform/log.py
@@ -1,24 +1,26 @@
 """The platform's append-only log: streams of records with offsets.
 
-``Log`` is what the daemon needs; ``HttpLog`` speaks to the service.  An append
+``Log`` is what the daemon needs; ``StoreLog`` keeps it in the store.  An append
 whose answer is lost may have taken effect, so a writer repeats it under the
 same operation ids and the folds ignore the second record.
 """
 
 from __future__ import annotations
 
+import struct
+import time
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from typing import Any, Final
+from typing import Final
 
 import msgspec
-from geventhttpclient import HTTPClient
 
-from godwitrudder import codec
+from godwitrudder.platform.store import Appended, Forgotten, RawPage, Store
 from godwitrudder.sections import Address
 
 TIMEOUT_SECONDS: Final = 5.0
 POLL_SECONDS: Final = 2.0
+TIME: Final = struct.Struct(">d")
 
 
 class LogRecord(msgspec.Struct, frozen=True, array_like=True):
@@ -66,46 +68,48 @@
         """Read from ``offset``, waiting up to ``wait`` seconds for a record."""
 
 
-class HttpLog(Log):
-    """The log over HTTP: POST appends, GET reads, bodies are CBOR."""
+class StoreLog(Log):
+    """The log's streams as topics of the platform's store.
+
+    The store keeps no times, so a record begins with its writer's wall clock; folds
+    take the greatest time seen for theirs.
+    """
 
     def __init__(self, address: Address, connections: int = 16) -> None:
-        self._client = HTTPClient(
-            address.ip,
-            address.port,
-            concurrency=connections,
-            connection_timeout=TIMEOUT_SECONDS,
-            network_timeout=TIMEOUT_SECONDS,
-        )
+        self._store = Store(address, connections, TIMEOUT_SECONDS)
 
     def append(self, stream: str, data: bytes) -> int | LogUnavailable:
         """Append one record and return its offset."""
-        answer = self._ask("POST", f"/streams/{stream}", data, int)
-        if isinstance(answer, codec.Malformed):
-            return LogUnavailable(answer.reason)
-        return int(answer)
+        answer = self._store.append(stream, TIME.pack(time.time()) + data)
+        if isinstance(answer, Appended):
+            return answer.offset
+        return LogUnavailable(answer.reason)
 
     def read(
         self, stream: str, offset: int, wait: float = 0.0
     ) -> LogPage | LogUnavailable:
-        """Read from ``offset``, waiting up to ``wait`` seconds for a record."""
-        path = f"/streams/{stream}?from={offset}&wait={wait}"
-        page = self._ask("GET", path, b"", LogPage)
-        if isinstance(page, codec.Malformed):
+        """Read from ``offset``, waiting up to ``wait`` seconds for a record.
+
+        Where that was forgotten, the page begins with the first record that is kept.
+        """
+        page = self._store.read(stream, offset, wait)
+        if isinstance(page, Forgotten):
+            page = self._store.read(stream, page.first)
+        if isinstance(page, Forgotten):
+            return LogUnavailable("the stream is being forgotten")
+        if not isinstance(page, RawPage):
             return LogUnavailable(page.reason)
-        assert isinstance(page, LogPage)
-        return page
+        records = (_record(page.offset + i, raw) for i, raw in enumerate(page.records))
+        return LogPage(page.first, page.end, tuple(records))
 
     def close(self) -> None:
         """Close the connections."""
-        self._client.close()
-
-    def _ask(self, method: str, path: str, body: bytes, wanted: type) -> Any:
-        try:
-            response = self._client.request(method, path, body=body)
-            data = bytes(response.read())
-        except Exception as error:  # the client raises many unrelated types
-            return codec.Malformed(f"{type(error).__name__}: {error}")
-        if response.status_code != 200:
-            return codec.Malformed(f"status {response.status_code}")
-        return codec.decode(data, wanted)
+        self._store.close()
+
+
+def _record(offset: int, raw: bytes) -> LogRecord:
+    """Split time and data; a record too short for a time has none."""
+    if len(raw) < TIME.size:
+        return LogRecord(offset, 0.0, raw)
+    (written,) = TIME.unpack_from(raw)
+    return LogRecord(offset, written, raw[TIME.size :])
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -58,6 +58,24 @@
     first: int
 
 
+@dataclass(frozen=True, slots=True)
+class RawPage:
+    """Records as bytes, with the topic's first retained offset and its end."""
+
+    offset: int
+    first: int
+    end: int
+    records: tuple[bytes, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """Offsets of the first record and after the last one."""
+
+    offset: int
+    end: int
+
+
 @dataclass(frozen=True, slots=True)
 class KeyedRecord:
     """The record of a key; a value of None drops the key."""
@@ -107,31 +125,44 @@
 
 
 class Store:
-    """Calls of the store, each bounded in time."""
+    """Calls of the store, each bounded in time.
+
+    Parameters
+    ----------
+    connections : int
+        Calls at once; reads that wait have as many of their own.
+    timeout_seconds : float
+        Longest time for an answer, beyond what a read waits.
+    """
 
-    def __init__(self, address: Address) -> None:
+    def __init__(
+        self,
+        address: Address,
+        connections: int = CONNECTIONS,
+        timeout_seconds: float = TIMEOUT_SECONDS,
+    ) -> None:
         self._address = address
+        self._connections = connections
+        self._timeout_seconds = timeout_seconds
         self._client = HTTPClient(
             address.ip,
             address.port,
             connection_timeout=CONNECT_SECONDS,
-            network_timeout=TIMEOUT_SECONDS,
-            concurrency=CONNECTIONS,
+            network_timeout=timeout_seconds,
+            concurrency=connections,
         )
         self._waiting: HTTPClient | None = None
 
     def append(
-        self, topic: str, record: KeyedRecord | None, producer: Producer
-    ) -> int | Rejected | Unavailable:
-        """Append a keyed record, or only set the epoch; return the offset after it."""
-        query = {
-            "topic": topic,
-            "part": 0,
-            "producer": producer.name,
-            "epoch": producer.epoch,
-            "seq": producer.sequence,
-        }
-        body = b"" if record is None else _encode(record)
+        self, topic: str, record: bytes | None, producer: Producer | None = None
+    ) -> Appended | Rejected | Unavailable:
+        """Append one record; None only sets the producer's epoch."""
+        query: dict[str, Any] = {"topic": topic, "part": 0}
+        if producer is not None:
+            query["producer"] = producer.name
+            query["epoch"] = producer.epoch
+            query["seq"] = producer.sequence
+        body = b"" if record is None else LENGTH.pack(len(record)) + record
         answer = self._ask(self._client, "POST", names.APPEND, query, body)
         if isinstance(answer, Unavailable):
             return answer
@@ -139,10 +170,18 @@
         if status != 200:
             return _rejected(status, data)
         try:
-            appended = msgspec.json.decode(data or b"{}", type=AppendedModel)
+            model = msgspec.json.decode(data or b"{}", type=AppendedModel)
         except msgspec.MsgspecError as error:
             return Unavailable(f"append: {error}")
-        return appended.end
+        return Appended(model.offset, model.end)
+
+    def append_keyed(
+        self, topic: str, record: KeyedRecord | None, producer: Producer
+    ) -> int | Rejected | Unavailable:
+        """Append a keyed record, or only set the epoch; return the offset after it."""
+        data = None if record is None else _encode(record)
+        answer = self.append(topic, data, producer)
+        return answer.end if isinstance(answer, Appended) else answer
 
     def newest(self, topic: str) -> Page | Rejected | Unavailable:
         """Return the newest record of each key, and where to read on."""
@@ -175,7 +214,7 @@
 
     def read(
         self, topic: str, offset: int, wait_seconds: float = 0.0
-    ) -> Page | Forgotten | Rejected | Unavailable:
+    ) -> RawPage | Forgotten | Rejected | Unavailable:
         """Read on from an offset, waiting for a record up to a time."""
         query = {"topic": topic, "part": 0, "from": offset}
         client = self._client
@@ -187,11 +226,21 @@
             return answer
         status, data = answer
         if status == 410:
-            return Forgotten(offset)
+            return _forgotten(data)
         if status != 200:
             return _rejected(status, data)
         return _decode(offset, data)
 
+    def read_keyed(
+        self, topic: str, offset: int, wait_seconds: float = 0.0
+    ) -> Page | Forgotten | Rejected | Unavailable:
+        """Read keyed records on from an offset."""
+        page = self.read(topic, offset, wait_seconds)
+        if not isinstance(page, RawPage):
+            return page
+        records = tuple(_record(content) for content in page.records)
+        return Page(offset + len(records), records)
+
     def close(self) -> None:
         """Close the connections."""
         self._client.close()
@@ -205,8 +254,8 @@
                 self._address.ip,
                 self._address.port,
                 connection_timeout=CONNECT_SECONDS,
-                network_timeout=wait_seconds + TIMEOUT_SECONDS,
-                concurrency=1,
+                network_timeout=wait_seconds + self._timeout_seconds,
+                concurrency=self._connections,
             )
         return self._waiting
 
@@ -227,24 +276,31 @@
 
 def _encode(record: KeyedRecord) -> bytes:
     key = record.key.encode()
-    content = bytes([len(key)]) + key + (record.value or b"")
-    return LENGTH.pack(len(content)) + content
+    return bytes([len(key)]) + key + (record.value or b"")
 
 
-def _decode(offset: int, data: bytes) -> Page | Unavailable:
+def _decode(offset: int, data: bytes) -> RawPage | Unavailable:
     """Split a read's bytes into records; a last one that is cut is left out."""
     if len(data) < PAGE_HEADER.size:
         return Unavailable("a read without its header")
-    records: list[KeyedRecord] = []
+    end, first = PAGE_HEADER.unpack_from(data)
+    records: list[bytes] = []
     at = PAGE_HEADER.size
     while at + LENGTH.size <= len(data):
         (length,) = LENGTH.unpack_from(data, at)
         content = data[at + LENGTH.size : at + LENGTH.size + length]
         if len(content) < length:
             break
-        records.append(_record(content))
+        records.append(content)
         at += LENGTH.size + length
-    return Page(offset + len(records), tuple(records))
+    return RawPage(offset, first, end, tuple(records))
+
+
+def _forgotten(data: bytes) -> Forgotten | Unavailable:
+    try:
+        return msgspec.convert(msgspec.json.decode(data), Forgotten)
+    except msgspec.MsgspecError as error:
+        return Unavailable(f"410: {error}")
 
 
 def _record(content: bytes) -> KeyedRecord:
--- a/godwitrudder/process/daemon.py
+++ b/godwitrudder/process/daemon.py
@@ -21,7 +21,7 @@
 from godwitrudder.connection.runner import RunnerLinks
 from godwitrudder.connection.server import CallerServer
 from godwitrudder.platform.hosts import HttpHostList
-from godwitrudder.platform.log import HttpLog
+from godwitrudder.platform.log import StoreLog
 from godwitrudder.process.budgets import BudgetDesk
 from godwitrudder.process.claims import ClaimDesk
 from godwitrudder.process.configuration import Configuration
@@ -81,7 +81,7 @@
 
     def _build(self) -> None:
         settings = self.settings
-        self.log = HttpLog(settings.log)
+        self.log = StoreLog(settings.log)
         self.configuration = Configuration(
             self.log,
             self.metrics,
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -123,7 +123,7 @@
         if offset is None:
             page: Page | Forgotten | Rejected | Unavailable = self._store.newest(topic)
         else:
-            page = self._store.read(topic, offset, wait)
+            page = self._store.read_keyed(topic, offset, wait)
         if isinstance(page, Rejected | Unavailable):
             self._log.note("store_no_answer", topic=topic, answer=str(page))
             return None
--- a/godwitrudder/process/purse.py
+++ b/godwitrudder/process/purse.py
@@ -249,7 +249,9 @@
         own = self.purse.book.statements_by_host.get(self.purse.host)
         self._epoch = 1 if own is None else own.epoch + 1
         while True:
-            answer = self._store.append(names.LEDGER_TOPIC, None, self._producer())
+            answer = self._store.append_keyed(
+                names.LEDGER_TOPIC, None, self._producer()
+            )
             if isinstance(answer, int):
                 break
             if isinstance(answer, Rejected) and answer.status == 409:
@@ -309,7 +311,9 @@
         """Repeat a statement until it stands; return the offset after it."""
         record = KeyedRecord(self.purse.host, codec.encode(statement))
         while True:
-            answer = self._store.append(names.LEDGER_TOPIC, record, self._producer())
+            answer = self._store.append_keyed(
+                names.LEDGER_TOPIC, record, self._producer()
+            )
             if isinstance(answer, int):
                 return answer
             self._rejected(answer)
@@ -326,7 +330,7 @@
 
     def _read(self) -> None:
         """Read on; where the history was forgotten, read the newest records."""
-        page = self._store.read(names.LEDGER_TOPIC, self._offset)
+        page = self._store.read_keyed(names.LEDGER_TOPIC, self._offset)
         if isinstance(page, Unavailable | Rejected):
             self._log.note("ledger_read", answer=str(page))
             return
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -16,8 +16,10 @@
 from gevent.event import Event
 
 from godwitrudder import codec
+from godwitrudder.platform import names
 from godwitrudder.platform.hosts import HostEntry
-from godwitrudder.platform.log import LogPage, LogRecord
+from godwitrudder.platform.log import TIME, LogPage, LogRecord
+from godwitrudder.platform.store import LENGTH, PAGE_HEADER
 from godwitrudder.platform.weights import WeightCatalogue
 from godwitrudder.sections import Address
 from standins.http import Request, Response, StandIn, json_response
@@ -134,7 +136,7 @@
 
     def answer(self, request: Request) -> Response:
         """Answer one request."""
-        if request.path.startswith("/streams/"):
+        if request.path in (names.APPEND, names.READ):
             return self._log(request)
         if request.path == "/hosts":
             return self._host_list(request)
@@ -145,27 +147,39 @@
         return json_response({"error": f"nothing at {request.path}"}, 404)
 
     def _log(self, request: Request) -> Response:
-        name = request.path.removeprefix("/streams/")
-        stream = self.streams_by_name[name]
+        stream = self.streams_by_name[request.query.get("topic", "")]
         stream.forget(time.time() - self.retention_seconds)
-        if request.method == "POST":
+        if request.path == names.APPEND:
             return self._append(stream, request.body)
         try:
             offset = int(request.query.get("from", "0"))
-            seconds = float(request.query.get("wait", "0"))
+            seconds = float(request.query.get("wait_ms", "0")) / 1000
         except ValueError as error:
-            return json_response({"error": f"from and wait: {error}"}, 400)
+            return json_response({"error": f"from and wait_ms: {error}"}, 400)
         stream.wait(offset, min(seconds, ANSWER_LOST_SECONDS))
-        return Response(200, [codec.encode(stream.page(offset))])
-
-    def _append(self, stream: Stream, data: bytes) -> Response:
+        if offset < stream.first:
+            return json_response({"first": stream.first}, 410)
+        page = stream.page(offset)
+        data = PAGE_HEADER.pack(page.next, page.first)
+        for record in page.records:
+            raw = TIME.pack(record.time) + record.data
+            data += LENGTH.pack(len(raw)) + raw
+        return Response(200, [data], "application/octet-stream")
+
+    def _append(self, stream: Stream, body: bytes) -> Response:
         gevent.sleep(self._append_rate.take(1.0))
-        offset = stream.append(data)
+        offset = stream.next
+        at = 0
+        while at < len(body):
+            (length,) = LENGTH.unpack_from(body, at)
+            start = at + LENGTH.size
+            at = start + length
+            stream.append(body[start + TIME.size : at])
         self.appends += 1
         if self.faults.hit(self.faults.switches.lost_answers):
             gevent.sleep(ANSWER_LOST_SECONDS)
             return json_response({"error": "answer lost"}, 503)
-        return Response(200, [codec.encode(offset)])
+        return json_response({"offset": offset, "end": stream.next})
 
     def _host_list(self, request: Request) -> Response:
         if request.method == "PUT":
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -10,9 +10,10 @@
 import pytest
 
 from bench.loopback import IP
-from godwitrudder import codec
+from godwitrudder.platform import names
 from godwitrudder.platform.hosts import HostEntry
-from godwitrudder.platform.log import LogPage
+from godwitrudder.platform.log import TIME, LogPage, StoreLog
+from godwitrudder.platform.store import LENGTH, PAGE_HEADER
 from godwitrudder.sections import Address
 from standins.batch import answer_length, word
 from standins.engine import Engine
@@ -32,21 +33,40 @@
     return Request(method, path, pairs, named, body)
 
 
-def read(platform: Platform, path: str) -> LogPage:
-    """Read a page of the log."""
-    data = b"".join(platform.answer(ask("GET", path)).chunks)
-    page = codec.decode(data, LogPage)
-    assert isinstance(page, LogPage)
-    return page
+APPEND = f"{names.APPEND}?topic=s&part=0"
+RECORD = LENGTH.pack(TIME.size + 1) + TIME.pack(5.0) + b"x"
+
+
+def read(platform: Platform, offset: int) -> tuple[int, int, bytes]:
+    """Read the log by its published protocol: end, first offset, records."""
+    answer = platform.answer(ask("GET", f"{names.READ}?topic=s&part=0&from={offset}"))
+    assert answer.status == 200
+    data = b"".join(answer.chunks)
+    return (*PAGE_HEADER.unpack_from(data), data[PAGE_HEADER.size :])
 
 
 def test_the_log_keeps_offsets_when_records_age_out() -> None:
-    """Offsets go on counting and ``first`` moves."""
+    """Offsets go on counting and ``first`` moves; what is gone is said to be."""
     platform = Platform(ADDRESS, [], retention_seconds=0.0)
     for _ in range(3):
-        platform.answer(ask("POST", "/streams/s", b"x"))
-    page = read(platform, "/streams/s?from=0")
-    assert (page.first, page.next, page.records) == (3, 3, ())
+        platform.answer(ask("POST", APPEND, RECORD))
+    gone = platform.answer(ask("GET", f"{names.READ}?topic=s&part=0&from=0"))
+    assert gone.status == 410
+    assert json.loads(b"".join(gone.chunks)) == {"first": 3}
+    assert read(platform, 3) == (3, 3, b"")
+
+
+def test_a_reader_goes_on_where_the_log_still_is() -> None:
+    """The daemon's client turns a forgotten offset into the first that is kept."""
+    with Platform(ADDRESS, []) as platform:
+        log = StoreLog(ADDRESS)
+        assert [log.append("s", data) for data in (b"a", b"b", b"c")] == [0, 1, 2]
+        platform.streams_by_name["s"].records.popleft()
+        page = log.read("s", 0)
+        assert isinstance(page, LogPage)
+        assert (page.first, page.next) == (1, 3)
+        assert [(r.offset, r.data) for r in page.records] == [(1, b"b"), (2, b"c")]
+        log.close()
 
 
 def test_an_append_with_a_lost_answer_took_effect(
@@ -56,8 +76,8 @@
     monkeypatch.setattr("standins.platform.ANSWER_LOST_SECONDS", 0.0)
     platform = Platform(ADDRESS, [])
     platform.faults.set({"lost_answers": 1.0})
-    assert platform.answer(ask("POST", "/streams/s", b"x")).status == 503
-    assert read(platform, "/streams/s?from=0").next == 1
+    assert platform.answer(ask("POST", APPEND, RECORD)).status == 503
+    assert read(platform, 0)[0] == 1
 
 
 @pytest.mark.parametrize(("lag", "shown"), [(0.0, 0), (3600.0, 1)])
