--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -22,6 +22,7 @@
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarder import Forwarder
 from godwitrudder.process.purse import PurseTask
+from godwitrudder.process.sender import Sender
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.retries import RetryWindow
 from godwitrudder.version.catalogue import CallerLimits
@@ -62,11 +63,10 @@
         )
         self._pool = LinkPool(names.REQUEST_ID)
         self.forwarder = Forwarder(
-            settings.host,
             settings.failure_domain,
             self.directory,
             self.purse,
-            self._pool,
+            Sender(self._pool, log, self._metrics),
             log,
             self._metrics,
             Random(),
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -10,28 +10,21 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from random import Random
 from typing import Final
 
 import msgspec
 from gevent.event import Event
 
-from godwitrudder.connection.http import (
-    CallerLink,
-    CallerRequest,
-    End,
-    Head,
-    Headers,
-)
-from godwitrudder.connection.links import LinkPool
+from godwitrudder.connection.http import CallerLink, CallerRequest, Headers
 from godwitrudder.connection.shape import error_body
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarding import Forwarding, NotRun, Streamed, Whole
 from godwitrudder.process.purse import NoTokens, PurseTask, Reservation
-from godwitrudder.request.event_stream import EventReader
+from godwitrudder.process.sender import Sender
 from godwitrudder.request.outcome import (
     Failed,
     Ran,
@@ -42,7 +35,7 @@
 )
 from godwitrudder.request.placement import Candidate, place
 from godwitrudder.request.retries import RetryWindow
-from godwitrudder.version.catalogue import Kind, Route, Target, Workspace
+from godwitrudder.version.catalogue import Route, Target
 
 REJECTIONS_MOST: Final = 3
 """Runners that may turn a request away before it is refused."""
@@ -59,91 +52,9 @@
 """Longest wait for the first configuration; a start takes about half a second."""
 BEGIN_SHARE: Final = 0.3
 """Part of a request's time that it waits for that."""
-SAFE_PATIENCE: Final = 2.0
-"""Silence after which a safe request goes to another runner, in aims."""
-READ_TOKENS_PER_SECOND: Final = 20_000.0
-"""Prompt tokens that a busy engine reads for one request, with others beside."""
-GAP_PATIENCE: Final = 3.0
-"""Silence after which a stream goes on at another runner, in gap aims."""
 CONNECTIONS_LEAST: Final = 4
 
 
-@dataclass(slots=True)
-class Forwarding:
-    """One request under way.
-
-    Attributes
-    ----------
-    until : float
-        Monotonic seconds at which its time is over.
-    ran_on : int
-        Runners that may have run it.
-    begun : bool
-        Whether the caller has the head of its answer.
-    events : int
-        Events that the caller was sent.
-    """
-
-    link: CallerLink
-    request: CallerRequest
-    ask: wire.Ask
-    route: Route
-    target: Target
-    workspace: Workspace | None
-    started_at: float
-    until: float
-    excluded: set[str] = field(default_factory=set)
-    ran_on: int = 0
-    arrivals: int = 0
-    rejections: int = 0
-    begun: bool = False
-    events: int = 0
-    last_event: int | None = None
-    problem: str = ""
-    busy: bool = False
-
-    @property
-    def name(self) -> str:
-        """Return the request's id for logs."""
-        return self.ask.request.decode("latin-1")
-
-    @property
-    def left(self) -> float:
-        """Return the seconds left."""
-        return self.until - time.monotonic()
-
-
-@dataclass(frozen=True, slots=True)
-class Whole:
-    """A runner's answer that is not a stream."""
-
-    head: Head
-    body: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class Streamed:
-    """A stream was passed on to its end."""
-
-
-@dataclass(frozen=True, slots=True)
-class NotRun:
-    """The runner did not run the request."""
-
-    reason: str
-    busy: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Lost:
-    """The runner may have run the request, and gave no whole answer."""
-
-    reason: str
-
-
-Attempted = Whole | Streamed | NotRun | Lost
-
-
 class Forwarder:
     """Serves callers' requests; one per process.
 
@@ -155,21 +66,19 @@
 
     def __init__(
         self,
-        host: str,
         failure_domain: str,
         directory: Directory,
         purse: PurseTask,
-        pool: LinkPool,
+        sender: Sender,
         log: DecisionLog,
         metrics: EntryMetrics,
         random: Random,
         window: Callable[[], RetryWindow],
     ) -> None:
-        self._host = host
         self._failure_domain = failure_domain
         self._directory = directory
         self._purse = purse
-        self._pool = pool
+        self._sender = sender
         self._log = log
         self._metrics = metrics
         self._random = random
@@ -294,7 +203,7 @@
             candidate = self._place(forwarding)
             if candidate is None:
                 return self._give_up(forwarding)
-            result = self._attempt(forwarding, candidate)
+            result = self._sender.send(forwarding, candidate)
             if isinstance(result, Streamed):
                 return self._done(forwarding, 200)
             if isinstance(result, Whole):
@@ -352,169 +261,6 @@
         )
         return candidate
 
-    def _attempt(self, forwarding: Forwarding, candidate: Candidate) -> Attempted:
-        """Send the request to one runner."""
-        entry = candidate.entry
-        forwarding.excluded.add(entry.id)
-        link = self._pool.take(entry.id, entry.address)
-        now = time.monotonic()
-        if isinstance(link, str):
-            candidate.unreachable(now)
-            self._note_attempt(forwarding, candidate, link, now)
-            return NotRun(link, False)
-        ask = forwarding.ask
-        forwarding.arrivals += 1
-        candidate.in_flight += 1
-        fresh = ask.prompt_tokens - candidate.cached(ask.parts)
-        pending = max(0, fresh)
-        candidate.pending_tokens += pending
-        candidate.has_read(ask.parts)
-        result: Attempted = Lost("the caller left")
-        idle: float | None = None
-        forwarding.ran_on += 1
-        try:
-            after = forwarding.last_event
-            sent = wire.to_runner(
-                forwarding.request,
-                entry.id,
-                None if forwarding.workspace is None else forwarding.workspace.name,
-                self._rank(forwarding),
-                forwarding.left,
-                ask.after_event if after is None else after,
-            )
-            link.wait_until = self._first_until(forwarding)
-            reader = EventReader()
-            parts: list[bytes] = []
-            head: Head | None = None
-            result = Lost("no answer")
-            for event in link.exchange(
-                forwarding.request.method,
-                forwarding.request.path,
-                sent,
-                forwarding.request.body,
-                ask.request,
-            ):
-                if isinstance(event, Head):
-                    head = event
-                    idle = wire.idle_seconds(head)
-                    self._reported(candidate, head)
-                elif isinstance(event, bytes):
-                    assert head is not None
-                    candidate.pending_tokens -= pending
-                    pending = 0
-                    if not self._streams(forwarding, head):
-                        parts.append(event)
-                        continue
-                    self._pass_on(forwarding, head, reader, event)
-                    link.wait_until = self._next_until(forwarding)
-                elif isinstance(event, End):
-                    assert head is not None
-                    result = self._ended(forwarding, head, reader, b"".join(parts))
-                else:
-                    result = Lost(event.reason)
-        finally:
-            candidate.in_flight -= 1
-            candidate.pending_tokens -= pending
-            if isinstance(result, NotRun):
-                forwarding.ran_on -= 1
-            if not isinstance(result, Whole | Streamed | NotRun):
-                link.close()
-            ok = isinstance(result, Streamed | NotRun) or (
-                isinstance(result, Whole) and result.head.status < 500
-            )
-            candidate.ended(ok, time.monotonic())
-            self._pool.give(entry.id, entry.address, link, idle)
-            self._note_attempt(forwarding, candidate, result, now)
-        return result
-
-    def _note_attempt(
-        self,
-        forwarding: Forwarding,
-        candidate: Candidate,
-        result: Attempted | str,
-        began: float,
-    ) -> None:
-        status = result.head.status if isinstance(result, Whole) else None
-        self._log.note(
-            "attempt",
-            forwarding.name,
-            runner=candidate.entry.id,
-            outcome=result if isinstance(result, str) else type(result).__name__,
-            reason=getattr(result, "reason", None),
-            status=status,
-            events=forwarding.events,
-            seconds=round(time.monotonic() - began, 4),
-        )
-
-    def _streams(self, forwarding: Forwarding, head: Head) -> bool:
-        good = 200 <= head.status < 300 and wire.proven(head)
-        return forwarding.route.kind is Kind.STREAM and good
-
-    def _reported(self, candidate: Candidate, head: Head) -> None:
-        load = wire.load(head)
-        if load is not None:
-            candidate.reported(load.running, load.waiting, time.monotonic())
-
-    def _pass_on(
-        self, forwarding: Forwarding, head: Head, reader: EventReader, data: bytes
-    ) -> None:
-        """Pass on the events that are whole, each once."""
-        ready: list[bytes] = []
-        for event in reader.feed(data):
-            if event.id is not None:
-                last = forwarding.last_event
-                if last is not None and event.id <= last:
-                    continue
-                forwarding.last_event = event.id
-            forwarding.events += 1
-            ready.append(event.data)
-        if not ready:
-            return
-        if not forwarding.begun:
-            forwarding.begun = True
-            seconds = time.monotonic() - forwarding.started_at
-            self._metrics.first_event.labels(forwarding.target.name).observe(seconds)
-            forwarding.link.begin(head.status, head.headers, None)
-        forwarding.link.piece(b"".join(ready))
-
-    def _ended(
-        self, forwarding: Forwarding, head: Head, reader: EventReader, body: bytes
-    ) -> Attempted:
-        """Judge an answer that is whole as far as the protocol goes."""
-        if wire.not_executed(head):
-            return NotRun(f"status {head.status}", head.status != 421)
-        if self._streams(forwarding, head):
-            if reader.rest or not forwarding.begun:
-                return Lost("the stream ended in mid-event")
-            forwarding.link.finish()
-            return Streamed()
-        if 200 <= head.status < 300 and not wire.proven(head):
-            return Lost("a success without proof")
-        return Whole(head, body)
-
-    def _first_until(self, forwarding: Forwarding) -> float:
-        """Return until when a first byte is waited for."""
-        route = forwarding.route
-        if not route.repeatable or forwarding.ran_on >= route.attempts_most:
-            return forwarding.until
-        patience = route.aim_seconds * SAFE_PATIENCE
-        patience += forwarding.ask.prompt_tokens / READ_TOKENS_PER_SECOND
-        return min(forwarding.until, time.monotonic() + patience)
-
-    def _next_until(self, forwarding: Forwarding) -> float:
-        """Return until when a stream's next event is waited for."""
-        route = forwarding.route
-        if not route.repeatable or forwarding.ran_on >= route.attempts_most:
-            return forwarding.until
-        patience = max(1.0, route.gap_seconds * GAP_PATIENCE)
-        return min(forwarding.until, time.monotonic() + patience)
-
-    def _rank(self, forwarding: Forwarding) -> int:
-        workspace = forwarding.workspace
-        if workspace is not None and workspace.rank is not None:
-            return workspace.rank
-        return forwarding.route.rank
-
     def _retries(self, target: str) -> RetryWindow:
         if target not in self._windows_by_target:
             self._windows_by_target[target] = self._window()
