Close the idle connections of a runner that is gone

They were kept until the runner's id came back, which it does not: some descriptors for each runner that was replaced.

--- a/godwitrudder/connection/links.py
+++ b/godwitrudder/connection/links.py
@@ -59,6 +59,11 @@
         link.idle_until = time.monotonic() + seconds
         self._idle_by_runner.setdefault((runner, address), []).append(link)
 
+    @property
+    def idle(self) -> int:
+        """Connections that are kept for later."""
+        return sum(len(links) for links in self._idle_by_runner.values())
+
     def forget(self, runner: str) -> None:
         """Close the idle connections of a runner that is gone."""
         for key in [key for key in self._idle_by_runner if key[0] == runner]:
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from typing import Final
 
 import gevent
@@ -46,6 +47,8 @@
     ----------
     store : Store
         The platform's store.
+    gone : callable
+        Told the id of a runner that is no longer listed.
 
     Attributes
     ----------
@@ -53,9 +56,12 @@
         Set once both were read.
     """
 
-    def __init__(self, store: Store, log: DecisionLog) -> None:
+    def __init__(
+        self, store: Store, log: DecisionLog, gone: Callable[[str], None]
+    ) -> None:
         self._store = store
         self._log = log
+        self._tell_gone = gone
         self.catalogue: Catalogue | None = None
         self.listed = False
         self.known = Event()
@@ -198,4 +204,5 @@
         target = self._target_by_id.pop(runner, None)
         if target is not None:
             del self.candidates_by_target[target][runner]
+            self._tell_gone(runner)
             self._log.note("runner_gone", runner=runner, target=target, why=why)
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -57,16 +57,16 @@
         self._log = log
         self._metrics = EntryMetrics()
         self._store = Store(settings.store)
-        self.directory = Directory(self._store, log)
+        self.pool = LinkPool(names.REQUEST_ID)
+        self.directory = Directory(self._store, log, self.pool.forget)
         self.purse = PurseTask(
             self._store, settings.host, self.directory.current, log, Policy()
         )
-        self._pool = LinkPool(names.REQUEST_ID)
         self.forwarder = Forwarder(
             settings.failure_domain,
             self.directory,
             self.purse,
-            Sender(self._pool, log, self._metrics),
+            Sender(self.pool, log, self._metrics),
             log,
             self._metrics,
             Random(),
@@ -202,7 +202,7 @@
         self._metrics.in_flight.set(self.forwarder.in_flight)
         self._metrics.store_silent.set(self.purse.silent_seconds)
         self._metrics.lines_left_out.set(self._log.left_out)
-        self._metrics.connections_opened.set(self._pool.opened)
+        self._metrics.connections_opened.set(self.pool.opened)
         self._plain(sock, lambda: (200, self._metrics.render()))
 
     def _plain(
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from godwitrudder import codec
-from godwitrudder.request.holding import Holding, Policy
+from godwitrudder.request.holding import Holding, Policy, kept_share
 from godwitrudder.version.statements import (
     ALL,
     Book,
@@ -121,3 +121,14 @@
     good = Statement(1, 0.0, 0.0, 1.5, {"w": Row(10, 5)})
     assert book.put("h1", codec.encode(good), 1.0) is None
     assert book.others("h0", "w").limit == 10
+
+
+@pytest.mark.parametrize(("rank", "silent", "had"), [(0, True, True), (2, True, False)])
+def test_less_urgent_requests_leave_tokens_in_a_silence(
+    rank: int, silent: bool, had: bool
+) -> None:
+    """Long, less urgent prompts took the tokens that short questions came for."""
+    holding = Holding(granted=1000)
+    holding.stated = Row(1000, 1000)
+    assert holding.reserve(900, 5.0, kept_share(rank, silent)) == had
+    assert kept_share(rank, False) == 0.0
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -14,6 +14,7 @@
 from godwitrudder.platform import names
 from godwitrudder.platform.settings import EntrySettings
 from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.directory import RETURN_SECONDS
 from godwitrudder.process.entry import Entry
 from godwitrudder.sections import Address
 from standins.platform_runner import (
@@ -369,3 +370,14 @@
         place.entry.forwarder.begun.clear()
         gevent.spawn_later(0.2, place.entry.forwarder.begun.set)
         assert status_of(place.ask()) == 200
+
+
+def test_connections_of_a_runner_that_is_gone_are_closed() -> None:
+    """They were kept for ever, a few descriptors for each runner that was replaced."""
+    with site(good) as place:
+        place.ask()
+        assert place.entry.pool.idle == 1
+        place.store.put(names.RUNNERS_TOPIC, "i-0", None)
+        # The first two seconds after the store's return an entry may come back.
+        gevent.sleep(RETURN_SECONDS + 1.0)
+        assert place.entry.pool.idle == 0
