Give way to a host that lacks tokens only where nobody has them free

Cause: a host whose requests wait for a statement says so, and every other host then held 0.3 of its part.

Change: the others give way if the free tokens don't cover what is lacking.

--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -26,6 +26,7 @@
 from godwitrudder.process.forwarding import Forwarding, NotRun, Streamed, Whole
 from godwitrudder.process.purse import NoTokens, PurseTask, Reservation
 from godwitrudder.process.sender import Sender
+from godwitrudder.request import comeback
 from godwitrudder.request.outcome import (
     Failed,
     Ran,
@@ -42,15 +43,6 @@
 """Runners that may turn a request away before it is refused."""
 TOKEN_PATIENCE: Final = 0.7
 """Part of the aim for which a request waits for tokens."""
-RETURN_SHARE: Final = 0.3
-"""Part of the time left after which a refused caller may come back; callers
-honour up to a third."""
-SOON_SECONDS: Final = 0.25
-"""When to come back where only a runner is missing."""
-ELSEWHERE_SECONDS: Final = 0.15
-"""When to come back where another host may hold tokens: a retry reaches another."""
-AWAY_SECONDS: Final = 0.03
-"""When to come back where this host ends: a retry reaches another one."""
 STREAM_SECONDS: Final = 4.5
 """Time that a stream is given when this process is about to end: over twice what one
 takes at a busy engine (55 events of 7 tokens, the users' sheet)."""
@@ -125,7 +117,7 @@
             self.begun.wait(_begin_patience(ask))
         catalogue = self._directory.current()
         if catalogue is None:
-            return refuse(Reason.LOG_UNREACHABLE, SOON_SECONDS)
+            return refuse(Reason.LOG_UNREACHABLE, comeback.RUNNER_SECONDS)
         route = catalogue.route(ask.host, ask.path)
         if route is None:
             return refuse(Reason.UNKNOWN_PATH, path=ask.path)
@@ -136,7 +128,8 @@
         if ask.deadline_seconds is not None:
             seconds = min(seconds, ask.deadline_seconds)
         if not self._finishes(route, now, seconds):
-            return refuse(Reason.DRAINING, self._away())
+            seconds = comeback.spread(comeback.ENDING_SECONDS, self._random)
+            return refuse(Reason.DRAINING, seconds)
         name = self._share(route)
         target = catalogue.targets_by_name.get(name) or Target(name, 0, None)
         return Forwarding(
@@ -149,10 +142,6 @@
             seconds = min(seconds, STREAM_SECONDS)
         return now + seconds <= self.ends_at
 
-    def _away(self) -> float:
-        """Return when to come back to another host, in seconds."""
-        return AWAY_SECONDS * self._random.uniform(0.5, 1.5)
-
     def _share(self, route: Route) -> str:
         shares = route.shares
         if len(shares) == 1:
@@ -177,9 +166,9 @@
             forwarding.route.rank,
         )
         if isinstance(reservation, NoTokens):
-            refused = self._no_tokens(reservation, workspace.name, most)
-            link, name = forwarding.link, forwarding.name
-            return self._refuse(link, name, refused, forwarding.left)
+            left = forwarding.left
+            refused = self._no_tokens(reservation, workspace.name, most, left)
+            return self._refuse(forwarding.link, forwarding.name, refused, left)
         with self._settled(forwarding, reservation):
             return self._attempts(forwarding)
 
@@ -198,17 +187,18 @@
                 used = forwarding.ask.prompt_tokens + forwarding.events * per_event
             self._purse.settle(reservation, used)
 
-    def _no_tokens(self, none: NoTokens, workspace: str, needed: int) -> Refused:
+    def _no_tokens(
+        self, none: NoTokens, workspace: str, needed: int, left: float
+    ) -> Refused:
         if none.exhausted:
-            left = max(0, none.free)
             return refuse(
                 Reason.BUDGET_EXHAUSTED,
                 None,
                 budget=workspace,
                 needed=needed,
-                left=left,
+                left=max(0, none.free),
             )
-        seconds = ELSEWHERE_SECONDS * self._random.uniform(0.7, 1.3)
+        seconds = comeback.for_tokens(none.silent_seconds, left, self._random)
         return refuse(Reason.BUDGET_UNREACHABLE, seconds, budget=workspace)
 
     def _attempts(self, forwarding: Forwarding) -> bool:
@@ -327,7 +317,7 @@
             problem = forwarding.problem
             failed = fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
             return self._fail(forwarding, failed)
-        seconds = SOON_SECONDS * self._random.uniform(0.6, 1.4)
+        seconds = comeback.spread(comeback.RUNNER_SECONDS, self._random)
         refused = refuse(Reason.NO_RUNNER, seconds, target=forwarding.target.name)
         return self._refuse(forwarding.link, forwarding.name, refused, forwarding.left)
 
@@ -339,7 +329,7 @@
         after = refused.retry_after
         if after is not None:
             if left is not None:
-                after = min(after, max(0.0, left) * RETURN_SHARE)
+                after = comeback.honoured(after, left)
             headers += wire.retry_after(after)
         link.answer(status, headers, msgspec.json.encode(error_body(refused)))
         self._metrics.refused.labels(str(refused.reason)).inc()
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -22,7 +22,8 @@
 OPEN_SHARE: Final = 0.5
 """Part of a holding that may be open for one large request."""
 SHORT_SHARE: Final = 0.3
-"""Part of its holding that a host keeps while another lacks tokens."""
+"""Part of its holding that a host keeps while another lacks tokens that nobody has
+free."""
 SURPLUS: Final = 1.15
 """A holding above its aim by this factor is given back."""
 LARGEST_SECONDS: Final = 20.0
@@ -234,13 +235,18 @@
         least, most = policy.last_share, policy.first_share
         together = least + (most - least) * left / prepaid
         bound = left * together * part
-        if others.short and not self.waiting:
+        if others.short > self._free(prepaid, others) and not self.waiting:
             bound *= SHORT_SHARE
         if total > 0:
             wanted = self._wanted(expected, policy.horizon_seconds)
             bound = min(bound, wanted / max(KNOWN_LEAST, self.demand.known(now)))
         return int(bound)
 
+    def _free(self, prepaid: int, others: Totals) -> int:
+        """Return the tokens that no host holds."""
+        own = self.spent if self.stated is None else self.stated.limit
+        return prepaid - others.limit - own
+
     def expected(self, now: float, others: Totals) -> float:
         """Return the demand to expect here, in tokens a second.
 
--- /dev/null
+++ b/tests/test_comeback.py
@@ -0,0 +1,33 @@
+"""When a refused caller may ask again."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from godwitrudder.request import comeback
+
+
+@pytest.mark.parametrize(
+    ("silent", "left", "at_least", "at_most"),
+    [
+        (0.2, 12.0, 0.1, 0.2),
+        (2.0, 12.0, 0.1, 0.2),
+        (5.0, 12.0, 3.5, 3.6),
+        (7.0, 10.0, 1.5, 1.8),
+        (7.0, 3.0, 0.1, 0.2),
+        (30.0, 12.0, 0.1, 0.2),
+    ],
+)
+def test_a_caller_comes_back_when_a_silence_should_be_over(
+    silent: float, left: float, at_least: float, at_most: float
+) -> None:
+    """Refused at once by the next host too, which lacks the same tokens."""
+    seconds = comeback.for_tokens(silent, left, Random(1))
+    assert at_least <= seconds <= at_most
+
+
+def test_no_time_is_told_that_a_caller_does_not_keep_to() -> None:
+    assert comeback.honoured(5.0, 3.0) == pytest.approx(0.9)
+    assert comeback.honoured(5.0, -1.0) == 0.0
