Add a fault soak: real entry processes, faults from outside, promises checked as they run

Entry hosts run as processes behind a proxy before the store; faults in overlapping series: SIGKILL of one or all, SIGSTOP, SIGTERM with restart, SIGHUP, cuts both ways or of answers only, resets, a store that is down, loses answers or its history, top-ups. Checked while it runs, from what callers and runners see: spent within what was paid, unsafe at most once, own and whole answer, refused means never run, nothing cut by a graceful stop.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := godwitrudder standins bench tests
+SOURCES := godwitrudder standins bench soak tests
 
 .PHONY: help setup demo test lint bench ci
 help: ## list the targets
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,59 @@
+"""The soak's command line: ``python -m soak run --seeds 50 --seconds 10``."""
+
+from __future__ import annotations
+
+from gevent import monkey
+
+monkey.patch_all()
+
+import sys  # noqa: E402
+
+from cleo.application import Application  # noqa: E402
+from cleo.commands.command import Command  # noqa: E402
+from cleo.helpers import option  # noqa: E402
+
+from soak.run import Plan, soak  # noqa: E402
+
+
+class RunCommand(Command):
+    """Play seeds one after the other."""
+
+    name = "run"
+    description = "Play seeded faults against real entry processes"
+    options = [
+        option("first", None, "First seed", flag=False, default="1"),
+        option("seeds", None, "How many seeds", flag=False, default="5"),
+        option("seconds", None, "Seconds of each", flag=False, default="10"),
+        option("hosts", None, "Entry processes", flag=False, default="4"),
+        option("callers", None, "Callers", flag=False, default="24"),
+    ]
+
+    def handle(self) -> int:
+        """Return 1 where a promise was broken."""
+        broken = 0
+        first, seeds = int(self.option("first")), int(self.option("seeds"))
+        for seed in range(first, first + seeds):
+            plan = Plan(
+                seed,
+                float(self.option("seconds")),
+                int(self.option("hosts")),
+                int(self.option("callers")),
+            )
+            report = soak(plan)
+            self.line(report.line())
+            for finding in report.findings:
+                self.line(f"  {finding}")
+            broken += bool(report.findings)
+        self.line(f"{seeds} seeds, {broken} with a broken promise")
+        return 1 if broken else 0
+
+
+def main() -> int:
+    """Run the command line."""
+    application = Application("soak")
+    application.add(RunCommand())
+    return application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,140 @@
+"""Faults in overlapping series, drawn from a seed."""
+
+from __future__ import annotations
+
+import signal
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import gevent
+
+from godwitrudder.platform import names
+from soak.hosts import Host
+from soak.proxy import Cut
+from soak.site import Site
+
+PAUSE_SECONDS: Final = (0.1, 0.8)
+"""Between the beginnings of two faults."""
+FAULT_SECONDS: Final = (0.2, 3.0)
+"""How long a fault lasts: below and above the 1.5 s for which a statement is young."""
+LOST_SHARE: Final = 0.4
+
+
+class Faults:
+    """Plays faults until it is killed; what it began is undone by ``heal``.
+
+    Attributes
+    ----------
+    played : list of str
+        What was played, in order.
+    """
+
+    def __init__(self, site: Site, random: Random) -> None:
+        self.played: list[str] = []
+        self._site = site
+        self._random = random
+        self._tasks: list[gevent.Greenlet] = []
+        self._kinds: list[Callable[[], None]] = [
+            self._kill,
+            self._kill_all,
+            self._freeze,
+            self._term,
+            self._cut,
+            self._cut,
+            self._cut_all,
+            self._reset,
+            self._lose_answers,
+            self._store_down,
+            self._forget,
+            self._topup,
+            self._reload,
+        ]
+
+    def run(self) -> None:
+        """Begin a fault every now and then."""
+        while True:
+            gevent.sleep(self._random.uniform(*PAUSE_SECONDS))
+            kind = self._random.choice(self._kinds)
+            self.played.append(kind.__name__.strip("_"))
+            self._tasks.append(gevent.spawn(kind))
+
+    def heal(self) -> None:
+        """Wait until all faults have ended."""
+        gevent.joinall(self._tasks, raise_error=True)
+
+    def _host(self) -> Host:
+        return self._random.choice(self._site.hosts)
+
+    def _hold(self) -> None:
+        gevent.sleep(self._random.uniform(*FAULT_SECONDS))
+
+    def _kill(self) -> None:
+        self._killed(self._host())
+
+    def _kill_all(self) -> None:
+        for host in self._site.hosts:
+            self._killed(host)
+
+    def _killed(self, host: Host) -> None:
+        if host.stopping:
+            return
+        host.kill()
+        host.start()
+
+    def _freeze(self) -> None:
+        host = self._host()
+        host.harmed()
+        host.signal(signal.SIGSTOP)
+        self._hold()
+        host.signal(signal.SIGCONT)
+        host.harmed()
+
+    def _term(self) -> None:
+        host = self._host()
+        if host.stopping:
+            return
+        status = host.stop()
+        if status not in (0, -signal.SIGKILL):
+            self._site.truth.findings.append(f"{host.name}: ended with {status}")
+        host.start()
+
+    def _cut(self) -> None:
+        self._cut_off([self._host()])
+
+    def _cut_all(self) -> None:
+        self._cut_off(self._site.hosts)
+
+    def _cut_off(self, hosts: list[Host]) -> None:
+        cut = self._random.choice([Cut.SILENT, Cut.ANSWERS_LOST])
+        for host in hosts:
+            host.harmed()
+            host.proxy.cut = cut
+        self._hold()
+        for host in hosts:
+            host.proxy.cut = Cut.NONE
+            host.harmed()
+
+    def _reset(self) -> None:
+        self._host().proxy.reset()
+
+    def _lose_answers(self) -> None:
+        self._site.store.faults.set({"lost_answers": LOST_SHARE})
+        self._hold()
+        self._site.store.faults.set({"lost_answers": 0.0})
+
+    def _store_down(self) -> None:
+        self._site.store.faults.set({"down": True})
+        self._hold()
+        self._site.store.faults.set({"down": False})
+
+    def _forget(self) -> None:
+        for topic in (names.LEDGER_TOPIC, names.OPERATOR_TOPIC, names.RUNNERS_TOPIC):
+            self._site.store.topics[topic].forget()
+
+    def _topup(self) -> None:
+        paid = self._site.truth.prepaid_by_workspace
+        self._site.topup(self._random.choice(sorted(paid)))
+
+    def _reload(self) -> None:
+        self._host().signal(signal.SIGHUP)
--- /dev/null
+++ b/soak/hosts.py
@@ -0,0 +1,131 @@
+"""Entry hosts as processes of their own, each behind a proxy before the store."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from types import TracebackType
+from typing import Final, Self
+
+import gevent
+from gevent import subprocess
+
+from bench.loopback import IP
+from godwitrudder.platform import names
+from godwitrudder.sections import Address
+from soak.proxy import Proxy
+
+CALM_SECONDS: Final = 3.0
+"""A host to which nothing was done for so long is calm."""
+STEP_SECONDS: Final = 0.05
+"""Between questions about a process."""
+
+
+class Host:
+    """One host, as a context manager; its process is started and ended by id.
+
+    Attributes
+    ----------
+    stopping : bool
+        Whether its process got SIGTERM and has not been started again.
+    """
+
+    def __init__(self, name: str, directory: Path, store: Address, port: int) -> None:
+        self.name = name
+        self.callers = Address(IP, port)
+        self.proxy = Proxy(store)
+        self.stopping = False
+        self._harmed_at = 0.0
+        self._ready_port = port + 1
+        self._settings = directory / f"{name}.json"
+        self._log = directory / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def __enter__(self) -> Self:
+        """Start proxy and process."""
+        self.proxy.__enter__()
+        plain = {
+            "node": self.name,
+            "zone": "magong",
+            "listen": {
+                "front": f"{IP}:{self.callers.port}",
+                "ready": f"{IP}:{self._ready_port}",
+            },
+            "platform": {"address": self.proxy.address},
+            "bounds": {"grace_s": 8.0},
+        }
+        self._settings.write_text(json.dumps(plain))
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End process and proxy."""
+        self.kill()
+        self.proxy.__exit__()
+
+    @property
+    def calm(self) -> bool:
+        """Whether nothing but a graceful stop befell it of late."""
+        return time.monotonic() - self._harmed_at > CALM_SECONDS
+
+    def harmed(self) -> None:
+        """Note a fault."""
+        self._harmed_at = time.monotonic()
+
+    def start(self) -> None:
+        """Start its process anew."""
+        self.stopping = False
+        with self._log.open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "godwitrudder.process.entry_main"],
+                stdout=output,
+                stderr=output,
+                env={**os.environ, names.SETTINGS_VARIABLE: str(self._settings)},
+            )
+
+    def wait_ready(self) -> None:
+        """Wait until it takes callers."""
+        while not self._ready():
+            gevent.sleep(STEP_SECONDS)
+
+    def _ready(self) -> bool:
+        link = http.client.HTTPConnection(IP, self._ready_port)
+        try:
+            link.request("GET", "/")
+            return link.getresponse().status == http.HTTPStatus.OK
+        except OSError:
+            return False
+        finally:
+            link.close()
+
+    def kill(self) -> None:
+        """Kill its process and wait for its end."""
+        self.harmed()
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        assert self._process is not None
+        if self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def stop(self) -> int:
+        """Stop gracefully; return the exit status."""
+        assert self._process is not None
+        self.stopping = True
+        self.signal(signal.SIGTERM)
+        while self._process.poll() is None:
+            gevent.sleep(STEP_SECONDS)
+        return int(self._process.returncode)
--- /dev/null
+++ b/soak/site.py
@@ -0,0 +1,168 @@
+"""The site around the hosts: store, runners and configuration."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import ExitStack
+from pathlib import Path
+from random import Random
+from types import TracebackType
+from typing import Any, Final, Self
+
+from bench.loopback import IP
+from godwitrudder.platform import names
+from godwitrudder.sections import Address
+from soak.hosts import Host
+from soak.truth import TOKENS_PER_EVENT, Truth
+from standins.platform_runner import (
+    PlatformRunner,
+    Seen,
+    Step,
+    answer,
+    chunk,
+    stream_head,
+)
+from standins.store import Store
+from tests.ports import free_port
+
+WORKSPACES: Final = 4
+RUNNERS: Final = 3
+PREPAID: Final = 10_000
+"""Tokens of a workspace at first: some seconds of its callers."""
+TOPUP: Final = 4_000
+BREAK_SHARE: Final = 0.05
+"""Part of the answers that a runner breaks off, by kind of break."""
+EVENT_SECONDS: Final = 0.01
+PLAIN_SECONDS: Final = 0.02
+
+
+class Site:
+    """Hosts, store and runners, as a context manager.
+
+    Parameters
+    ----------
+    directory : Path
+        Where settings and logs of the hosts go.
+    """
+
+    def __init__(self, hosts: int, directory: Path, random: Random) -> None:
+        self.truth = Truth()
+        self.store = Store(Address(IP, free_port()))
+        self._random = random
+        self._version = 0
+        self._stack = ExitStack()
+        self.runners = [PlatformRunner(self._script) for _ in range(RUNNERS)]
+        self.hosts = [
+            Host(f"front-{number}", directory, self.store.address, _port_pair())
+            for number in range(hosts)
+        ]
+
+    def __enter__(self) -> Self:
+        """Start everything."""
+        self._stack.enter_context(self.store)
+        self.truth.prepaid_by_workspace = {
+            f"w-{number}": PREPAID for number in range(WORKSPACES)
+        }
+        self.configure()
+        for number, runner in enumerate(self.runners):
+            self._stack.enter_context(runner)
+            entry = {"service": "s", "address": runner.address, "state": "ready"}
+            self.store.put(names.RUNNERS_TOPIC, f"i-{number}", {**entry, "slots": 16})
+        for host in self.hosts:
+            self._stack.enter_context(host)
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything."""
+        self._stack.close()
+
+    def topup(self, workspace: str) -> None:
+        """Raise what a workspace has paid, by a new version."""
+        self.truth.prepaid_by_workspace[workspace] += TOPUP
+        self.configure()
+
+    def configure(self) -> None:
+        """Put a new version of the configuration into the store."""
+        self._version += 1
+        engine = {"stride": TOKENS_PER_EVENT, "slots": 16}
+        paid = self.truth.prepaid_by_workspace
+        configuration = {
+            "version": self._version,
+            "routes": [_route(kind) for kind in ("safe", "unsafe", "stream", "fixed")],
+            "services": [{"name": "s", "max_conns": 400, "engine": engine}],
+            "tenants": [
+                {"name": name, "api_keys": [f"key-{name}"], "prepaid": prepaid}
+                for name, prepaid in paid.items()
+            ],
+        }
+        self.store.put(names.OPERATOR_TOPIC, "config", configuration)
+
+    def _script(self, seen: Seen, _number: int) -> list[Step]:
+        """Return what a runner does with a request."""
+        request = seen.headers["x-godwitrudder-request-id"]
+        self.truth.ran(request)
+        asked = self.truth.asked_by_id[request]
+        steps: list[Step] = [PLAIN_SECONDS, answer(seen, "200 OK", request.encode())]
+        if asked.events:
+            first = int(seen.headers.get("last-event-id", "0")) + 1
+            steps = [PLAIN_SECONDS, stream_head(seen)]
+            for number in range(first, asked.events + 1):
+                event = f"id: {number}\ndata: {request}\n\n".encode()
+                steps += [EVENT_SECONDS, chunk(event)]
+            steps.append(chunk(b""))
+        return self._spoiled(request, steps)
+
+    def _spoiled(self, request: str, steps: list[Step]) -> list[Step]:
+        """Break off some answers: a reset, half a piece, or an answer of another."""
+        draw = self._random.random()
+        if draw < BREAK_SHARE:
+            self.truth.broken_by_runner.add(request)
+            return [*steps[: self._random.randrange(len(steps))], None]
+        if draw < 2 * BREAK_SHARE:
+            self.truth.broken_by_runner.add(request)
+            last = steps[-1]
+            assert isinstance(last, bytes)
+            return [*steps[:-1], last[: len(last) // 2], None]
+        if draw < 3 * BREAK_SHARE:
+            other = Seen("", {"x-godwitrudder-request-id": "another"}, b"")
+            return [*steps, answer(other, "200 OK", b"another's answer")]
+        return steps
+
+
+def _route(kind: str) -> dict[str, Any]:
+    streams = kind in ("stream", "fixed")
+    return {
+        "name": kind,
+        "host": "soak.example",
+        "path_prefix": f"/{kind}/",
+        "kind": "streaming" if streams else kind,
+        "timeout_ms": 3000,
+        "target_latency_ms": 300,
+        "priority": 0,
+        "service": "s",
+        "max_attempts": 1 if kind in ("unsafe", "fixed") else 2,
+        "resumable": kind == "stream",
+        "gap_aim_ms": 300,
+    }
+
+
+def _port_pair() -> int:
+    """Return a port that is free, as is the next one."""
+    while True:
+        port = free_port()
+        if _is_free(port + 1):
+            return port
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((IP, port))
+        except OSError:
+            return False
+        return True
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -55,10 +55,14 @@
     def _serve(self, sock: socket.socket, _address: object) -> None:
         stream = sock.makefile("rb")
         while True:
-            line = stream.readline().decode().strip()
-            if not line:
+            try:
+                line = stream.readline().decode().strip()
+                if not line:
+                    return
+                seen = Seen(line, *_rest(stream))
+            except OSError:
+                self.hung_up += 1
                 return
-            seen = Seen(line, *_rest(stream))
             self.seen.append(seen)
             for step in self.script(seen, len(self.seen) - 1):
                 if step is None:
