Pass a runner's failed answer on where no other gives a better one; follow the settings file

Cause: a safe request whose runner answered 500 was tried elsewhere, and where the second runner was silent, broken or full the caller got our 502, 503 or 504 instead of the answer that there was. Settings were read again only on SIGHUP, though the file may change without it.

Change: the failed answer is kept and passed on, also late, unless its status is a promise; the file is looked at every second.

Tests: the second runner silent, resetting and rejecting; a changed file.

--- a/godwitrudder/process/entry_main.py
+++ b/godwitrudder/process/entry_main.py
@@ -12,6 +12,7 @@
 import signal  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
+from typing import Final  # noqa: E402
 
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
@@ -21,6 +22,9 @@
 from godwitrudder.process.entry import Entry  # noqa: E402
 from godwitrudder.sections import Problem  # noqa: E402
 
+FOLLOW_SECONDS: Final = 1.0
+"""Between looks at the settings file; a configuration is to be in force within 2 s."""
+
 
 def main() -> int:
     """Run until SIGTERM; return the exit status."""
@@ -39,12 +43,32 @@
     gc.collect()
     gc.freeze()
     entry.start()
+    gevent.spawn(follow, entry, path, log)
     log.note("start", failure_domain=loaded.failure_domain)
     stopped.wait()
     entry.stop()
     return 0
 
 
+def follow(entry: Entry, path: Path, log: DecisionLog) -> None:
+    """Read the settings again whenever the file has changed, with or without SIGHUP."""
+    read_of = _changed_at(path)
+    while True:
+        gevent.sleep(FOLLOW_SECONDS)
+        changed_at = _changed_at(path)
+        if changed_at != read_of:
+            read_of = changed_at
+            reload(entry, path, log)
+
+
+def _changed_at(path: Path) -> int | None:
+    """Return when a file was changed, in ns; None while there is none."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return None
+
+
 def reload(entry: Entry, path: Path, log: DecisionLog) -> None:
     """Read the settings again; those that can't be read leave the old in force."""
     loaded = settings.load(path)
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -51,6 +51,10 @@
 BEGIN_SHARE: Final = 0.3
 """Part of a request's time that it waits for that."""
 CONNECTIONS_LEAST: Final = 4
+"""Requests of this host that one runner takes, however many hosts share its
+connections."""
+PROMISES: Final = frozenset({408, 421, 429, 503})
+"""Statuses by which a caller takes it that its request has not run and never will."""
 
 
 class Forwarder:
@@ -217,7 +221,7 @@
         window.request(time.monotonic())
         while True:
             if forwarding.left <= 0:
-                return self._over(forwarding)
+                return self._give_up(forwarding)
             if forwarding.arrivals and not window.take(self.hosts(), time.monotonic()):
                 forwarding.problem = forwarding.problem or "no retries left"
                 return self._give_up(forwarding)
@@ -229,6 +233,8 @@
                 return self._done(forwarding, 200)
             if isinstance(result, Whole):
                 if self._again_after(forwarding, result):
+                    if result.head.status not in PROMISES:
+                        forwarding.kept = result
                     continue
                 return self._answer(forwarding, result)
             forwarding.problem = result.reason
@@ -291,7 +297,7 @@
     def _answer(self, forwarding: Forwarding, whole: Whole) -> bool:
         """Pass a runner's answer on; a promise only if it was the runner's."""
         status = whole.head.status
-        if status in (408, 421, 429, 503):
+        if status in PROMISES:
             forwarding.problem = f"status {status} without proof of not running"
             return self._give_up(forwarding)
         forwarding.link.answer(status, whole.head.headers, whole.body)
@@ -314,19 +320,13 @@
         )
         return True
 
-    def _over(self, forwarding: Forwarding) -> bool:
-        """End a request whose time is over."""
-        if not forwarding.ran_on:
-            refused = refuse(Reason.NO_RUNNER, 0.0, target=forwarding.target.name)
-            return self._refuse(forwarding.link, forwarding.name, refused, 0.0)
-        failed = fail(Reason.DEADLINE, Ran.UNKNOWN)
-        return self._fail(forwarding, failed)
-
     def _give_up(self, forwarding: Forwarding) -> bool:
         """Tell the caller that no runner answered, and whether one may have run it."""
+        if forwarding.kept is not None and not forwarding.begun:
+            return self._answer(forwarding, forwarding.kept)
         if forwarding.ran_on or forwarding.begun:
             if forwarding.left <= 0:
-                return self._over(forwarding)
+                return self._fail(forwarding, fail(Reason.DEADLINE, Ran.UNKNOWN))
             problem = forwarding.problem
             failed = fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
             return self._fail(forwarding, failed)
--- a/godwitrudder/process/forwarding.py
+++ b/godwitrudder/process/forwarding.py
@@ -10,6 +10,14 @@
 from godwitrudder.version.catalogue import Route, Target, Workspace
 
 
+@dataclass(frozen=True, slots=True)
+class Whole:
+    """A runner's answer that is not a stream."""
+
+    head: Head
+    body: bytes
+
+
 @dataclass(slots=True)
 class Forwarding:
     """One request under way.
@@ -24,6 +32,8 @@
         Whether the caller has the head of its answer.
     events : int
         Events that the caller was sent.
+    kept : Whole or None
+        A failed answer of a runner, passed on if no other runner gives a better one.
     token_seconds : float
         Time that it waited for tokens.
     first_seconds : float or None
@@ -48,6 +58,7 @@
     problem: str = ""
     token_seconds: float = 0.0
     first_seconds: float | None = None
+    kept: Whole | None = None
 
     @property
     def name(self) -> str:
@@ -60,14 +71,6 @@
         return self.until - time.monotonic()
 
 
-@dataclass(frozen=True, slots=True)
-class Whole:
-    """A runner's answer that is not a stream."""
-
-    head: Head
-    body: bytes
-
-
 @dataclass(frozen=True, slots=True)
 class Streamed:
     """A stream was passed on to its end."""
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Any
 
 import gevent
@@ -20,6 +21,7 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import RETURN_SECONDS
 from godwitrudder.process.entry import Entry
+from godwitrudder.process.entry_main import follow
 from godwitrudder.sections import Address
 from standins.platform_runner import (
     PlatformRunner,
@@ -445,3 +447,35 @@
         assert [(request, inputs["why"]) for _, request, inputs in gone] == [
             ("r-1", "closed")
         ]
+
+
+@pytest.mark.parametrize("second", [silent, resetting, rejecting])
+def test_a_failed_answer_is_passed_on_where_no_other_runner_gives_a_better(
+    second: Script,
+) -> None:
+    def failing(seen: Seen, _number: int) -> list[Step]:
+        return [answer(seen, "500 Error", b"failed")]
+
+    runs = [failing, second]
+
+    def in_turn(seen: Seen, number: int) -> list[Step]:
+        return runs.pop(0)(seen, number)
+
+    with site(in_turn, in_turn) as place:
+        data = place.ask()
+        assert status_of(data) == 500
+        assert data.endswith(b"failed")
+        assert sum(len(runner.seen) for runner in place.runners) == 2
+
+
+def test_settings_are_read_again_when_the_file_changes(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text("{}")
+    with site(good) as place:
+        task = gevent.spawn(follow, place.entry, path, place.log)
+        gevent.sleep(0.05)
+        path.write_text('{"node": 5}')
+        while not any(note[0] == "settings_unread" for note in place.log.notes):
+            gevent.sleep(0.05)
+        task.kill()
+        assert place.entry.settings.host == "front-1"
