Tell operators what the store holds; count store calls and held tokens

godwitctl store budgets and store status read configuration, statements and entries from the platform's store, with no entry asked. Metrics: calls of the store by path and status, tokens held.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 SOURCES := godwitrudder standins bench soak tests
 
-.PHONY: help setup demo test lint bench ci
+.PHONY: help setup demo test lint bench soak ci
 help: ## list the targets
 	@grep -E '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed 's/:.*## /\t/'
 
@@ -30,3 +30,8 @@
 
 bench: $(STAMP) ## run every bench, write bench-report.json
 	$(BIN)/python -m bench
+
+SEED ?= $(shell date +%s)
+SEEDS ?= 5
+soak: $(STAMP) ## real entry processes under seeded faults; SEED, SEEDS
+	$(BIN)/python -m soak run --first $(SEED) --seeds $(SEEDS)
--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -9,7 +9,7 @@
 from cleo.application import Application
 from cleo.commands.completions_command import CompletionsCommand
 
-from godwitrudder.ctl import config, daily, explain, load, timeline, verify
+from godwitrudder.ctl import config, daily, explain, load, store, timeline, verify
 from godwitrudder.ctl.command import FleetCommand
 
 COMMANDS: Final[tuple[type[FleetCommand], ...]] = (
@@ -19,6 +19,7 @@
     *verify.COMMANDS,
     *load.COMMANDS,
     *explain.COMMANDS,
+    *store.COMMANDS,
 )
 
 
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -9,6 +9,7 @@
 import base64
 import logging
 import struct
+from collections import Counter
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -133,6 +134,11 @@
         Calls at once; reads that wait have as many of their own.
     timeout_seconds : float
         Longest time for an answer, beyond what a read waits.
+
+    Attributes
+    ----------
+    calls : Counter of (path, status)
+        Calls made so far; the status is ``none`` where no answer came.
     """
 
     def __init__(
@@ -141,6 +147,7 @@
         connections: int = CONNECTIONS,
         timeout_seconds: float = TIMEOUT_SECONDS,
     ) -> None:
+        self.calls: Counter[tuple[str, str]] = Counter()
         self._address = address
         self._connections = connections
         self._timeout_seconds = timeout_seconds
@@ -269,9 +276,12 @@
     ) -> tuple[int, bytes] | Unavailable:
         try:
             response = client.request(method, f"{path}?{urlencode(query)}", body=body)
-            return response.status_code, bytes(response.read())
+            answer = response.status_code, bytes(response.read())
         except Exception as error:  # the client raises many unrelated types
+            self.calls[path, "none"] += 1
             return Unavailable(f"{type(error).__name__}: {error}")
+        self.calls[path, str(answer[0])] += 1
+        return answer
 
 
 def _encode(record: KeyedRecord) -> bytes:
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -230,14 +230,22 @@
         """Tell the balancer whether to send callers here."""
         self._plain(sock, lambda: (200, b"ok\n") if self.ready else (503, b"no\n"))
 
+    def metrics(self) -> bytes:
+        """Return the metrics as text."""
+        shown = self._metrics
+        shown.in_flight.set(self.forwarder.in_flight)
+        shown.link_part.set(self.intake.part)
+        shown.store_silent.set(self.purse.silent_seconds)
+        shown.tokens_held.set(self.purse.purse.held)
+        for (path, status), count in self._store.calls.items():
+            shown.store_calls.labels(path, status).set(count)
+        shown.lines_left_out.set(self._log.left_out)
+        shown.connections_opened.set(self.pool.opened)
+        return shown.render()
+
     def _show(self, sock: socket.socket, _address: Any) -> None:
         """Show the metrics."""
-        self._metrics.in_flight.set(self.forwarder.in_flight)
-        self._metrics.link_part.set(self.intake.part)
-        self._metrics.store_silent.set(self.purse.silent_seconds)
-        self._metrics.lines_left_out.set(self._log.left_out)
-        self._metrics.connections_opened.set(self.pool.opened)
-        self._plain(sock, lambda: (200, self._metrics.render()))
+        self._plain(sock, lambda: (200, self.metrics()))
 
     def _plain(
         self, sock: socket.socket, answer: Callable[[], tuple[int, bytes]]
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -69,6 +69,18 @@
             registry=self.registry,
         )
 
+        self.store_calls = Gauge(
+            "godwitrudder_store_calls",
+            "Calls of the store by path and status since the start",
+            ["path", "status"],
+            registry=self.registry,
+        )
+        self.tokens_held = Gauge(
+            "godwitrudder_tokens_held",
+            "Tokens of all workspaces that may be spent without the store",
+            registry=self.registry,
+        )
+
     def render(self) -> bytes:
         """Return the text exposition."""
         return bytes(generate_latest(self.registry))
--- a/godwitrudder/request/purse.py
+++ b/godwitrudder/request/purse.py
@@ -131,6 +131,14 @@
         tokens = self.prepaid(workspace) - others.cap - spent
         return Free(tokens, others.limit - others.cap)
 
+    @property
+    def held(self) -> int:
+        """Return the tokens that may be spent without a further statement."""
+        return sum(
+            max(0, holding.granted - holding.spent)
+            for holding in self.holdings.values()
+        )
+
     def prepaid(self, workspace: str) -> int:
         """Return the prepaid amount; nothing for an unknown workspace."""
         prepaid = self._prepaid.get(workspace, 0)
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -479,3 +479,12 @@
             gevent.sleep(0.05)
         task.kill()
         assert place.entry.settings.host == "front-1"
+
+
+def test_metrics_tell_store_calls_and_held_tokens() -> None:
+    with site(good) as place:
+        place.ask("/stream/1", "POST", headers="X-Godwitrudder-Token-Count: 10,20\r\n")
+        shown = place.entry.metrics().decode()
+    assert 'store_calls{path="/api/log-append",status="200"}' in shown
+    held = [line for line in shown.splitlines() if line.startswith("godwitrudder_tok")]
+    assert float(held[0].split()[1]) > 0
