--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -22,6 +22,7 @@
 from godwitrudder.version.catalogue import CallerLimits
 
 READ_BYTES: Final = 65_536
+"""Read at once: a long prompt of the users' sheets is 72,000 bytes."""
 AHEAD_BYTES: Final = 65_536
 """Bytes of later requests that a caller may send ahead of an answer."""
 BODY_SECONDS: Final = 10.0
@@ -30,7 +31,6 @@
 """Longest time that a caller may leave an answer unread."""
 UNACKNOWLEDGED_MILLIS: Final = 1500
 """A peer that acknowledges nothing for so long is cut off or gone."""
-USER_TIMEOUT: Final = 18
 HOP_BY_HOP: Final = frozenset(
     {
         b"connection",
@@ -50,6 +50,14 @@
 Headers = list[tuple[bytes, bytes]]
 
 
+def first(headers: Headers, name: bytes) -> bytes:
+    """Return the first value of a header, empty where there is none."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return b""
+
+
 class CallerGone(gevent.GreenletExit):  # type: ignore[misc]
     """The caller closed its connection while its request was under way."""
 
@@ -74,10 +82,7 @@
 
     def header(self, name: bytes) -> bytes:
         """Return a header's value, empty where there is none."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return b""
+        return first(self.headers, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -283,10 +288,7 @@
 
     def header(self, name: bytes) -> bytes:
         """Return a header's value, empty where there is none."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return b""
+        return first(self.headers, name)
 
 
 @dataclass(frozen=True, slots=True)
@@ -337,7 +339,9 @@
             (address.ip, address.port), connect_seconds
         )
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._sock.setsockopt(socket.IPPROTO_TCP, USER_TIMEOUT, UNACKNOWLEDGED_MILLIS)
+        self._sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MILLIS
+        )
         self._http = h11.Connection(h11.CLIENT)
         self.reusable = False
         self.idle_until = 0.0
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -33,6 +33,7 @@
 }
 BEARER: Final = b"bearer "
 URGENT_MOST: Final = 9
+"""Least urgent rank that a runner takes (the users' protocol)."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -11,6 +11,7 @@
 from godwitrudder.sections import Address, Problem, parse, parse_address
 
 BYTES_PER_MEGABIT: Final = 125_000.0
+"""The settings tell the link in Mbit/s."""
 
 
 class ListenModel(msgspec.Struct):
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -23,7 +23,9 @@
 TIMEOUT_SECONDS: Final = 1.0
 """A slow store answers within 0.3 s (4 ms an answer, 74 times as long)."""
 CONNECT_SECONDS: Final = 0.6
+"""Longest time for a connection: two opening packets of a lossy link."""
 CONNECTIONS: Final = 4
+"""Calls at once: one of each of the three tasks that follow the store, and a spare."""
 PAGE_HEADER: Final = struct.Struct(">QQ")
 LENGTH: Final = struct.Struct(">I")
 
--- a/godwitrudder/process/decisions.py
+++ b/godwitrudder/process/decisions.py
@@ -16,6 +16,7 @@
 LINES_PER_SECOND: Final = 200
 """Per kind; a host serves some ten requests a second at today's load."""
 STANDARD_OUTPUT: Final = 1
+"""Number of the descriptor, as POSIX has it."""
 
 
 class DecisionLog:
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -38,6 +38,7 @@
 """Left of the grace period when the process ends: what is open then is closed by the
 platform anyway."""
 STEP_SECONDS: Final = 0.05
+"""Between looks at what is still in flight in a stop."""
 LINK_SECONDS: Final = 0.05
 """Between readings of the link's use: a twentieth of the balancer's question's."""
 
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -43,8 +43,13 @@
 FAILURE_SECONDS: Final = 4.0
 """Time constant by which a failure is forgotten."""
 FAILURE_GAIN: Final = 0.3
+"""Weight of the newest request in the share of failures: three in a row make two
+thirds of it."""
 EJECTED_SECONDS: Final = 1.0
+"""How long an unreachable runner is left out at first: a crashed one is listed for up
+to three heartbeats of 1.2 s."""
 EJECTED_MOST_SECONDS: Final = 8.0
+"""How long at most: a cut lasts 7 to 9 s."""
 PARTS_KEPT: Final = 4000
 """Prompt parts remembered per runner."""
 
