Open one large request at once, and count what is not open as left for more urgent ones

Cause: as a cut began, requests were refused though their host held their tokens.

Change: what is not open yet counts as left; one largest request of late is within the cap.

--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -30,8 +30,6 @@
 RESTART_SECONDS: Final = 1.2
 """From the kill of a process until its successor has read the store: 1.0 to 1.1 s on
 the users' platform, and a margin."""
-OPEN_SHARE: Final = 0.5
-"""Part of a holding that may be open for one large request."""
 SHORT_SHARE: Final = 0.3
 """Part of its holding that a host keeps while another lacks tokens that nobody has
 free."""
@@ -209,8 +207,8 @@
         kept_share : float
             Part of what is held that is left for more urgent requests.
         """
-        kept = int(kept_share * (self.granted - self.spent))
-        if tokens > self.spendable(now) - kept:
+        held = self.granted - self.spent
+        if tokens > min(self.spendable(now), held - int(kept_share * held)):
             return False
         self.spent += tokens
         return True
@@ -237,7 +235,7 @@
         limit = max(self.spent, min(limit, max(prepaid - others.limit, self._kept())))
         if self.waiting:
             limit = max(limit, self.spent + self.waiting)
-        large = min(float(self.demand.largest), OPEN_SHARE * (limit - self.spent))
+        large = float(self.demand.largest)
         open_now = max(
             demand * young_seconds(others.hosts + 1), float(self.waiting), large
         )
