Ignore SIGHUP until the settings are read; count a signal's end only of a process that was ready

Change: SIGHUP is ignored from the first line on; the soak asks a host whether it is ready before the signal and judges the status only then.

--- a/godwitrudder/process/entry_main.py
+++ b/godwitrudder/process/entry_main.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import signal
+
 from gevent import monkey
 
 monkey.patch_all(thread=False, subprocess=False)
 
+# Until the settings are read there is nothing to read again, and nothing to end.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 import gc  # noqa: E402
 import logging  # noqa: E402
 import os  # noqa: E402
-import signal  # noqa: E402
 import sys  # noqa: E402
 from pathlib import Path  # noqa: E402
 from typing import Final  # noqa: E402
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -94,8 +94,9 @@
         host = self._host()
         if host.stopping:
             return
+        host.ready()
         status = host.stop()
-        if status not in (0, -signal.SIGKILL):
+        if host.was_ready and status not in (0, -signal.SIGKILL):
             self._site.truth.findings.append(f"{host.name}: ended with {status}")
         host.start()
 
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -24,6 +24,8 @@
 """A host to which nothing was done for so long is calm."""
 STEP_SECONDS: Final = 0.05
 """Between questions about a process."""
+ASK_SECONDS: Final = 0.5
+"""Longest wait for an answer; a process that is stopped gives none."""
 
 
 class Host:
@@ -33,6 +35,9 @@
     ----------
     stopping : bool
         Whether its process got SIGTERM and has not been started again.
+    was_ready : bool
+        Whether its process was seen ready; one that was not may end at a signal, as it
+        has taken nothing.
     """
 
     def __init__(self, name: str, directory: Path, store: Address, port: int) -> None:
@@ -40,6 +45,7 @@
         self.callers = Address(IP, port)
         self.proxy = Proxy(store)
         self.stopping = False
+        self.was_ready = False
         self._harmed_at = 0.0
         self._ready_port = port + 1
         self._settings = directory / f"{name}.json"
@@ -85,6 +91,7 @@
     def start(self) -> None:
         """Start its process anew."""
         self.stopping = False
+        self.was_ready = False
         with self._log.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "godwitrudder.process.entry_main"],
@@ -95,14 +102,18 @@
 
     def wait_ready(self) -> None:
         """Wait until it takes callers."""
-        while not self._ready():
+        while not self.ready():
             gevent.sleep(STEP_SECONDS)
 
-    def _ready(self) -> bool:
-        link = http.client.HTTPConnection(IP, self._ready_port)
+    def ready(self) -> bool:
+        """Whether it says that it takes callers."""
+        process = self._process
+        link = http.client.HTTPConnection(IP, self._ready_port, timeout=ASK_SECONDS)
         try:
             link.request("GET", "/")
-            return link.getresponse().status == http.HTTPStatus.OK
+            ready = link.getresponse().status == http.HTTPStatus.OK
+            self.was_ready |= ready and process is self._process
+            return ready
         except OSError:
             return False
         finally:
