Bound what a runner or the store sends without end

Cause, shown by tests/test_endless.py on the code before: a body without end was collected whole; while bytes came, the deadline was never looked at and no other greenlet ran, so one such runner held up a whole process (the test of 200 runners and the one of answers to others failed with it); a comment now and then renewed the patience with a stalled stream; a head without end from the store was joined piece by piece for minutes. Heads, chunk extensions, trailers and interim answers without end were refused before, by h11's own bound.

Change: at most 256 KiB are taken from a runner without an event or answer that is passed on, the deadline is looked at before each piece, others run in between; comments are passed on, and count neither as progress nor as tokens; a store's answer has 4 MiB, its head included.

--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -29,6 +29,10 @@
 """Longest time for a body; the callers' own deadlines are 1 to 15 s."""
 SEND_SECONDS: Final = 15.0
 """Longest time that a caller may leave an answer unread."""
+UNPASSED_BYTES_MOST: Final = 262_144
+"""What is taken from a runner without an event or an answer that is passed on: over 300
+times the largest answer of the users' sheets (800 B); 200 runners that send without end
+take 50 MB of a process's 200."""
 UNACKNOWLEDGED_MILLIS: Final = 1500
 """A peer that acknowledges nothing for so long is cut off or gone."""
 HOP_BY_HOP: Final = frozenset(
@@ -347,6 +351,11 @@
         self.idle_until = 0.0
         self.wait_until = math.inf
         self._write_problem = ""
+        self._unpassed = 0
+
+    def passed_on(self) -> None:
+        """Note that something of use came of what was read."""
+        self._unpassed = 0
 
     @property
     def quiet(self) -> bool:
@@ -371,6 +380,7 @@
             Id that the answer echoes.
         """
         self.reusable = False
+        self._unpassed = 0
         event = h11.Request(method=method, target=path, headers=headers)
         data = self._http.send(event) or b""
         if body:
@@ -432,9 +442,16 @@
         while True:
             event = self._http.next_event()
             if event is h11.NEED_DATA:
-                self._sock.settimeout(max(0.001, self.wait_until - time.monotonic()))
+                left = self.wait_until - time.monotonic()
+                if left <= 0:
+                    return Broken("no answer in time", True)
+                gevent.sleep(0)  # bytes without end are always there
+                self._sock.settimeout(left)
                 data = self._sock.recv(READ_BYTES)
                 self._traffic.received += len(data)
+                self._unpassed += len(data)
+                if self._unpassed > UNPASSED_BYTES_MOST:
+                    return Broken(f"{self._unpassed} bytes without an answer", True)
                 if not data and self._http.their_state is h11.SEND_RESPONSE:
                     return Broken("closed without an answer", True)
                 self._http.receive_data(data)
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -14,8 +14,11 @@
 from typing import Any, Final
 from urllib.parse import urlencode
 
+import gevent
 import msgspec
+from gevent import socket
 from geventhttpclient import HTTPClient
+from geventhttpclient.connectionpool import ConnectionPool
 
 from godwitrudder.platform import names
 from godwitrudder.sections import Address
@@ -26,6 +29,11 @@
 """Longest time for a connection: two opening packets of a lossy link."""
 CONNECTIONS: Final = 4
 """Calls at once: one of each of the three tasks that follow the store, and a spare."""
+ANSWER_BYTES_MOST: Final = 4_194_304
+"""Longest answer: a read gives 1,024 KB, a list 1 MB with values in base64 (the users'
+pages)."""
+BLOCK_BYTES: Final = 65_536
+"""Taken from a connection at once."""
 PAGE_HEADER: Final = struct.Struct(">QQ")
 LENGTH: Final = struct.Struct(">I")
 
@@ -134,6 +142,33 @@
     end: int = 0
 
 
+class BoundedSocket(socket.socket):  # type: ignore[misc]
+    """A connection on which an answer has a bound, its head included."""
+
+    taken = 0
+
+    def sendall(self, *args: Any) -> Any:
+        """Send; a further answer follows."""
+        self.taken = 0
+        return super().sendall(*args)
+
+    def recv(self, *args: Any) -> Any:
+        """Receive, letting others run: bytes without end are always there."""
+        gevent.sleep(0)
+        data = super().recv(*args)
+        self.taken += len(data)
+        if self.taken > ANSWER_BYTES_MOST:
+            raise OSError(f"over {ANSWER_BYTES_MOST} bytes")
+        return data
+
+
+class BoundedPool(ConnectionPool):
+    """Connections whose answers have a bound."""
+
+    def _create_tcp_socket(self, family: int, kind: int, protocol: int) -> Any:
+        return BoundedSocket(family, kind, protocol)
+
+
 class Store:
     """Calls of the store, each bounded in time.
 
@@ -160,13 +195,7 @@
         self._address = address
         self._connections = connections
         self._timeout_seconds = timeout_seconds
-        self._client = HTTPClient(
-            address.ip,
-            address.port,
-            connection_timeout=CONNECT_SECONDS,
-            network_timeout=timeout_seconds,
-            concurrency=connections,
-        )
+        self._client = self._new_client(timeout_seconds)
         self._waiting: HTTPClient | None = None
 
     def append(
@@ -266,15 +295,24 @@
     def _patient(self, wait_seconds: float) -> HTTPClient:
         """Return the client of reads that wait."""
         if self._waiting is None:
-            self._waiting = HTTPClient(
-                self._address.ip,
-                self._address.port,
-                connection_timeout=CONNECT_SECONDS,
-                network_timeout=wait_seconds + self._timeout_seconds,
-                concurrency=self._connections,
-            )
+            seconds = wait_seconds + self._timeout_seconds
+            self._waiting = self._new_client(seconds)
         return self._waiting
 
+    def _new_client(self, network_seconds: float) -> HTTPClient:
+        ip, port = self._address.ip, self._address.port
+        client = HTTPClient(ip, port, block_size=BLOCK_BYTES)
+        client._connection_pool = BoundedPool(
+            ip,
+            port,
+            ip,
+            port,
+            size=self._connections,
+            connection_timeout=CONNECT_SECONDS,
+            network_timeout=network_seconds,
+        )
+        return client
+
     def _ask(
         self,
         client: HTTPClient,
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -128,8 +128,9 @@
         if not self._streams(forwarding, head):
             sending.parts.append(data)
             return
-        self._pass_on(forwarding, head, sending.reader, data)
-        sending.link.wait_until = self._next_until(forwarding)
+        if self._pass_on(forwarding, head, sending.reader, data):
+            sending.link.passed_on()
+            sending.link.wait_until = self._next_until(forwarding)
 
     def _end(self, forwarding: Forwarding, sending: Sending) -> None:
         """Count the request off, keep or close the connection."""
@@ -192,19 +193,24 @@
 
     def _pass_on(
         self, forwarding: Forwarding, head: Head, reader: EventReader, data: bytes
-    ) -> None:
-        """Pass on the events that are whole, each once."""
+    ) -> bool:
+        """Pass on the events that are whole, each once; whether there was content."""
         ready: list[bytes] = []
+        moved = False
         for event in reader.feed(data):
+            if event.comment:
+                ready.append(event.data)
+                continue
             if event.id is not None:
                 last = forwarding.last_event
                 if last is not None and event.id <= last:
                     continue
                 forwarding.last_event = event.id
+            moved = True
             forwarding.events += 1
             ready.append(event.data)
-        if not ready:
-            return
+        if not ready or not (moved or forwarding.begun):
+            return False
         if not forwarding.begun:
             forwarding.begun = True
             seconds = time.monotonic() - forwarding.started_at
@@ -212,6 +218,7 @@
             self._metrics.first_event.labels(forwarding.target.name).observe(seconds)
             forwarding.link.begin(head.status, head.headers, None)
         forwarding.link.piece(b"".join(ready))
+        return moved
 
     def _judge(self, forwarding: Forwarding, sending: Sending) -> Attempted:
         """Judge an answer that is whole as far as the protocol goes."""
--- a/godwitrudder/request/event_stream.py
+++ b/godwitrudder/request/event_stream.py
@@ -12,16 +12,24 @@
 from typing import Final
 
 END: Final = re.compile(rb"\r?\n\r?\n")
+END_BYTES: Final = 3
+"""Bytes of an event's end that may have come before the rest of it."""
 ID: Final = re.compile(rb"^id: *(\d+)", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
 class StreamEvent:
-    """One event with its bytes; ``id`` is None for a comment."""
+    """One event with its bytes; ``id`` is None where it bears no number."""
 
     id: int | None
     data: bytes
 
+    @property
+    def comment(self) -> bool:
+        """Whether it has no content: a sign of life at most."""
+        lines = self.data.splitlines()
+        return all(not line or line.startswith(b":") for line in lines)
+
 
 @dataclass(slots=True)
 class EventReader:
@@ -37,11 +45,13 @@
 
     def feed(self, data: bytes) -> Iterator[StreamEvent]:
         """Yield the events that the bytes complete."""
+        start = max(0, len(self.rest) - END_BYTES)
         self.rest += data
         while True:
-            end = END.search(self.rest)
+            end = END.search(self.rest, start)
             if end is None:
                 return
+            start = 0
             event = bytes(self.rest[: end.end()])
             del self.rest[: end.end()]
             number = ID.search(event)
--- /dev/null
+++ b/tests/test_endless.py
@@ -0,0 +1,177 @@
+"""Runners in trouble: bytes without end, and streams that only show signs of life."""
+
+from __future__ import annotations
+
+import resource
+import time
+from collections.abc import Callable
+
+import gevent
+import pytest
+from gevent import socket
+from gevent.server import StreamServer
+
+from bench.loopback import IP
+from godwitrudder.connection.http import UNPASSED_BYTES_MOST
+from godwitrudder.platform.store import Store, Unavailable
+from godwitrudder.request.event_stream import EventReader
+from godwitrudder.sections import Address
+from standins.platform_runner import Seen, Step, answer, chunk, event, stream_head
+from tests.test_platform_path import site
+
+PIECE = b"x" * 65_536
+PIECES = 400
+"""25 MB: without a bound far more than is taken, and an end for the test."""
+
+
+def endless_head(seen: Seen) -> list[Step]:
+    return [b"HTTP/1.1 200 OK\r\nX-More: ", *[PIECE] * PIECES]
+
+
+def endless_garbage(seen: Seen) -> list[Step]:
+    garbage: Step = PIECE
+    return [garbage] * PIECES
+
+
+def endless_interim(seen: Seen) -> list[Step]:
+    interim: Step = b"HTTP/1.1 100 Continue\r\n\r\n" * 2_000
+    return [interim] * PIECES
+
+
+def endless_body(seen: Seen) -> list[Step]:
+    head = answer(seen, "200 OK", b"").replace(b"Length: 0", b"Length: 99999999")
+    return [head, *[PIECE] * PIECES]
+
+
+def endless_foreign(seen: Seen) -> list[Step]:
+    other = Seen("", {"x-godwitrudder-request-id": "another"}, b"")
+    foreign: Step = answer(other, "200 OK", b"another's" * 1_000)
+    return [foreign] * PIECES * 10
+
+
+def endless_extension(seen: Seen) -> list[Step]:
+    return [stream_head(seen), b"5;", *[PIECE] * PIECES]
+
+
+def endless_trailer(seen: Seen) -> list[Step]:
+    return [stream_head(seen), b"0\r\nX-More: ", *[PIECE] * PIECES]
+
+
+def endless_event(seen: Seen) -> list[Step]:
+    return [stream_head(seen), chunk(event(1)), *[chunk(PIECE)] * PIECES]
+
+
+Endless = Callable[[Seen], list[Step]]
+PLAIN = [
+    endless_head,
+    endless_garbage,
+    endless_interim,
+    endless_body,
+    endless_foreign,
+    endless_extension,
+    endless_trailer,
+]
+
+
+@pytest.mark.parametrize("endless", PLAIN)
+def test_bytes_without_end_are_given_up(endless: Endless) -> None:
+    """The body was collected and the deadline never looked at while bytes came."""
+    with site(lambda seen, number: endless(seen)) as each:
+        began = time.monotonic()
+        told = each.ask("/unsafe/1", method="POST", body=b"{}")
+        assert b"HTTP/1.1 502" in told or b"HTTP/1.1 504" in told
+        assert time.monotonic() - began < 2.0
+        assert [note for note in each.log.notes if note[0] == "attempt"]
+
+
+def test_an_event_without_end_breaks_the_stream() -> None:
+    with site(lambda seen, number: endless_event(seen)) as each:
+        told = each.ask("/fixed/1", method="POST", body=b"{}")
+        assert b"piece 1" in told
+        assert not told.endswith(b"0\r\n\r\n")
+        assert len(told) < UNPASSED_BYTES_MOST
+
+
+def test_many_endless_runners_leave_memory_and_other_callers_alone() -> None:
+    """As if 200 connections of runners sent without end at once."""
+
+    def script(seen: Seen, number: int) -> list[Step]:
+        if "/endless" in seen.line:
+            return endless_body(seen)
+        return [answer(seen, "200 OK", b"good")]
+
+    with site(script, script) as each:
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        asks = [
+            gevent.spawn(each.ask, "/unsafe/endless", "POST", body=b"{}")
+            for _ in range(200)
+        ]
+        gevent.sleep(0.05)
+        assert b"good" in each.ask("/safe/1")
+        gevent.joinall(asks, timeout=20)
+        grown = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss - before
+        assert all(b" 50" in ask.value[:13] for ask in asks)
+        assert grown < 150_000  # KB: 50 MB here and what the stand-in sends
+
+
+def test_a_stream_that_only_shows_signs_of_life_goes_on_elsewhere() -> None:
+    """A comment now and then renewed the patience with a runner that had stalled."""
+
+    asked: list[Seen] = []
+
+    def script(seen: Seen, number: int) -> list[Step]:
+        asked.append(seen)
+        if len(asked) > 1:
+            return [stream_head(seen), chunk(event(2)), chunk(b"")]
+        signs: list[Step] = []
+        for _ in range(40):
+            signs += [0.1, chunk(b": still here\n\n")]
+        return [stream_head(seen), chunk(event(1)), *signs]
+
+    with site(script, script) as each:
+        told = each.ask("/stream/1", method="POST", body=b"{}")
+    assert [seen.headers.get("last-event-id") for seen in asked] == [None, "1"]
+    assert b"piece 1" in told and b"piece 2" in told
+    assert told.endswith(b"0\r\n\r\n")
+
+
+def test_events_are_found_across_any_cut() -> None:
+    data = event(1) + b": c\r\n\r\n" + event(2)
+    for size in range(1, len(data)):
+        reader = EventReader()
+        got = [
+            each
+            for at in range(0, len(data), size)
+            for each in reader.feed(data[at : at + size])
+        ]
+        assert [each.id for each in got] == [1, None, 2]
+        assert [each.comment for each in got] == [False, True, False]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 200 OK\r\nX-More: ",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\n",
+        b"",
+    ],
+)
+def test_a_store_that_sends_without_end_is_out_of_reach(head: bytes) -> None:
+    def serve(sock: socket.socket, _address: object) -> None:
+        sock.recv(65_536)
+        try:
+            sock.sendall(head)
+            for _ in range(PIECES):
+                sock.sendall(PIECE)
+        except OSError:
+            pass  # the client has closed, as it should
+
+    server = StreamServer((IP, 0), serve)
+    server.start()
+    store = Store(Address(IP, server.server_port))
+    began = time.monotonic()
+    assert isinstance(store.newest("t"), Unavailable)
+    assert time.monotonic() - began < 2.0
+    store.close()
+    server.stop()
