--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -19,6 +19,7 @@
 from godwitrudder.platform import names
 from godwitrudder.sections import Address
 from soak.proxy import Proxy
+from tests.ports import free_datagram_port
 
 CALM_SECONDS: Final = 3.0
 """A host to which nothing was done for so long is calm."""
@@ -48,6 +49,7 @@
         self.was_ready = False
         self._harmed_at = 0.0
         self._ready_port = port + 1
+        self._peer_port = free_datagram_port()
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
@@ -58,6 +60,8 @@
         plain = {
             "node": self.name,
             "zone": "magong",
+            "ip": IP,
+            "internal_ports": [self._peer_port],
             "listen": {
                 "front": f"{IP}:{self.callers.port}",
                 "ready": f"{IP}:{self._ready_port}",
--- a/tests/ports.py
+++ b/tests/ports.py
@@ -12,3 +12,10 @@
     with socket.socket() as sock:
         sock.bind((ip, 0))
         return int(sock.getsockname()[1])
+
+
+def free_datagram_port(ip: str = IP) -> int:
+    """Return a port that is free for datagrams now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+        sock.bind((ip, 0))
+        return int(sock.getsockname()[1])
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -35,7 +35,7 @@
 from godwitrudder.request.purse import Purse
 from godwitrudder.sections import Address
 from godwitrudder.version.statements import Row, Statement
-from tests.ports import free_port
+from tests.ports import free_datagram_port
 
 KEY = bytes(KEY_BYTES)
 
@@ -199,7 +199,7 @@
     for number, tokens in enumerate(held):
         own = purse(f"h{number}", tokens)
         key, log = bytes([number]) * KEY_BYTES, Notes()
-        address = Address(IP, free_port())
+        address = Address(IP, free_datagram_port())
         lending = LendingTask(
             own, address, key, time.monotonic, lambda: None, log, Random(1)
         )
