Let a request wait for what opens in time, though nobody lends

Cause, found at reading: since loans, a request that waits in a silence was turned away as soon as no host lent, also where its own holding would have opened to it within its patience. The test fails on the code before (refused 0.1 s before it could be served). Change: such a request waits on.

--- a/godwitrudder/process/purse.py
+++ b/godwitrudder/process/purse.py
@@ -80,6 +80,8 @@
     ----------
     kept : float
         Part of what is held that it leaves for more urgent ones.
+    until : float
+        Seconds of the machine's clock at which it gives up.
     served : AsyncResult of bool
         Set when it has them, or to False where nobody has them now.
     """
@@ -89,6 +91,7 @@
     tokens: int
     rank: int
     kept: float
+    until: float
     served: AsyncResult
 
 
@@ -163,8 +166,9 @@
         if first and holding.reserve(tokens, now, kept):
             return Reservation(workspace, tokens)
         refused = self._none(workspace, tokens)
-        waiter = Waiter(request, workspace, tokens, rank, kept, AsyncResult())
-        if not refused.exhausted and self._wait(waiter, holding, patience):
+        until = now + patience
+        waiter = Waiter(request, workspace, tokens, rank, kept, until, AsyncResult())
+        if not refused.exhausted and self._wait(waiter, holding):
             return Reservation(workspace, tokens)
         refused = self._none(workspace, tokens)
         self._log.note(
@@ -221,10 +225,10 @@
             {name: each.prepaid for name, each in catalogue.workspaces_by_name.items()}
         )
 
-    def _wait(self, waiter: Waiter, holding: Holding, patience: float) -> bool:
+    def _wait(self, waiter: Waiter, holding: Holding) -> bool:
         """Wait in turn for tokens; whether they were had."""
         opens_at = holding.opens_at(waiter.tokens)
-        opens = opens_at is not None and opens_at <= self.now() + patience
+        opens = opens_at is not None and opens_at <= waiter.until
         if self._silent and self.lending is None and (waiter.kept or not opens):
             return False
         self._waiters.append(waiter)
@@ -232,7 +236,7 @@
         self._wanted.set()
         self._borrow(waiter.workspace)
         try:
-            self._await(waiter, holding, patience)
+            self._await(waiter, holding)
         except BaseException:
             if waiter.served.ready() and waiter.served.value:
                 holding.settle(waiter.tokens, 0)
@@ -281,15 +285,19 @@
         )
 
     def _turn_away(self, workspace: str) -> None:
-        """End the waits of a workspace: in a silence nobody else has tokens."""
+        """End the waits of a workspace that only the store could end."""
+        holding = self.purse.holding(workspace)
         for waiter in [each for each in self._waiters if each.workspace == workspace]:
+            opens_at = holding.opens_at(waiter.tokens)
+            if opens_at is not None and opens_at <= waiter.until and not waiter.kept:
+                continue
             self._waiters.remove(waiter)
-            self.purse.holding(workspace).waiting -= waiter.tokens
+            holding.waiting -= waiter.tokens
             waiter.served.set(False)
 
-    def _await(self, waiter: Waiter, holding: Holding, patience: float) -> None:
+    def _await(self, waiter: Waiter, holding: Holding) -> None:
         """Wait until served, or until the holding opens by itself."""
-        until = self.now() + patience
+        until = waiter.until
         opens_at = holding.opens_at(waiter.tokens)
         if opens_at is not None:
             waiter.served.wait(max(0.0, min(opens_at, until) - self.now()))
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -27,9 +27,11 @@
     seal,
     unseal,
 )
+from godwitrudder.platform.store import Store
 from godwitrudder.process import lending as task
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
+from godwitrudder.process.purse import PurseTask, Reservation
 from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.lending import KNOWN_LOANS, Lending, Receipts
 from godwitrudder.request.purse import Purse
@@ -315,3 +317,33 @@
         book.sent_by_host["h1"] = time.monotonic() - 2.0
         age = restarted.task.age(told)
         assert age is not None and 2.0 <= age < 3.0
+
+
+def silent_purse(rate: float) -> PurseTask:
+    """Return a task whose store is silent and whose holding opens at a rate."""
+    each = PurseTask(
+        Store(Address(IP, free_datagram_port())),
+        "h1",
+        lambda: None,
+        Notes(),
+        Policy(),
+        Address(IP, free_datagram_port()),
+        Random(1),
+    )
+    each.opened.set()
+    each.answered_at = each.now() - 5.0
+    holding = each.purse.holding("w")
+    holding.granted = 1000
+    holding.stated, holding.stated_at = Row(1000, 0, rate=rate), each.now()
+    return each
+
+
+@pytest.mark.parametrize(("rate", "had"), [(5000.0, True), (100.0, False)])
+def test_a_request_waits_for_what_opens_in_time_where_nobody_lends(
+    rate: float, had: bool
+) -> None:
+    """It was turned away as soon as nobody lent, 0.1 s before it could be served."""
+    began = time.monotonic()
+    reserved = silent_purse(rate).reserve("r-1", "w", 500, 0.3, 0)
+    assert isinstance(reserved, Reservation) == had
+    assert time.monotonic() - began < 0.25
