Leave out runners that were replaced, that left during a connect, or that lost their entry alone

Cause: (1) a runner that came back under a new id at its old address answered 421; a host that could not read the store took it for empty and chose it again. (3) A runner that was dropped while a connection to it was opened still got the request. Change: a 421 marks the runner until it is listed anew; a runner without an entry is used only while most of its target's runners have none; the sender looks again after connecting.

--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -3,7 +3,8 @@
 Two tasks poll the store.  The configuration's version never decreases.  A runner
 whose entry disappears while the store answers is removed at once.  If the store was
 unreachable, the entry may only have expired, so the runner is kept until a live one
-would have been listed again.
+would have been listed again. It is used until then only if most of its target's
+runners have lost their entries.
 """
 
 from __future__ import annotations
@@ -200,6 +201,7 @@
         if known.entry.leaving != entry.leaving:
             self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
         known.entry = entry
+        known.unlisted = known.replaced = False
 
     def _remove_unlisted(self, listed: set[str], now: float) -> None:
         """Remove the runners that a complete list does not contain."""
@@ -213,6 +215,8 @@
         deadline = self._store_returned_at + RELIST_SECONDS
         if self.runners_read and now < deadline:
             self._relist_deadline_by_id.setdefault(runner, deadline)
+            target = self._target_by_id[runner]
+            self.candidates_by_target[target][runner].unlisted = True
             return
         self._drop(runner, "entry removed")
 
@@ -225,6 +229,6 @@
         self._relist_deadline_by_id.pop(runner, None)
         target = self._target_by_id.pop(runner, None)
         if target is not None:
-            del self.candidates_by_target[target][runner]
+            self.candidates_by_target[target].pop(runner).gone = True
             self._on_runner_gone(runner)
             self._log.note("runner_gone", runner=runner, target=target, why=why)
--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -92,13 +92,12 @@
 
     Attributes
     ----------
-    busy : bool
-        Whether the runner itself rejected the request; False if it was unreachable
-        or the request reached another instance.
+    replaced : bool
+        Whether another instance has answered at the runner's address.
     """
 
     reason: str
-    busy: bool
+    replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -32,6 +32,8 @@
 a multiple of the route's latency objective."""
 PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 """Prompt tokens that a busy engine reads for one request while others run."""
+MISDIRECTED_STATUS: Final = 421
+"""Status of a runner that is not the instance that the request names."""
 NEXT_EVENT_TIMEOUT_FACTOR: Final = 3.0
 """Wait for a stream's next event before it is resumed at another runner, as a multiple
 of the route's longest gap between events."""
@@ -89,7 +91,12 @@
         if isinstance(link, str):
             candidate.unreachable(now)
             self._log_attempt(forwarded, candidate, link, now)
-            return NotRun(link, False)
+            return NotRun(link)
+        if not candidate.may_be_used:
+            # It has left while the connection was being opened.
+            self._pool.give(entry.id, entry.address, link, None)
+            self._log_attempt(forwarded, candidate, "left", now)
+            return NotRun("the runner has left")
         attempt = Attempt(candidate, link, now)
         self._count_at_runner(forwarded, attempt)
         try:
@@ -153,6 +160,7 @@
         attempt.prompt_read()
         if isinstance(result, NotRun):
             forwarded.possible_runs -= 1
+            candidate.replaced = candidate.replaced or result.replaced
         if isinstance(result, Lost):
             link.close()
             link.reusable = False
@@ -259,7 +267,8 @@
         head = attempt.head
         assert head is not None
         if wire.not_executed(head):
-            return NotRun(f"status {head.status}", head.status != 421)
+            replaced = head.status == MISDIRECTED_STATUS
+            return NotRun(f"status {head.status}", replaced)
         if self._is_stream(forwarded, head):
             if attempt.event_reader.rest or not forwarded.answer_begun:
                 return Lost("the stream ended without a complete last event")
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -80,6 +80,13 @@
         Requests that waited at the runner, as of ``others_at``.
     failures : float
         Weighted share of failures, 0 to 1, as of ``failed_at``.
+    unlisted : bool
+        Whether its entry was removed at a time at which the store may have been away.
+        The entry may only have expired, or the runner may have left.
+    replaced : bool
+        Whether another instance has answered at its address.
+    gone : bool
+        Whether it was dropped from the list.
     """
 
     entry: ListedRunner
@@ -92,8 +99,16 @@
     failed_at: float = 0.0
     ejections: int = 0
     ejected_until: float = -math.inf
+    unlisted: bool = False
+    replaced: bool = False
+    gone: bool = False
     parts: OrderedDict[str, int] = field(default_factory=OrderedDict)
 
+    @property
+    def may_be_used(self) -> bool:
+        """Whether the runner may get requests, by what its entry and answers say."""
+        return not (self.entry.leaving or self.replaced or self.gone)
+
     def reported(self, running: int, waiting: int, now: float) -> None:
         """Record a load report of the runner; it includes the requests of this host."""
         self.others = max(0.0, running + waiting - self.in_flight)
@@ -169,9 +184,8 @@
     """
     eligible = [
         candidate
-        for candidate in candidates
-        if not candidate.entry.leaving
-        and candidate.entry.id not in excluded
+        for candidate in _trusted(candidates)
+        if candidate.entry.id not in excluded
         and candidate.in_flight < connections_most
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
@@ -191,6 +205,18 @@
     return usable[min(costs)[2]]
 
 
+def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
+    """Return the runners that may get requests.
+
+    An outage of the store lets the entries of most runners expire; a runner that leaves
+    is one of few. So while more than half of the runners are listed, the others count
+    as gone.
+    """
+    usable = [candidate for candidate in candidates if candidate.may_be_used]
+    listed = [candidate for candidate in usable if not candidate.unlisted]
+    return listed if 2 * len(listed) > len(usable) else usable
+
+
 def _cost(
     candidate: Candidate, parts: tuple[Part, ...], home: str, is_home: bool, now: float
 ) -> float:
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -15,6 +15,7 @@
 
 from bench.loopback import IP
 from godwitrudder.connection import shape
+from godwitrudder.connection.http import RunnerLink
 from godwitrudder.error_messages import TEXT_BY_REASON
 from godwitrudder.platform import names
 from godwitrudder.platform.settings import EntrySettings
@@ -380,6 +381,51 @@
         assert status_of(setup.ask()) == 200
 
 
+def replaced(seen: ReceivedRequest, _number: int) -> list[Step]:
+    return [build_response(seen, "421 Misdirected Request", b"", signed=False)]
+
+
+def test_a_runner_that_was_replaced_is_left_out_until_it_is_listed_anew() -> None:
+    """Hosts that could not read the store chose an address again that answered 421."""
+    with run_entry(good, replaced) as setup:
+        other = setup.runners[1]
+        for _ in range(12):
+            assert status_of(setup.ask()) == 200
+        assert len(other.received_requests) <= 1
+        other.script = good
+        record = {"service": "s", "address": other.address, "state": "ready"}
+        setup.store.put(names.RUNNERS_TOPIC, "i-1", {**record, "slots": 4})
+        gevent.sleep(0.6)
+        setup.runners[0].script = rejecting
+        assert status_of(setup.ask()) == 200
+
+
+def test_an_entry_removed_just_after_the_store_returned_ends_new_requests() -> None:
+    """DRAIN: a leaving runner was used until a live one would have been back."""
+    with run_entry(good, good, good) as setup:
+        # The first read counts as a return of the store.
+        setup.store.put(names.RUNNERS_TOPIC, "i-1", None)
+        gevent.sleep(0.6)
+        before = len(setup.runners[1].received_requests)
+        for _ in range(12):
+            setup.ask()
+        assert len(setup.runners[1].received_requests) == before
+
+
+def test_a_runner_that_leaves_during_a_connect_gets_no_request() -> None:
+    with run_entry(good) as setup:
+        candidate = setup.entry.directory.candidates("s")[0]
+        take = setup.entry.pool.take
+
+        def take_late(runner: str, address: Address) -> RunnerLink | str:
+            candidate.gone = True
+            return take(runner, address)
+
+        setup.entry.pool.take = take_late  # type: ignore[method-assign]
+        assert status_of(setup.ask()) == 503
+        assert not setup.runners[0].received_requests
+
+
 def test_truncated_topics_do_not_change_configuration_or_runners() -> None:
     with run_entry(good) as setup:
         for topic in setup.store.topics.values():
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -92,3 +92,26 @@
     assert choose_id(group, connected=("i-41",)) != "i-41"
     group[7].record_prompt(PROMPT[:2])
     assert choose_id(group, PROMPT, connected=("i-3",)) == "i-7"
+
+
+def test_a_runner_that_lost_its_entry_alone_gets_nothing() -> None:
+    """A leaving runner got requests, for its entry might only have expired."""
+    group = candidates(3)
+    group[0].unlisted = True
+    assert choose_id(group, excluded=("i-1", "i-2")) == ""
+
+
+def test_runners_that_lost_their_entries_together_are_used() -> None:
+    """An outage of the store lets the entries of live runners expire."""
+    group = candidates(3)
+    group[0].unlisted = group[1].unlisted = True
+    assert choose_id(group, excluded=("i-1", "i-2")) == "i-0"
+
+
+def test_a_replaced_runner_gets_nothing_though_it_is_empty() -> None:
+    """436 attempts in 8 s went to two addresses that only answered 421."""
+    group = candidates(3)
+    group[0].replaced = True
+    for busy in group[1:]:
+        busy.in_flight = 40
+    assert choose_id(group) != "i-0"
