Charge a request for what its caller got

Requests whose caller gave up early are not counted at all; they stay charged if an event was delivered. Change: request/charge.py; nothing delivered is nothing charged; a whole answer that is not a stream is charged in full (it was charged with its prompt only).

--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -46,6 +46,8 @@
         Time that it waited for tokens.
     first_event_seconds : float or None
         Time from its arrival to its first event.
+    succeeded_whole : bool
+        Whether a successful answer that is not a stream is passed on.
     failed_answer : Whole or None
         A failed answer of a runner, passed on if no other runner gives a better one.
     """
@@ -68,6 +70,7 @@
     problem: str = ""
     token_wait_seconds: float = 0.0
     first_event_seconds: float | None = None
+    succeeded_whole: bool = False
     failed_answer: Whole | None = None
 
     @property
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -41,6 +41,7 @@
 )
 from godwitrudder.process.sender import Sender
 from godwitrudder.request import retry_delay
+from godwitrudder.request.charge import charged_tokens
 from godwitrudder.request.outcome import (
     Failed,
     Ran,
@@ -220,14 +221,14 @@
         try:
             yield
         finally:
-            used = 0
-            if forwarded.possible_runs or forwarded.events:
-                engine = forwarded.target.engine
-                per_event = 1 if engine is None else engine.tokens_per_event
-                used = (
-                    forwarded.caller_headers.prompt_tokens
-                    + forwarded.events * per_event
-                )
+            engine = forwarded.target.engine
+            used = charged_tokens(
+                forwarded.caller_headers.prompt_tokens,
+                forwarded.caller_headers.output_tokens,
+                forwarded.events,
+                1 if engine is None else engine.tokens_per_event,
+                forwarded.succeeded_whole,
+            )
             self._reservations.settle(reservation, used)
             self._log.note(
                 "settled",
@@ -346,6 +347,7 @@
         if status in NOT_RUN_STATUSES:
             forwarded.problem = f"status {status} without proof that it did not run"
             return self._give_up(forwarded)
+        forwarded.succeeded_whole = status < 300
         forwarded.link.answer(status, whole.head.headers, whole.body)
         return self._record_answer(forwarded, status)
 
