Send no request whose caller has left before it is placed

Cause: a machine that had stood still for 3 s read 135 requests on waking whose callers had left, and sent most of them, 150 in a second, to one runner over idle connections: nothing lets the watcher of a caller's connection run before the request is sent. That runner's median first event went to 0.7 s, and its load stayed at 34 to 42 for three seconds. Change: the forwarder looks at the caller's connection before each attempt.

--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -105,6 +105,17 @@
     reason: str
 
 
+def _peek(sock: socket.socket) -> bytes | None:
+    """Return the next unread byte, None if there is none, empty if it has ended."""
+    sock.settimeout(0.0)
+    try:
+        return bytes(sock.recv(1, socket.MSG_PEEK))
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
+
+
 class CallerLink:
     """One connection of a caller.
 
@@ -225,6 +236,11 @@
             self._http.receive_data(data)
         gevent.sleep(SEND_SECONDS)  # over the limit: read no more and return later
 
+    @property
+    def closed_by_caller(self) -> bool:
+        """Whether the caller has closed or reset the connection."""
+        return _peek(self._sock) == b""
+
     def send_head(self, status: int, headers: Headers, length: int | None) -> None:
         """Send status and headers; the body is chunked if ``length`` is None."""
         sent = [pair for pair in headers if pair[0] not in HOP_BY_HOP]
@@ -362,14 +378,7 @@
     @property
     def nothing_pending(self) -> bool:
         """Whether an idle connection has neither unread bytes nor an end of file."""
-        self._sock.settimeout(0.0)
-        try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return True
-        except OSError:
-            return False
-        return False
+        return _peek(self._sock) is None
 
     def exchange(
         self, method: bytes, path: bytes, headers: Headers, body: bytes, request: bytes
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -260,6 +260,8 @@
         window = self._retry_window(forwarded.target.name)
         window.request(time.monotonic())
         while True:
+            if forwarded.link.closed_by_caller:
+                raise CallerDisconnected
             if forwarded.seconds_left <= 0:
                 return self._give_up(forwarded)
             if forwarded.sends and not window.take(self.host_count(), time.monotonic()):
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -343,6 +343,18 @@
         assert setup.entry.forwarder.in_flight == 0
 
 
+def test_a_request_whose_caller_has_left_before_it_is_placed_is_not_sent() -> None:
+    """A machine that woke after 3 s sent 135 prompts of callers that had left."""
+    with run_entry(good) as setup:
+        setup.ask()  # leaves an idle connection to the runner
+        address = setup.entry.settings.callers
+        with socket.create_connection((address.ip, address.port)) as sock:
+            sock.sendall(request("/safe/1", "GET", "key-1", "", b""))
+        gevent.sleep(0.2)
+        assert len(setup.runners[0].received_requests) == 1
+        assert any(kind == "caller_gone" for kind, *_ in setup.log.decisions)
+
+
 def test_tokens_are_charged_as_delivered() -> None:
     # 1000 prompt tokens, at most 500 of the answer; an event counts 2 (``stride``).
     tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
