Use an engine that came back under a new id while the store is silent

Cause: two of six engines crashed for 2 s during a cut of all hosts from the store. Their addresses answered 421 from 10.7 s on, but hosts could not read the new entries until 16.0 s: three engines carried 30 to 50 requests each, first events took 0.8 to 1.2 s. Change: while the store is silent, a 421 that names the instance which answered is followed by one call for its report. Addresses are given to other services 2 s after a runner has ended, so an address proves nothing; but only engines have that report, and if only one target of the configuration has engines, an engine with its model is one of its runners. Requests name the instance they expect, as always. An instance that the store does not list within 2 s of its return is dropped. The store's answers have no Date header, so they can't date a statement after a power loss.

--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -91,7 +91,9 @@
     ),
     "home": (Edit(PLACEMENT, "if is_home and parts:", "if is_home and not parts:"),),
     "distance": (
-        Edit(PLACEMENT, "DISTANCE_TOKENS: Final = 150.0", "DISTANCE_TOKENS: Final = 0.0"),
+        Edit(
+            PLACEMENT, "DISTANCE_TOKENS: Final = 150.0", "DISTANCE_TOKENS: Final = 0.0"
+        ),
     ),
     "connections": (
         Edit(PLACEMENT, "CONNECT_TOKENS: Final = 750.0", "CONNECT_TOKENS: Final = 0.0"),
@@ -109,7 +111,11 @@
         ),
     ),
     "ejection": (
-        Edit(PLACEMENT, "self.ejected_until = now + seconds", "self.ejections += seconds < 0"),
+        Edit(
+            PLACEMENT,
+            "self.ejected_until = now + seconds",
+            "self.ejections += seconds < 0",
+        ),
     ),
     "replaced": (
         Edit(
--- a/godwitrudder/platform/documents.py
+++ b/godwitrudder/platform/documents.py
@@ -67,6 +67,12 @@
     gap_aim_ms: float = 0.0
 
 
+class LoadedModel(msgspec.Struct):
+    """A model that the engines of a service have loaded."""
+
+    name: str
+
+
 class EngineModel(msgspec.Struct):
     """Properties that all engines of a service share.
 
@@ -79,6 +85,7 @@
     slots: int = 1
     stride: int = 1
     kv_capacity_tokens: int = 0
+    models: list[LoadedModel] = []
 
 
 class ServiceModel(msgspec.Struct):
@@ -223,5 +230,10 @@
     engine = model.engine
     if engine is None:
         return Target(model.name, model.max_conns, None)
-    parsed = Engine(engine.slots, max(1, engine.stride), engine.kv_capacity_tokens)
+    parsed = Engine(
+        engine.slots,
+        max(1, engine.stride),
+        engine.kv_capacity_tokens,
+        frozenset(loaded.name for loaded in engine.models),
+    )
     return Target(model.name, model.max_conns, parsed)
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -156,6 +156,11 @@
     return head.status == 421 or bool(head.header(names.NOT_EXECUTED))
 
 
+def instance(head: ResponseHead) -> str:
+    """Return the id that a runner gives in its response, empty if it gives none."""
+    return head.header(names.INSTANCE).decode("latin-1")
+
+
 def has_signature(head: ResponseHead) -> bool:
     """Return whether a response has a runner's signature header."""
     return bool(head.header(names.SIGNATURE))
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -11,13 +11,14 @@
 
 import time
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Final
 
 import gevent
 from gevent.event import Event
 
 from godwitrudder.codec import Malformed
-from godwitrudder.platform import documents, names
+from godwitrudder.platform import documents, engine_report, names
 from godwitrudder.platform.store import (
     Forgotten,
     KeyedRecord,
@@ -28,7 +29,7 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.placement import Candidate
-from godwitrudder.version.catalogue import Catalogue
+from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 
 CONFIGURATION_POLL_SECONDS: Final = 2.0
 """Time that a long poll waits for a new version; bounds the detection of a dead
@@ -89,6 +90,7 @@
         self.candidates_by_target: dict[str, dict[str, Candidate]] = {}
         self._target_by_id: dict[str, str] = {}
         self._relist_deadline_by_id: dict[str, float] = {}
+        self._unlisted_instances: set[str] = set()
         self.answered_at = 0.0
         self._store_returned_at = 0.0
 
@@ -127,6 +129,7 @@
             if isinstance(page, Page):
                 if now - self.answered_at > STORE_SILENT_AFTER_SECONDS:
                     self._store_returned_at = now
+                    self._expect_entries_of_instances(now)
                 self.answered_at = now
                 if offset is None:
                     self._remove_unlisted({record.key for record in page.records}, now)
@@ -182,14 +185,14 @@
             self._log.note("entry_unread", runner=record.key, why=entry.reason)
             return
         self._relist_deadline_by_id.pop(entry.id, None)
+        self._unlisted_instances.discard(entry.id)
         former = self._target_by_id.get(entry.id)
         if former is not None and former != entry.target:
             self._drop(entry.id, "target")
         group = self.candidates_by_target.setdefault(entry.target, {})
         known = group.get(entry.id)
         if known is None:
-            group[entry.id] = Candidate(entry)
-            self._target_by_id[entry.id] = entry.target
+            self._add(entry)
             self._log.note(
                 "runner_listed",
                 runner=entry.id,
@@ -203,6 +206,48 @@
         known.entry = entry
         known.unlisted = known.replaced = False
 
+    def _add(self, entry: ListedRunner) -> None:
+        self.candidates_by_target.setdefault(entry.target, {})[entry.id] = Candidate(
+            entry
+        )
+        self._target_by_id[entry.id] = entry.target
+
+    def runner_replaced(self, candidate: Candidate, instance: str) -> None:
+        """Use the instance at a replaced runner's address while the store is silent.
+
+        The address may belong to a runner of another target by now. If only one target
+        of the configuration has engines, an engine with its model is one of its runners.
+        """
+        entry = candidate.entry
+        silent = time.monotonic() - self.answered_at > STORE_SILENT_AFTER_SECONDS
+        target = None if self.catalogue is None else self.catalogue.only_engine_target
+        if not (silent and instance) or target is None or target.name != entry.target:
+            return
+        if instance not in self._target_by_id and target.engine is not None:
+            self._unlisted_instances.add(instance)
+            gevent.spawn(self._add_instance, replace(entry, id=instance), target.engine)
+
+    def _add_instance(self, entry: ListedRunner, engine: Engine) -> None:
+        """Add an instance that the store has not listed yet, if it is an engine."""
+        models = engine_report.loaded_models(entry.address)
+        found = not isinstance(models, str) and bool(models & engine.models)
+        if found and entry.id not in self._target_by_id:
+            self._add(entry)
+        self._log.note(
+            "instance_found",
+            runner=entry.id,
+            target=entry.target,
+            address=str(entry.address),
+            used=found,
+            models=models if isinstance(models, str) else sorted(models),
+        )
+
+    def _expect_entries_of_instances(self, now: float) -> None:
+        """Drop the added instances that the store does not list by a deadline."""
+        for runner in self._unlisted_instances & self._target_by_id.keys():
+            self._relist_deadline_by_id.setdefault(runner, now + RELIST_SECONDS)
+        self._unlisted_instances.clear()
+
     def _remove_unlisted(self, listed: set[str], now: float) -> None:
         """Remove the runners that a complete list does not contain."""
         for runner in list(self._target_by_id):
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -89,7 +89,7 @@
             settings.failure_domain,
             self.directory,
             self.reservations,
-            Sender(self.pool, log, self._metrics),
+            Sender(self.pool, log, self._metrics, self.directory.runner_replaced),
             log,
             self._metrics,
             Random(),
--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -97,10 +97,13 @@
     ----------
     replaced : bool
         Whether another instance has answered at the runner's address.
+    instance : str
+        Id of that instance; empty if it is not known.
     """
 
     reason: str
     replaced: bool = False
+    instance: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -71,10 +72,24 @@
 
 
 class Sender:
-    """Sends requests to runners; one per process."""
+    """Sends requests to runners; one per process.
 
-    def __init__(self, pool: LinkPool, log: DecisionLog, metrics: EntryMetrics) -> None:
+    Parameters
+    ----------
+    on_replaced : callable
+        Called with a runner that was replaced and the id of the instance that
+        answered at its address.
+    """
+
+    def __init__(
+        self,
+        pool: LinkPool,
+        log: DecisionLog,
+        metrics: EntryMetrics,
+        on_replaced: Callable[[Candidate, str], None],
+    ) -> None:
         self._pool = pool
+        self._on_replaced = on_replaced
         self._log = log
         self._metrics = metrics
 
@@ -160,7 +175,9 @@
         attempt.prompt_read()
         if isinstance(result, NotRun):
             forwarded.possible_runs -= 1
-            candidate.replaced = candidate.replaced or result.replaced
+            if result.replaced:
+                candidate.replaced = True
+                self._on_replaced(candidate, result.instance)
         if isinstance(result, Lost):
             link.close()
             link.reusable = False
@@ -268,7 +285,7 @@
         assert head is not None
         if wire.not_executed(head):
             replaced = head.status == MISDIRECTED_STATUS
-            return NotRun(f"status {head.status}", replaced)
+            return NotRun(f"status {head.status}", replaced, wire.instance(head))
         if self._is_stream(forwarded, head):
             if attempt.event_reader.rest or not forwarded.answer_begun:
                 return Lost("the stream ended without a complete last event")
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -185,8 +185,7 @@
     eligible = [
         candidate
         for candidate in _trusted(candidates)
-        if candidate.entry.id not in excluded
-        and candidate.in_flight < connections_most
+        if candidate.entry.id not in excluded and candidate.in_flight < connections_most
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
     usable = usable or eligible
--- a/godwitrudder/version/catalogue.py
+++ b/godwitrudder/version/catalogue.py
@@ -86,11 +86,14 @@
         Maximum number of tokens in one event of a stream.
     memory_tokens : int
         Capacity of a runner's key-value cache, in tokens.
+    models : frozenset of str
+        Models that a runner has loaded.
     """
 
     slots: int
     tokens_per_event: int
     memory_tokens: int
+    models: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +177,12 @@
     workspaces_by_key: Mapping[str, Workspace]
     limits: CallerLimits = field(default_factory=CallerLimits)
 
+    @property
+    def only_engine_target(self) -> Target | None:
+        """Return the target that has engines, None if several or none have."""
+        found = [each for each in self.targets_by_name.values() if each.engine]
+        return found[0] if len(found) == 1 else None
+
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of the path; None without any."""
         for route in self.routes_by_host.get(host, ()):
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -20,7 +20,7 @@
 from godwitrudder.platform import names
 from godwitrudder.platform.settings import EntrySettings
 from godwitrudder.process.decisions import DecisionLog
-from godwitrudder.process.directory import RELIST_SECONDS
+from godwitrudder.process.directory import RELIST_SECONDS, STORE_SILENT_AFTER_SECONDS
 from godwitrudder.process.entry import Entry
 from godwitrudder.process.entry_main import watch_settings
 from godwitrudder.validation import Address
@@ -38,6 +38,7 @@
 from tests.ports import free_port
 
 PREPAID = 100_000
+ENGINE = {"stride": 2, "models": [{"name": "m"}]}
 
 
 class RecordingLog(DecisionLog):
@@ -127,7 +128,7 @@
             route("stream", "streaming", resumable=True, gap_aim_ms=300),
             route("fixed", "streaming", max_attempts=1, gap_aim_ms=300),
         ],
-        "services": [{"name": "s", "max_conns": 100, "engine": {"stride": 2}}],
+        "services": [{"name": "s", "max_conns": 100, "engine": ENGINE}],
         "tenants": [{"name": "w", "api_keys": ["key-1"], "prepaid": prepaid}],
     }
 
@@ -439,6 +440,38 @@
         assert status_of(setup.ask()) == 200
 
 
+def come_back(models: str) -> Script:
+    """Return the script of the instance ``i-new`` at the address of another one."""
+
+    def script(seen: ReceivedRequest, _number: int) -> list[Step]:
+        if seen.request_line.startswith("GET /api/report"):
+            body = b'{"models":[%s]}' % models.encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            return [head.encode() + body]
+        if seen.headers["x-godwitrudder-expect-instance"] == "i-new":
+            return good(seen, 0)
+        new = "X-Godwitrudder-Instance-Id: i-new"
+        return [build_response(seen, "421 Misdirected Request", b"", new, signed=False)]
+
+    return script
+
+
+@pytest.mark.parametrize(("models", "used"), [('{"name":"m"}', True), ("", False)])
+def test_a_runner_that_came_back_serves_while_the_store_is_silent(
+    models: str, used: bool
+) -> None:
+    """Two of six runners stood idle for 5 s: they had come back under a new id."""
+    with run_entry(come_back(models)) as setup:
+        setup.store.faults.set({"down": True})
+        gevent.sleep(STORE_SILENT_AFTER_SECONDS + 1.0)
+        assert status_of(setup.ask()) == 503
+        gevent.sleep(0.1)
+        assert status_of(setup.ask()) == (200 if used else 503)
+        setup.store.faults.set({"down": False})
+        gevent.sleep(RELIST_SECONDS + 1.0)  # the store does not list it
+        assert status_of(setup.ask()) == 503
+
+
 def test_an_entry_removed_just_after_the_store_returned_ends_new_requests() -> None:
     """DRAIN: a leaving runner was used until a live one would have been back."""
     with run_entry(good, good, good) as setup:
