Add godwitctl causes: how requests ended, by cause and span of time

Cause: what binds had to be counted by scripts; an operator has no such table. Change: each request of any number of logs is put into one of twelve causes; a shortage of tokens is told apart by what the host held, had open and believed free.

--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -9,7 +9,16 @@
 from cleo.application import Application
 from cleo.commands.completions_command import CompletionsCommand
 
-from godwitrudder.ctl import config, explain, load, resources, store, timeline, verify
+from godwitrudder.ctl import (
+    causes,
+    config,
+    explain,
+    load,
+    resources,
+    store,
+    timeline,
+    verify,
+)
 from godwitrudder.ctl.command import BaseCommand
 
 COMMANDS: Final[tuple[type[BaseCommand], ...]] = (
@@ -19,6 +28,7 @@
     *verify.COMMANDS,
     *load.COMMANDS,
     *explain.COMMANDS,
+    *causes.COMMANDS,
     *store.COMMANDS,
 )
 
