Remove the tokens kept for more urgent requests in an outage

Change: a holding has one rule, what is spendable; requests for loans carry no rank (hosts of both versions refuse each other's requests for loans while a fleet is being replaced).

--- a/godwitrudder/connection/loans.py
+++ b/godwitrudder/connection/loans.py
@@ -45,8 +45,6 @@
         Tokens that the borrower can use.
     demand : float
         Tokens per second that callers ask of the borrower.
-    rank : int
-        Rank of the waiting request; 0 is the most urgent.
     """
 
     host: str
@@ -56,7 +54,6 @@
     needed: Tokens
     wanted: Tokens
     demand: Demand
-    rank: int
 
 
 class Loan(msgspec.Struct, frozen=True, array_like=True, tag="loan"):
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -216,7 +216,7 @@
         """Use the instance at a replaced runner's address while the store is silent.
 
         The address may belong to a runner of another target by now. If only one target
-        of the configuration has engines, an engine with its model is one of its runners.
+        has engines, an engine with its model is one of that target's runners.
         """
         entry = candidate.entry
         silent = time.monotonic() - self.answered_at > STORE_SILENT_AFTER_SECONDS
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -203,7 +203,6 @@
             workspace.name,
             max_tokens,
             min(max_wait, forwarded.seconds_left),
-            forwarded.route.rank,
         )
         forwarded.token_wait_seconds = time.monotonic() - forwarded.started_at
         if isinstance(reservation, ReservationRefused):
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -196,7 +196,7 @@
                     continue
                 self._send_datagram(pending.host, pending.datagram, pending.address)
 
-    def borrow(self, request: str, workspace: str, needed: int, rank: int) -> bool:
+    def borrow(self, request: str, workspace: str, needed: int) -> bool:
         """Ask hosts in turn for a loan; return whether one lent what is needed."""
         asked: list[str] = []
         holding = self._host_holdings.holding(workspace)
@@ -217,7 +217,6 @@
                 needed,
                 wanted,
                 round(holding.demand.per_second(now), 1),
-                rank,
             )
             loan = self._ask_host(lender, ask)
             self.loans_by_outcome[_loan_outcome(loan)] += 1
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -31,7 +31,7 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
-from godwitrudder.request.holding import Holding, Policy, kept_share
+from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
@@ -79,8 +79,6 @@
 
     Attributes
     ----------
-    kept_share : float
-        Share of the held tokens that it must leave for more urgent requests, 0 to 1.
     deadline : float
         Time at which it stops waiting, in seconds since boot.
     result : AsyncResult of bool
@@ -91,8 +89,6 @@
     request: str
     workspace: str
     tokens: int
-    rank: int
-    kept_share: float
     deadline: float
     result: AsyncResult
 
@@ -176,7 +172,6 @@
         workspace: str,
         tokens: int,
         max_wait_seconds: float,
-        rank: int,
     ) -> Reservation | ReservationRefused:
         """Reserve tokens, waiting up to ``max_wait_seconds`` for more of them.
 
@@ -184,22 +179,17 @@
         ----------
         tokens : int
             The most that the request can use.
-        rank : int
-            Urgency of the request; 0 is the most urgent.
         """
-        share = kept_share(rank, self.silent_seconds > STORE_SILENT_AFTER_SECONDS)
         self._configure()
         holding = self.host_holdings.holding(workspace)
         now = self.now()
         self.host_holdings.record_demand(workspace, tokens, now)
         queue_empty = all(waiter.workspace != workspace for waiter in self._waiters)
-        if queue_empty and holding.reserve(tokens, now, share):
+        if queue_empty and holding.reserve(tokens, now):
             return Reservation(workspace, tokens)
         refused = self._refusal(workspace, tokens)
         deadline = now + max_wait_seconds
-        waiter = Waiter(
-            request, workspace, tokens, rank, share, deadline, AsyncResult()
-        )
+        waiter = Waiter(request, workspace, tokens, deadline, AsyncResult())
         if not refused.exhausted and self._wait_in_queue(waiter, holding):
             return Reservation(workspace, tokens)
         refused = self._refusal(workspace, tokens)
@@ -263,11 +253,7 @@
         """Wait in the queue for tokens; return whether they were reserved."""
         opens_at = holding.opens_at(waiter.tokens)
         opens = opens_at is not None and opens_at <= waiter.deadline
-        if (
-            self._store_silent
-            and self.lending is None
-            and (waiter.kept_share or not opens)
-        ):
+        if self._store_silent and self.lending is None and not opens:
             return False
         self._waiters.append(waiter)
         holding.waiting_tokens += waiter.tokens
@@ -285,7 +271,7 @@
                 holding.waiting_tokens -= waiter.tokens
         if waiter.result.ready():
             return bool(waiter.result.value)
-        return holding.reserve(waiter.tokens, self.now(), waiter.kept_share)
+        return holding.reserve(waiter.tokens, self.now())
 
     @property
     def _store_silent(self) -> bool:
@@ -304,14 +290,13 @@
         try:
             while waiter := self._first_waiter(workspace):
                 holding = self.host_holdings.holding(workspace)
-                missing = holding.lacks(waiter.tokens, self.now(), waiter.kept_share)
+                missing = holding.lacks(waiter.tokens, self.now())
                 if missing <= 0:
                     self._serve_waiters()
                     if self._first_waiter(workspace) is waiter:
                         break
                     continue
-                name, rank = waiter.request, waiter.rank
-                if not self.lending.borrow(name, workspace, missing, rank):
+                if not self.lending.borrow(waiter.request, workspace, missing):
                     break
         finally:
             del self._borrower_by_workspace[workspace]
@@ -329,11 +314,7 @@
         holding = self.host_holdings.holding(workspace)
         for waiter in [each for each in self._waiters if each.workspace == workspace]:
             opens_at = holding.opens_at(waiter.tokens)
-            if (
-                opens_at is not None
-                and opens_at <= waiter.deadline
-                and not waiter.kept_share
-            ):
+            if opens_at is not None and opens_at <= waiter.deadline:
                 continue
             self._waiters.remove(waiter)
             holding.waiting_tokens -= waiter.tokens
@@ -357,9 +338,7 @@
             workspace = waiter.workspace
             holding = self.host_holdings.holding(workspace)
             next_in_line = workspace not in blocked
-            if not next_in_line or not holding.reserve(
-                waiter.tokens, now, waiter.kept_share
-            ):
+            if not next_in_line or not holding.reserve(waiter.tokens, now):
                 blocked.add(workspace)
                 continue
             self._waiters.remove(waiter)
--- a/godwitrudder/request/charge.py
+++ b/godwitrudder/request/charge.py
@@ -19,7 +19,7 @@
     prompt, most_output : int
         Tokens of the prompt, and the most tokens of output, as the caller stated them.
     events : int
-        Events of a stream that were passed on to the caller, the last one maybe in part.
+        Events of a stream that were passed on to the caller.
     tokens_per_event : int
         Most tokens in one event.
     whole : bool
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -44,10 +44,6 @@
 """A holding that exceeds its target by this factor is reduced."""
 LARGEST_KEPT_SECONDS: Final = 20.0
 """Time for which the largest request seen is remembered: two outages."""
-KEPT_SHARE_BY_RANK: Final = (0.0, 0.1, 0.45)
-"""Share of a holding kept for more urgent requests in an outage of the store, by rank.
-A request of the most urgent rank needs a tenth of the tokens of the next, and both
-ranks are worth more per token than the others."""
 NEW_CALLERS_SHARE: Final = 0.1
 """Demand that each host expects from new callers, as a share of the mean host's
 demand."""
@@ -209,30 +205,16 @@
             return None
         return max(self.stated_at + after, self.pending_at + pending_after)
 
-    def reserve(self, tokens: int, now: float, kept_share: float = 0.0) -> bool:
-        """Reserve the upper bound of a request; return False if it does not fit.
-
-        Parameters
-        ----------
-        kept_share : float
-            Share of the holding that stays reserved for more urgent requests.
-        """
-        if self.lacks(tokens, now, kept_share) > 0:
+    def reserve(self, tokens: int, now: float) -> bool:
+        """Reserve the upper bound of a request; return False if it does not fit."""
+        if self.lacks(tokens, now) > 0:
             return False
         self.spent += tokens
         return True
 
-    def lacks(self, tokens: int, now: float, kept_share: float = 0.0) -> int:
-        """Return the tokens missing for a request; zero or negative if it fits.
-
-        Parameters
-        ----------
-        kept_share : float
-            As for ``reserve``.
-        """
-        held = self.granted - self.spent
-        short_of_kept = math.ceil(tokens / (1 - kept_share)) - held
-        return max(tokens - self.spendable(now), short_of_kept)
+    def lacks(self, tokens: int, now: float) -> int:
+        """Return the tokens missing for a request; zero or negative if it fits."""
+        return tokens - self.spendable(now)
 
     def settle(self, reserved: int, used: int) -> None:
         """Return the reserved tokens that a request did not use."""
@@ -360,13 +342,3 @@
 
     def _granted_limit(self) -> int:
         return self.granted
-
-
-def kept_share(rank: int, silent: bool) -> float:
-    """Return the share of a holding that a request of this rank must leave.
-
-    Tokens are kept only while the store does not answer, since no more can be granted.
-    """
-    if not silent:
-        return 0.0
-    return KEPT_SHARE_BY_RANK[max(0, min(rank, len(KEPT_SHARE_BY_RANK) - 1))]
--- a/godwitrudder/request/lending.py
+++ b/godwitrudder/request/lending.py
@@ -19,7 +19,7 @@
 from typing import Final
 
 from godwitrudder.connection.loans import Ask, Loan
-from godwitrudder.request.holding import Holding, kept_share
+from godwitrudder.request.holding import Holding
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.version.statements import Statement
 
@@ -98,7 +98,7 @@
         holding = self._host_holdings.holdings.get(ask.workspace)
         if holding is None:
             return 0, 0
-        free = lendable(holding, ask.rank, now)
+        free = lendable(holding, now)
         own = holding.demand.per_second(now)
         part = ask.demand / (ask.demand + own) if ask.demand + own > 0 else 0.5
         fair = min(int(free * part), int(free - own * LENDER_RESERVE_SECONDS))
@@ -178,8 +178,6 @@
         return max(0, row.limit - row.cap)
 
 
-def lendable(holding: Holding, rank: int, now: float) -> int:
-    """Return the tokens that a holding may lend to a request of this rank."""
-    held = holding.granted - holding.spent
-    kept = int(kept_share(rank, True) * held)
-    return min(holding.spendable(now), held - kept) - holding.waiting_tokens
+def lendable(holding: Holding, now: float) -> int:
+    """Return the tokens that a holding may lend."""
+    return holding.spendable(now) - holding.waiting_tokens
