Read an engine's report over the link that bounds answers

Cause: the report was read by a client without a bound: a runner in trouble that sends bytes without end would have held a task and filled the memory for as long as it sends. Change: the call goes over RunnerLink, with one deadline for the whole answer and its bound on bytes; a connection to a runner that has left is closed. Figures: a test with 32 MB of body ends within the deadline with part of it read.

--- a/godwitrudder/platform/names.py
+++ b/godwitrudder/platform/names.py
@@ -40,7 +40,7 @@
 )
 """Request headers that the router sets or drops; a caller's values never pass."""
 
-ENGINE_REPORT: Final = "/api/report"
+ENGINE_REPORT: Final = b"/api/report"
 READY_PATH: Final = "/api/ready"
 APPEND: Final = "/api/log-append"
 READ: Final = "/api/log-read"
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -18,6 +18,7 @@
 from gevent.event import Event
 
 from godwitrudder.codec import Malformed
+from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import documents, engine_report, names
 from godwitrudder.platform.store import (
     Forgotten,
@@ -58,6 +59,8 @@
         Called with the id of a runner that was removed.
     leave_seconds : float
         Time after which a leaving runner gets no new requests.
+    traffic : Traffic
+        Byte counters.
 
     Attributes
     ----------
@@ -79,10 +82,12 @@
         log: DecisionLog,
         on_runner_gone: Callable[[str], None],
         leave_seconds: float,
+        traffic: Traffic,
     ) -> None:
         self._store = store
         self._runners_poll_seconds = leave_seconds * RUNNERS_POLL_SHARE
         self._log = log
+        self._traffic = traffic
         self._on_runner_gone = on_runner_gone
         self.catalogue: Catalogue | None = None
         self.runners_read = False
@@ -229,7 +234,7 @@
 
     def _add_instance(self, entry: ListedRunner, engine: Engine) -> None:
         """Add an instance that the store has not listed yet, if it is an engine."""
-        models = engine_report.loaded_models(entry.address)
+        models = engine_report.loaded_models(entry.address, self._traffic)
         found = not isinstance(models, str) and bool(models & engine.models)
         if found and entry.id not in self._target_by_id:
             self._add(entry)
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -74,7 +74,11 @@
         self.intake = Intake()
         self.pool = LinkPool(names.REQUEST_ID, self._traffic)
         self.directory = Directory(
-            self._store, log, self.pool.close_idle, settings.leave_seconds
+            self._store,
+            log,
+            self.pool.close_idle,
+            settings.leave_seconds,
+            self._traffic,
         )
         self.reservations = ReservationTask(
             self._store,
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -109,7 +109,7 @@
             return NotRun(link)
         if not candidate.may_be_used:
             # It has left while the connection was being opened.
-            self._pool.give(entry.id, entry.address, link, None)
+            link.close()
             self._log_attempt(forwarded, candidate, "left", now)
             return NotRun("the runner has left")
         attempt = Attempt(candidate, link, now)
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -16,8 +16,10 @@
 from bench.loopback import IP
 from godwitrudder.connection import shape
 from godwitrudder.connection.http import RunnerLink
+from godwitrudder.connection.traffic import Traffic
 from godwitrudder.error_messages import TEXT_BY_REASON
 from godwitrudder.platform import names
+from godwitrudder.platform.engine_report import loaded_models
 from godwitrudder.platform.settings import EntrySettings
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import RELIST_SECONDS, STORE_SILENT_AFTER_SECONDS
@@ -472,6 +474,20 @@
         assert status_of(setup.ask()) == 503
 
 
+def test_a_report_without_end_is_given_up() -> None:
+    traffic = Traffic()
+
+    def endless(_seen: ReceivedRequest, _number: int) -> list[Step]:
+        return [b"HTTP/1.1 200 OK\r\n\r\n", *[b"x" * 65536] * 500]
+
+    with PlatformRunner(endless) as runner:
+        began = time.monotonic()
+        address = Address("127.0.0.1", int(runner.address.rpartition(":")[2]))
+        assert isinstance(loaded_models(address, traffic), str)
+    assert traffic.received < 500 * 65536
+    assert time.monotonic() - began < 5.0
+
+
 def test_an_entry_removed_just_after_the_store_returned_ends_new_requests() -> None:
     """DRAIN: a leaving runner was used until a live one would have been back."""
     with run_entry(good, good, good) as setup:
