--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -249,6 +249,8 @@
             self._log.note("malformed", status=request.status, why=request.reason)
             link.reject(request.status)
             return False
+        if not self.intake.open:
+            link.closing = True  # the caller's next connection goes to another host
         served = gevent.getcurrent()
         watcher = gevent.spawn(link.wait_until_closed)
         watcher.link(lambda _: gevent.kill(served, CallerDisconnected))
--- a/godwitrudder/request/intake.py
+++ b/godwitrudder/request/intake.py
@@ -3,8 +3,9 @@
 The balancer keeps each caller at one host. A workspace that sends many times its usual
 load may therefore fill the link of one host while those of the others are idle.
 Refusing requests does not help, since they have already used the link. The host instead
-asks for no new connections until its link has capacity again; requests that have
-arrived are served.
+asks for no new connections until its link has capacity again. Requests that arrived are
+served, and their connections close after the answer: an open connection would keep its
+caller here.
 """
 
 from __future__ import annotations
@@ -32,7 +33,7 @@
     part : float
         Mean share of the link's capacity in use, 0 to 1.
     open : bool
-        Whether new callers are accepted.
+        Whether new callers are accepted, and connections kept.
     """
 
     part: float = 0.0
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -358,6 +358,20 @@
         assert any(kind == "caller_gone" for kind, *_ in setup.log.decisions)
 
 
+def test_a_host_with_a_full_link_lets_its_callers_go() -> None:
+    """Two of 67 hosts kept callers that their links could not serve: 1,204 unserved."""
+    kept_alive = request("/safe/1", "GET", "key-1", "", b"")
+    kept_alive = kept_alive.replace(b"Connection: close\r\n", b"")
+    with run_entry(good) as setup:
+        address = setup.entry.settings.callers
+        with socket.create_connection((address.ip, address.port)) as sock:
+            sock.sendall(kept_alive)
+            assert b"connection: close" not in sock.recv(65536).lower()
+            setup.entry.intake.part, setup.entry.intake.open = 1.0, False
+            sock.sendall(kept_alive)
+            assert b"connection: close" in read_all(sock).lower()
+
+
 def test_tokens_are_charged_as_delivered() -> None:
     # 1000 prompt tokens, at most 500 of the answer; an event counts 2 (``stride``).
     tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
