--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -188,7 +188,7 @@
             now = time.monotonic()
             transferred = max(traffic.received - received, traffic.sent - sent)
             capacity = self.settings.link_bytes_per_second * (now - read_at)
-            changed = self.intake.read(transferred / capacity if capacity else 0.0)
+            changed = self.intake.read(transferred / capacity if capacity else 0.0, now)
             read_at, received, sent = now, traffic.received, traffic.sent
             if changed:
                 self._log.note(
--- a/tests/test_endless.py
+++ b/tests/test_endless.py
@@ -24,7 +24,7 @@
     encode_chunk,
     stream_head,
 )
-from tests.test_entry_process import run_entry
+from tests.entry_setup import run_entry
 
 BLOCK = b"x" * 65_536
 BLOCKS = 400
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -4,209 +4,40 @@
 
 import socket
 import time
-from collections.abc import Iterator
-from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
 
 import gevent
 import pytest
 
-from bench.loopback import IP
 from godwitrudder.connection import shape
-from godwitrudder.connection.http import RunnerLink
-from godwitrudder.connection.traffic import Traffic
 from godwitrudder.error_messages import TEXT_BY_REASON
 from godwitrudder.platform import names
-from godwitrudder.platform.engine_report import loaded_models
-from godwitrudder.platform.settings import EntrySettings
-from godwitrudder.process.decisions import DecisionLog
-from godwitrudder.process.directory import RELIST_SECONDS, STORE_SILENT_AFTER_SECONDS
-from godwitrudder.process.entry import Entry
 from godwitrudder.process.entry_main import watch_settings
-from godwitrudder.validation import Address
+from godwitrudder.request.intake import Intake
 from standins.platform_runner import (
-    PlatformRunner,
     ReceivedRequest,
     Script,
     Step,
     build_event,
     build_response,
-    encode_chunk,
-    stream_head,
 )
-from standins.store import Store
-from tests.ports import free_port
-
-PREPAID = 100_000
-ENGINE = {"stride": 2, "models": [{"name": "m"}]}
-
-
-class RecordingLog(DecisionLog):
-    """A decision log that also keeps kind, request and inputs of each decision."""
-
-    def __init__(self, host: str, descriptor: int) -> None:
-        super().__init__(host, descriptor)
-        self.decisions: list[tuple[str, str, dict[str, Any]]] = []
-
-    def note(self, kind: str, request: str = "", **inputs: Any) -> None:
-        """Record a line and write it."""
-        self.decisions.append((kind, request, inputs))
-        super().note(kind, request, **inputs)
-
-
-@dataclass
-class EntrySetup:
-    """One entry process with its own store and runners."""
-
-    entry: Entry
-    store: Store
-    runners: list[PlatformRunner]
-    log: RecordingLog
-
-    def ask(
-        self,
-        path: str = "/safe/1",
-        method: str = "GET",
-        key: str = "key-1",
-        headers: str = "",
-        body: bytes = b"",
-    ) -> bytes:
-        """Send one request on a new connection and return all bytes of the answer."""
-        address = self.entry.settings.callers
-        with socket.create_connection((address.ip, address.port)) as sock:
-            sock.sendall(request(path, method, key, headers, body))
-            return read_all(sock)
-
-
-def request(
-    path: str,
-    method: str = "GET",
-    key: str = "key-1",
-    headers: str = "",
-    body: bytes = b"",
-) -> bytes:
-    """Return the bytes of a request with id ``r-1``."""
-    length = f"Content-Length: {len(body)}\r\n" if body else ""
-    return (
-        f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\n"
-        "X-Godwitrudder-Request-Id: r-1\r\nX-Godwitrudder-Deadline-Ms: 2000\r\n"
-        f"Authorization: Bearer {key}\r\nConnection: close\r\n{headers}{length}\r\n"
-    ).encode() + body
-
-
-def read_all(sock: socket.socket) -> bytes:
-    """Read until the other side closes."""
-    data = b""
-    while part := sock.recv(65536):
-        data += part
-    return data
-
-
-def route(prefix: str, kind: str, **more: object) -> dict[str, object]:
-    """Return a route to the only service."""
-    return {
-        "name": prefix,
-        "host": "shop.example",
-        "path_prefix": f"/{prefix}/",
-        "kind": kind,
-        "timeout_ms": 2000,
-        "target_latency_ms": 300,
-        "priority": 1,
-        "service": "s",
-        "max_attempts": 2,
-        **more,
-    }
-
-
-def configuration(version: int = 1, prepaid: int = PREPAID) -> dict[str, object]:
-    """Return a configuration with a route of every kind."""
-    return {
-        "version": version,
-        "routes": [
-            route("safe", "safe"),
-            route("unsafe", "unsafe", max_attempts=1),
-            route("stream", "streaming", resumable=True, gap_aim_ms=300),
-            route("fixed", "streaming", max_attempts=1, gap_aim_ms=300),
-        ],
-        "services": [{"name": "s", "max_conns": 100, "engine": ENGINE}],
-        "tenants": [{"name": "w", "api_keys": ["key-1"], "prepaid": prepaid}],
-    }
-
-
-@contextmanager
-def run_entry(*scripts: Script) -> Iterator[EntrySetup]:
-    """Run an entry process with one runner for each script."""
-    with ExitStack() as stack:
-        store = stack.enter_context(Store(Address(IP, free_port())))
-        runners = [stack.enter_context(PlatformRunner(script)) for script in scripts]
-        store.put(names.OPERATOR_TOPIC, "config", configuration())
-        for number, runner in enumerate(runners):
-            record = {"service": "s", "address": runner.address, "state": "ready"}
-            store.put(names.RUNNERS_TOPIC, f"i-{number}", {**record, "slots": 4})
-        settings = EntrySettings(
-            host="front-1",
-            failure_domain="magong",
-            callers=Address(IP, free_port()),
-            ready=Address(IP, free_port()),
-            store=store.address,
-            leave_seconds=2.0,
-            grace_seconds=2.0,
-            retry_share=0.2,
-            retry_window_seconds=10.0,
-            retry_slack=50.0,
-        )
-        with open("/dev/null", "wb") as sink:
-            log = RecordingLog("front-1", sink.fileno())
-            process = Entry(settings, None, log)
-            stack.callback(process.close)
-            process.start()
-            while not process.ready:
-                gevent.sleep(0.01)
-            gevent.sleep(0.1)
-            yield EntrySetup(process, store, runners, log)
-
-
-# Answer scripts of runners; the number of earlier requests is not used.
-def good(seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [build_response(seen, "200 OK", b"hello")]
-
-
-def rejecting(seen: ReceivedRequest, _number: int) -> list[Step]:
-    not_run = "X-Godwitrudder-Not-Executed: 1"
-    return [build_response(seen, "503 Full", b"", not_run, signed=False)]
-
-
-def silent(_seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [30.0]
-
-
-def resetting(_seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [None]
-
-
-def garbled(_seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [b"\x00\x01 this is no answer\r\n\r\n", None]
-
-
-def short(seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [build_response(seen, "200 OK", b"hello")[:-2], None]
-
-
-def unsigned(seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [build_response(seen, "200 OK", b"hello", signed=False)]
-
-
-def late_extra(seen: ReceivedRequest, _number: int) -> list[Step]:
-    """Send an unsolicited second answer, which the next request must not receive."""
-    extra = build_response(seen, "200 OK", b"wrong")
-    return [build_response(seen, "200 OK", b"hello"), 0.01, extra]
-
-
-def status_of(data: bytes) -> int:
-    """Return the status of an answer."""
-    return int(data.split(b" ", 2)[1])
+from tests.entry_setup import (
+    configuration,
+    garbled,
+    good,
+    late_extra,
+    read_all,
+    rejecting,
+    request,
+    resetting,
+    resumed,
+    run_entry,
+    short,
+    silent,
+    status_of,
+    streaming,
+    unsigned,
+)
 
 
 def test_an_answer_is_passed_on_with_its_signature() -> None:
@@ -299,28 +130,6 @@
     assert first.endswith(b"hello") and second.endswith(b"hello")
 
 
-def streaming(*numbers: int, whole: bool = True) -> Script:
-    def script(seen: ReceivedRequest, _number: int) -> list[Step]:
-        steps: list[Step] = [stream_head(seen)]
-        steps += [encode_chunk(build_event(number)) for number in numbers]
-        return (
-            [*steps, b"0\r\n\r\n"]
-            if whole
-            else [*steps, encode_chunk(b"id: 9\nda"), None]
-        )
-
-    return script
-
-
-def resumed(seen: ReceivedRequest, number: int) -> list[Step]:
-    """Break off within an event; resume after the last complete one when asked."""
-    after = seen.headers.get("last-event-id")
-    if after is None:
-        return streaming(0, 1, whole=False)(seen, number)
-    assert after == "1"
-    return streaming(2, 3)(seen, number)
-
-
 def test_a_broken_stream_resumes_at_another_runner() -> None:
     with run_entry(resumed, resumed) as setup:
         data = setup.ask("/stream/1", method="POST", body=b"x")
@@ -367,55 +176,11 @@
         with socket.create_connection((address.ip, address.port)) as sock:
             sock.sendall(kept_alive)
             assert b"connection: close" not in sock.recv(65536).lower()
-            setup.entry.intake.part, setup.entry.intake.open = 1.0, False
+            setup.entry.intake = Intake(1.0, False, time.monotonic(), 5.0)
             sock.sendall(kept_alive)
             assert b"connection: close" in read_all(sock).lower()
 
 
-def test_tokens_are_charged_as_delivered() -> None:
-    # 1000 prompt tokens, at most 500 of the answer; an event counts 2 (``stride``).
-    tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
-    with run_entry(streaming(0, 1, 2)) as setup:
-        setup.ask("/stream/1", method="POST", headers=tokens, body=b"x")
-        spent = setup.entry.reservations.host_holdings.holding("w").spent
-    assert spent == 1000 + 3 * 2
-
-
-@pytest.mark.parametrize("script", [silent, resetting, garbled, rejecting])
-def test_a_caller_that_got_nothing_pays_nothing(script: Script) -> None:
-    """135,408 tokens of one workspace were charged for answers that never came."""
-    tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
-    with run_entry(script) as setup:
-        setup.ask("/fixed/1", method="POST", headers=tokens, body=b"x")
-        assert setup.entry.reservations.host_holdings.holding("w").spent == 0
-
-
-def test_a_stream_that_breaks_off_is_charged_as_delivered() -> None:
-    tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
-
-    def broken_off(seen: ReceivedRequest, _number: int) -> list[Step]:
-        return [stream_head(seen), encode_chunk(build_event(0)), None]
-
-    with run_entry(broken_off) as setup:
-        setup.ask("/fixed/1", method="POST", headers=tokens, body=b"x")
-        assert setup.entry.reservations.host_holdings.holding("w").spent == 1002
-
-
-def test_a_whole_answer_is_charged_with_the_most_that_it_can_hold() -> None:
-    tokens = "X-Godwitrudder-Token-Count: 1000,500\r\n"
-    with run_entry(good) as setup:
-        setup.ask("/safe/1", headers=tokens)
-        assert setup.entry.reservations.host_holdings.holding("w").spent == 1500
-
-
-def test_a_request_beyond_the_budget_is_refused() -> None:
-    tokens = f"X-Godwitrudder-Token-Count: {PREPAID},1\r\n"
-    with run_entry(good) as setup:
-        data = setup.ask("/stream/1", method="POST", headers=tokens, body=b"x")
-        assert status_of(data) == 402
-        assert not setup.runners[0].received_requests
-
-
 def test_a_new_version_is_in_force_and_an_old_one_never_again() -> None:
     with run_entry(good) as setup:
         changed = configuration(version=7)
@@ -428,106 +193,6 @@
         assert status_of(setup.ask()) == 404
 
 
-def test_a_malformed_runner_record_is_ignored() -> None:
-    with run_entry(good) as setup:
-        for key, value in (("x", "text"), ("y", {"service": "s", "state": "odd"})):
-            setup.store.put(names.RUNNERS_TOPIC, key, value)
-        gevent.sleep(0.6)
-        assert [c.entry.id for c in setup.entry.directory.candidates("s")] == ["i-0"]
-        assert status_of(setup.ask()) == 200
-
-
-def replaced(seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [build_response(seen, "421 Misdirected Request", b"", signed=False)]
-
-
-def test_a_runner_that_was_replaced_is_left_out_until_it_is_listed_anew() -> None:
-    """Hosts that could not read the store chose an address again that answered 421."""
-    with run_entry(good, replaced) as setup:
-        other = setup.runners[1]
-        for _ in range(12):
-            assert status_of(setup.ask()) == 200
-        assert len(other.received_requests) <= 1
-        other.script = good
-        record = {"service": "s", "address": other.address, "state": "ready"}
-        setup.store.put(names.RUNNERS_TOPIC, "i-1", {**record, "slots": 4})
-        gevent.sleep(0.6)
-        setup.runners[0].script = rejecting
-        assert status_of(setup.ask()) == 200
-
-
-def come_back(models: str) -> Script:
-    """Return the script of the instance ``i-new`` at the address of another one."""
-
-    def script(seen: ReceivedRequest, _number: int) -> list[Step]:
-        if seen.request_line.startswith("GET /api/report"):
-            body = b'{"models":[%s]}' % models.encode()
-            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
-            return [head.encode() + body]
-        if seen.headers["x-godwitrudder-expect-instance"] == "i-new":
-            return good(seen, 0)
-        new = "X-Godwitrudder-Instance-Id: i-new"
-        return [build_response(seen, "421 Misdirected Request", b"", new, signed=False)]
-
-    return script
-
-
-@pytest.mark.parametrize(("models", "used"), [('{"name":"m"}', True), ("", False)])
-def test_a_runner_that_came_back_serves_while_the_store_is_silent(
-    models: str, used: bool
-) -> None:
-    """Two of six runners stood idle for 5 s: they had come back under a new id."""
-    with run_entry(come_back(models)) as setup:
-        setup.store.faults.set({"down": True})
-        gevent.sleep(STORE_SILENT_AFTER_SECONDS + 1.0)
-        assert status_of(setup.ask()) == 503
-        gevent.sleep(0.1)
-        assert status_of(setup.ask()) == (200 if used else 503)
-        setup.store.faults.set({"down": False})
-        gevent.sleep(RELIST_SECONDS + 1.0)  # the store does not list it
-        assert status_of(setup.ask()) == 503
-
-
-def test_a_report_without_end_is_given_up() -> None:
-    traffic = Traffic()
-
-    def endless(_seen: ReceivedRequest, _number: int) -> list[Step]:
-        return [b"HTTP/1.1 200 OK\r\n\r\n", *[b"x" * 65536] * 500]
-
-    with PlatformRunner(endless) as runner:
-        began = time.monotonic()
-        address = Address("127.0.0.1", int(runner.address.rpartition(":")[2]))
-        assert isinstance(loaded_models(address, traffic), str)
-    assert traffic.received < 500 * 65536
-    assert time.monotonic() - began < 5.0
-
-
-def test_an_entry_removed_just_after_the_store_returned_ends_new_requests() -> None:
-    """DRAIN: a leaving runner was used until a live one would have been back."""
-    with run_entry(good, good, good) as setup:
-        # The first read counts as a return of the store.
-        setup.store.put(names.RUNNERS_TOPIC, "i-1", None)
-        gevent.sleep(0.6)
-        before = len(setup.runners[1].received_requests)
-        for _ in range(12):
-            setup.ask()
-        assert len(setup.runners[1].received_requests) == before
-
-
-def test_a_runner_that_leaves_during_a_connect_gets_no_request() -> None:
-    with run_entry(good) as setup:
-        candidate = setup.entry.directory.candidates("s")[0]
-        take = setup.entry.pool.take
-
-        def take_late(runner: str, address: Address) -> RunnerLink | str:
-            candidate.gone = True
-            return take(runner, address)
-
-        setup.entry.pool.take = take_late  # type: ignore[method-assign]
-        assert status_of(setup.ask()) == 503
-        assert not setup.runners[0].received_requests
-
-
 def test_truncated_topics_do_not_change_configuration_or_runners() -> None:
     with run_entry(good) as setup:
         for topic in setup.store.topics.values():
@@ -547,17 +212,6 @@
         assert status_of(setup.ask()) == 200
 
 
-def test_connections_of_a_runner_that_is_gone_are_closed() -> None:
-    """Guards against a leak of a few file descriptors for each replaced runner."""
-    with run_entry(good) as setup:
-        setup.ask()
-        assert setup.entry.pool.idle == 1
-        setup.store.put(names.RUNNERS_TOPIC, "i-0", None)
-        # The first read counts as a return of the store; removals wait RELIST_SECONDS.
-        gevent.sleep(RELIST_SECONDS + 1.0)
-        assert setup.entry.pool.idle == 0
-
-
 def test_every_refusal_and_failure_has_a_status() -> None:
     refused = set(TEXT_BY_REASON)
     assert refused == {str(reason) for reason in shape.OPENAI_STATUS_BY_REASON}
