--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -188,7 +188,7 @@
             now = time.monotonic()
             transferred = max(traffic.received - received, traffic.sent - sent)
             capacity = self.settings.link_bytes_per_second * (now - read_at)
-            changed = self.intake.read(transferred / capacity if capacity else 0.0, now)
+            changed = self.intake.read(transferred / capacity if capacity else 0.0)
             read_at, received, sent = now, traffic.received, traffic.sent
             if changed:
                 self._log.note(
@@ -249,8 +249,6 @@
             self._log.note("malformed", status=request.status, why=request.reason)
             link.reject(request.status)
             return False
-        if not self.intake.open:
-            link.closing = True  # the caller's next connection goes to another host
         served = gevent.getcurrent()
         watcher = gevent.spawn(link.wait_until_closed)
         watcher.link(lambda _: gevent.kill(served, CallerDisconnected))
