Move HTTP messages into a module of their own; ask one place for a 421

Change: connection/messages.py holds requests, heads and header lists; http.py keeps the links. platform/headers.py says whether another instance answered. Nothing decides otherwise.

--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -17,6 +17,13 @@
 from gevent import socket
 from gevent.socket import wait_read
 
+from godwitrudder.connection.messages import (
+    HOP_BY_HOP,
+    CallerRequest,
+    Headers,
+    Malformed,
+    ResponseHead,
+)
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import CallerLimits
@@ -35,76 +42,12 @@
 a process's 200 MB."""
 TCP_USER_TIMEOUT_MILLIS: Final = 1500
 """A runner that acknowledges no sent data for this long counts as unreachable."""
-HOP_BY_HOP: Final = frozenset(
-    {
-        b"connection",
-        b"keep-alive",
-        b"proxy-connection",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-        b"content-length",
-        b"expect",
-    }
-)
-
-Headers = list[tuple[bytes, bytes]]
-
-
-def first_value(headers: Headers, name: bytes) -> bytes:
-    """Return the first value of a header, empty if it is missing."""
-    for key, value in headers:
-        if key == name:
-            return value
-    return b""
 
 
 class CallerDisconnected(gevent.GreenletExit):  # type: ignore[misc]
     """The caller closed its connection while its request was in progress."""
 
 
-@dataclass(slots=True)
-class CallerRequest:
-    """A complete request.
-
-    Attributes
-    ----------
-    path : bytes
-        With the query.
-    headers : list of (name, value)
-        Names in lower case.
-    chunked : bool
-        Whether the body was sent with ``Transfer-Encoding``.
-    """
-
-    method: bytes
-    path: bytes
-    headers: Headers
-    body: bytes
-    chunked: bool
-
-    def header(self, name: bytes) -> bytes:
-        """Return a header's value, empty if it is missing."""
-        return first_value(self.headers, name)
-
-
-@dataclass(frozen=True, slots=True)
-class Malformed:
-    """A caller sent something that is not a valid request.
-
-    Attributes
-    ----------
-    status : int
-        HTTP status of the response to it.
-    """
-
-    status: int
-    reason: str
-
-
 def _peek(sock: socket.socket) -> bytes | None:
     """Return the next unread byte, None if there is none, empty if it has ended."""
     sock.settimeout(0.0)
@@ -301,18 +244,6 @@
         self._sock.close()
 
 
-@dataclass(frozen=True, slots=True)
-class ResponseHead:
-    """Status and headers of a runner's response."""
-
-    status: int
-    headers: Headers
-
-    def header(self, name: bytes) -> bytes:
-        """Return a header's value, empty if it is missing."""
-        return first_value(self.headers, name)
-
-
 @dataclass(frozen=True, slots=True)
 class End:
     """A runner's response is complete."""
--- /dev/null
+++ b/godwitrudder/connection/messages.py
@@ -0,0 +1,83 @@
+"""Messages of HTTP/1.1 as this process reads them, from callers and from runners."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Final
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+def first_value(headers: Headers, name: bytes) -> bytes:
+    """Return the first value of a header, empty if it is missing."""
+    for key, value in headers:
+        if key == name:
+            return value
+    return b""
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A complete request.
+
+    Attributes
+    ----------
+    path : bytes
+        With the query.
+    headers : list of (name, value)
+        Names in lower case.
+    chunked : bool
+        Whether the body was sent with ``Transfer-Encoding``.
+    """
+
+    method: bytes
+    path: bytes
+    headers: Headers
+    body: bytes
+    chunked: bool
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's value, empty if it is missing."""
+        return first_value(self.headers, name)
+
+
+@dataclass(frozen=True, slots=True)
+class Malformed:
+    """A caller sent something that is not a valid request.
+
+    Attributes
+    ----------
+    status : int
+        HTTP status of the response to it.
+    """
+
+    status: int
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseHead:
+    """Status and headers of a runner's response."""
+
+    status: int
+    headers: Headers
+
+    def header(self, name: bytes) -> bytes:
+        """Return a header's value, empty if it is missing."""
+        return first_value(self.headers, name)
--- a/godwitrudder/platform/engine_report.py
+++ b/godwitrudder/platform/engine_report.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from godwitrudder.connection.http import End, Incomplete, ResponseHead, RunnerLink
+from godwitrudder.connection.http import End, Incomplete, RunnerLink
+from godwitrudder.connection.messages import ResponseHead
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import names
 from godwitrudder.platform.documents import LoadedModel
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from godwitrudder.connection.http import (
+from godwitrudder.connection.messages import (
     HOP_BY_HOP,
     CallerRequest,
     Headers,
@@ -153,7 +153,12 @@
 
 def not_executed(head: ResponseHead) -> bool:
     """Return whether a runner states that it did not run the request."""
-    return head.status == 421 or bool(head.header(names.NOT_EXECUTED))
+    return is_other_instance(head) or bool(head.header(names.NOT_EXECUTED))
+
+
+def is_other_instance(head: ResponseHead) -> bool:
+    """Return whether another instance answered than the one the request names."""
+    return head.status == 421
 
 
 def instance(head: ResponseHead) -> str:
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -12,7 +12,8 @@
 from gevent import Greenlet, socket
 from gevent.server import StreamServer
 
-from godwitrudder.connection.http import CallerDisconnected, CallerLink, Malformed
+from godwitrudder.connection.http import CallerDisconnected, CallerLink
+from godwitrudder.connection.messages import Malformed
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import names
--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -5,7 +5,8 @@
 import time
 from dataclasses import dataclass, field
 
-from godwitrudder.connection.http import CallerLink, CallerRequest, ResponseHead
+from godwitrudder.connection.http import CallerLink
+from godwitrudder.connection.messages import CallerRequest, ResponseHead
 from godwitrudder.platform import headers as wire
 from godwitrudder.version.catalogue import Route, Target, Workspace
 
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -17,12 +17,8 @@
 import msgspec
 from gevent.event import Event
 
-from godwitrudder.connection.http import (
-    CallerDisconnected,
-    CallerLink,
-    CallerRequest,
-    Headers,
-)
+from godwitrudder.connection.http import CallerDisconnected, CallerLink
+from godwitrudder.connection.messages import CallerRequest, Headers
 from godwitrudder.connection.shape import error_body
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -11,7 +11,8 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from godwitrudder.connection.http import End, Headers, ResponseHead, RunnerLink
+from godwitrudder.connection.http import End, RunnerLink
+from godwitrudder.connection.messages import Headers, ResponseHead
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
@@ -33,8 +34,6 @@
 a multiple of the route's latency objective."""
 PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 """Prompt tokens that a busy engine reads for one request while others run."""
-MISDIRECTED_STATUS: Final = 421
-"""Status of a runner that is not the instance that the request names."""
 NEXT_EVENT_TIMEOUT_FACTOR: Final = 3.0
 """Wait for a stream's next event before it is resumed at another runner, as a multiple
 of the route's longest gap between events."""
@@ -284,7 +283,7 @@
         head = attempt.head
         assert head is not None
         if wire.not_executed(head):
-            replaced = head.status == MISDIRECTED_STATUS
+            replaced = wire.is_other_instance(head)
             return NotRun(f"status {head.status}", replaced, wire.instance(head))
         if self._is_stream(forwarded, head):
             if attempt.event_reader.rest or not forwarded.answer_begun:
