Name the prompt's parts and the events of each attempt in its log line

Cause: the logs could not tell whether runners ended under one prompt part, under load, or under one request sent again: an attempt's line named no parts, and its events were those of all attempts.

--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -49,6 +49,8 @@
         Monotonic seconds at which it began.
     pending_tokens : int
         Prompt tokens that the runner still has to read; ``candidate`` counts them.
+    events : int
+        Events with content that this runner has sent.
     body_parts : list of bytes
         Body of an answer that is not a stream.
     """
@@ -57,6 +59,7 @@
     link: RunnerLink
     began_at: float
     pending_tokens: int = 0
+    events: int = 0
     head: ResponseHead | None = None
     event_reader: EventReader = field(default_factory=EventReader)
     body_parts: list[bytes] = field(default_factory=list)
@@ -104,12 +107,12 @@
         now = time.monotonic()
         if isinstance(link, str):
             candidate.unreachable(now)
-            self._log_attempt(forwarded, candidate, link, now)
+            self._log_attempt(forwarded, candidate, link, now, 0)
             return NotRun(link)
         if not candidate.may_be_used:
             # It has left while the connection was being opened.
             link.close()
-            self._log_attempt(forwarded, candidate, "left", now)
+            self._log_attempt(forwarded, candidate, "left", now, 0)
             return NotRun("the runner has left")
         attempt = Attempt(candidate, link, now)
         self._count_at_runner(forwarded, attempt)
@@ -163,7 +166,7 @@
         if not self._is_stream(forwarded, head):
             attempt.body_parts.append(data)
             return
-        if self._pass_on_events(forwarded, head, attempt.event_reader, data):
+        if self._pass_on_events(forwarded, attempt, head, data):
             attempt.link.note_progress()
             attempt.link.wait_until = self._next_event_deadline(forwarded)
 
@@ -185,7 +188,9 @@
         entry, head = candidate.entry, attempt.head
         idle = None if head is None else wire.idle_seconds(head)
         self._pool.give(entry.id, entry.address, link, idle)
-        self._log_attempt(forwarded, candidate, result, attempt.began_at)
+        self._log_attempt(
+            forwarded, candidate, result, attempt.began_at, attempt.events
+        )
 
     def _runner_headers(
         self, forwarded: ForwardedRequest, candidate: Candidate
@@ -211,6 +216,7 @@
         candidate: Candidate,
         result: AttemptResult | str,
         began: float,
+        attempt_events: int,
     ) -> None:
         status = result.head.status if isinstance(result, Whole) else None
         self._log.note(
@@ -221,6 +227,8 @@
             reason=getattr(result, "reason", None),
             status=status,
             events=forwarded.events,
+            attempt_events=attempt_events,
+            parts=[part.id for part in forwarded.caller_headers.parts],
             seconds=round(time.monotonic() - began, 4),
         )
 
@@ -238,8 +246,8 @@
     def _pass_on_events(
         self,
         forwarded: ForwardedRequest,
+        attempt: Attempt,
         head: ResponseHead,
-        reader: EventReader,
         data: bytes,
     ) -> bool:
         """Pass on complete events, each of them once.
@@ -251,10 +259,11 @@
         """
         ready: list[bytes] = []
         has_content = False
-        for event in reader.feed(data):
+        for event in attempt.event_reader.feed(data):
             if event.comment:
                 ready.append(event.data)
                 continue
+            attempt.events += 1
             if event.id is not None:
                 last_id = forwarded.last_event_id
                 if last_id is not None and event.id <= last_id:
