--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 
 import gevent
-from gevent import socket
+from gevent import Greenlet, socket
 from gevent.server import StreamServer
 
 
@@ -19,14 +20,22 @@
     body: bytes
 
 
-Step = bytes | float | None
+@dataclass(frozen=True)
+class Crash:
+    """The runner's process ends; a new one listens at its address after a while."""
+
+    down_seconds: float
+
+
+Step = bytes | float | Crash | None
 Script = Callable[[ReceivedRequest, int], list[Step]]
 
 
 class PlatformRunner:
     """Executes a script for each request.
 
-    A step is bytes to send, seconds to wait, or None to reset the connection.
+    A step is bytes to send, seconds to wait, None to reset the connection, or a crash
+    of the whole runner.
 
     Parameters
     ----------
@@ -40,12 +49,17 @@
     caller_disconnects : int
         Number of connections that the caller closed or reset during a script, or
         reset between two requests.
+    crashes : int
+        Number of crashes so far.
     """
 
     def __init__(self, script: Script) -> None:
         self.script = script
         self.received_requests: list[ReceivedRequest] = []
         self.caller_disconnects = 0
+        self.crashes = 0
+        self._open_sockets: set[socket.socket] = set()
+        self._restart: Greenlet | None = None
         self._server = StreamServer(("127.0.0.1", 0), self._serve)
 
     def __enter__(self) -> PlatformRunner:
@@ -55,6 +69,8 @@
 
     def __exit__(self, *error: object) -> None:
         """Stop listening and close all connections."""
+        if self._restart is not None:
+            self._restart.kill()
         self._server.stop(timeout=0)
 
     @property
@@ -62,7 +78,28 @@
         """Address that the runner listens on, as ``ip:port``."""
         return f"127.0.0.1:{self._server.server_port}"
 
+    def crash(self, down_seconds: float) -> None:
+        """Close all connections and the port; listen again after a while."""
+        if not self._server.started:
+            return
+        self.crashes += 1
+        address = ("127.0.0.1", self._server.server_port)
+        self._server.stop(timeout=0)
+        for sock in list(self._open_sockets):
+            # Ends the connection also while another greenlet reads from the socket.
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self._server = StreamServer(address, self._serve)
+        self._restart = gevent.spawn_later(down_seconds, self._server.start)
+
     def _serve(self, sock: socket.socket, _address: object) -> None:
+        self._open_sockets.add(sock)
+        try:
+            self._serve_requests(sock)
+        finally:
+            self._open_sockets.discard(sock)
+
+    def _serve_requests(self, sock: socket.socket) -> None:
         stream = sock.makefile("rb")
         while True:
             try:
@@ -81,6 +118,9 @@
                     )
                     sock.close()
                     return
+                if isinstance(step, Crash):
+                    self.crash(step.down_seconds)
+                    return
                 if isinstance(step, bytes):
                     try:
                         sock.sendall(step)
--- a/tests/entry_setup.py
+++ b/tests/entry_setup.py
@@ -27,7 +27,7 @@
     stream_head,
 )
 from standins.store import Store
-from tests.ports import free_port
+from tests.ports import free_datagram_port, free_port
 
 PREPAID = 100_000
 ENGINE = {"stride": 2, "models": [{"name": "m"}]}
@@ -125,37 +125,82 @@
     }
 
 
+@dataclass
+class FleetSetup:
+    """Several entry processes with one store and the same runners."""
+
+    hosts: list[EntrySetup]
+    store: Store
+    runners: list[PlatformRunner]
+
+
 @contextmanager
 def run_entry(*scripts: Script) -> Iterator[EntrySetup]:
     """Run an entry process with one runner for each script."""
+    with run_fleet(1, *scripts) as fleet:
+        yield fleet.hosts[0]
+
+
+@contextmanager
+def run_fleet(
+    hosts: int,
+    *scripts: Script,
+    lending: bool = False,
+) -> Iterator[FleetSetup]:
+    """Run entry processes with one runner for each script.
+
+    Parameters
+    ----------
+    lending : bool
+        Whether the processes exchange messages.
+    """
     with ExitStack() as stack:
         store = stack.enter_context(Store(Address(IP, free_port())))
         runners = [stack.enter_context(PlatformRunner(script)) for script in scripts]
         store.put(names.OPERATOR_TOPIC, "config", configuration())
         for number, runner in enumerate(runners):
-            record = {"service": "s", "address": runner.address, "state": "ready"}
-            store.put(names.RUNNERS_TOPIC, f"i-{number}", {**record, "slots": 4})
-        settings = EntrySettings(
-            host="front-1",
-            failure_domain="magong",
-            callers=Address(IP, free_port()),
-            ready=Address(IP, free_port()),
-            store=store.address,
-            leave_seconds=2.0,
-            grace_seconds=2.0,
-            retry_share=0.2,
-            retry_window_seconds=10.0,
-            retry_slack=50.0,
-        )
-        with open("/dev/null", "wb") as sink:
-            log = RecordingLog("front-1", sink.fileno())
-            process = Entry(settings, None, log)
-            stack.callback(process.close)
-            process.start()
-            while not process.ready:
+            list_runner(store, number, runner)
+        sink = stack.enter_context(open("/dev/null", "wb"))
+        fleet = FleetSetup([], store, runners)
+        for number in range(1, hosts + 1):
+            fleet.hosts.append(start_host(stack, fleet, number, lending, sink.fileno()))
+        for host in fleet.hosts:
+            while not host.entry.ready:
                 gevent.sleep(0.01)
-            gevent.sleep(0.1)
-            yield EntrySetup(process, store, runners, log)
+        gevent.sleep(0.1)
+        yield fleet
+
+
+def list_runner(
+    store: Store, number: int, runner: PlatformRunner, **more: object
+) -> None:
+    """Write the store's record of a runner."""
+    record = {"service": "s", "address": runner.address, "state": "ready", "slots": 4}
+    store.put(names.RUNNERS_TOPIC, f"i-{number}", {**record, **more})
+
+
+def start_host(
+    stack: ExitStack, fleet: FleetSetup, number: int, lending: bool, descriptor: int
+) -> EntrySetup:
+    """Start one entry process; the stack closes it."""
+    settings = EntrySettings(
+        host=f"front-{number}",
+        failure_domain="magong",
+        callers=Address(IP, free_port()),
+        ready=Address(IP, free_port()),
+        store=fleet.store.address,
+        leave_seconds=2.0,
+        grace_seconds=2.0,
+        retry_share=0.2,
+        retry_window_seconds=10.0,
+        retry_slack=50.0,
+        peers=Address(IP, free_datagram_port()) if lending else None,
+    )
+    log = RecordingLog(settings.host, descriptor)
+    entry = Entry(settings, None, log)
+    stack.callback(entry.close)
+    entry.start()
+    return EntrySetup(entry, fleet.store, fleet.runners, log)
 
 
 # Answer scripts of runners; the number of earlier requests is not used.
