Quarantine prompt parts that end the runners that answer them

Cause: nothing remembered which prompts were at a runner when it ended. The request was sent to a second runner, its caller's retry to a third, and every host learned it anew (query of death).

Change: a runner whose connection ends and whose address then refuses connections has ended. The shared parts of the prompts that it had not begun to answer are suspects. A sound answer clears a part; two crashes blame one that was never answered, four one whose last answer is old, and crashes that one part explains aren't held against others. While a part is suspect, one request at a time is tried with it. A blamed part is refused at once for 60 s, then one request is let through on trial. Hosts report crashes, answers and trials to each other and state crashes in the store, for hosts that restart or are cut off. Repeats and resumed streams pass the same check.

--- a/godwitrudder/connection/loans.py
+++ b/godwitrudder/connection/loans.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from godwitrudder import codec
+from godwitrudder.connection.reports import Report
 
 KEY_BYTES: Final = 16
 """128 bits, which can't be guessed."""
@@ -120,7 +121,7 @@
     seconds: float | None
 
 
-Message = Ask | Loan | Receipt | AgeAsk | Age
+Message = Ask | Loan | Receipt | AgeAsk | Age | Report
 
 
 def seal(message: Message, key: bytes) -> bytes:
--- /dev/null
+++ b/godwitrudder/connection/reports.py
@@ -0,0 +1,67 @@
+"""Reports between hosts about runners and prompt parts, as authenticated datagrams.
+
+Each report is complete in itself and may arrive twice, late or never: a host that has
+missed one learns the same from its own requests or from the statements in the store.
+Ages instead of times make them independent of the hosts' clocks.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Final
+
+import msgspec
+
+MAX_PARTS: Final = 24
+"""Parts in one report; they fit into one datagram."""
+MAX_NAME_CHARACTERS: Final = 40
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Names = Annotated[list[Name], msgspec.Meta(max_length=MAX_PARTS)]
+Age = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+
+
+class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
+    """A runner ended before it had begun to answer a request.
+
+    Attributes
+    ----------
+    host : str
+        Host that reports it.
+    parts : list of str
+        Suspect parts of the request's prompt.
+    age : float
+        Seconds since the request was sent to the runner.
+    """
+
+    host: str
+    runner: Name
+    parts: Names
+    age: Age
+
+
+class AnswerReport(msgspec.Struct, frozen=True, array_like=True, tag="answer"):
+    """Parts of prompts that were answered.
+
+    Attributes
+    ----------
+    age : float
+        Seconds since the oldest of these answers.
+    """
+
+    host: str
+    parts: Names
+    age: Age
+
+
+class TrialReport(msgspec.Struct, frozen=True, array_like=True, tag="trial"):
+    """A host tries a request with suspect parts; others wait for the outcome."""
+
+    host: str
+    parts: Names
+
+
+Report = CrashReport | AnswerReport | TrialReport
+
+
+def names(values: list[str] | tuple[str, ...]) -> list[str]:
+    """Return the values that fit into a report."""
+    return [value for value in values if len(value) <= MAX_NAME_CHARACTERS][:MAX_PARTS]
--- a/godwitrudder/connection/runner_pool.py
+++ b/godwitrudder/connection/runner_pool.py
@@ -53,6 +53,19 @@
         except OSError as error:
             return f"{type(error).__name__}: {error}"
 
+    def refuses(self, runner: str, address: Address) -> bool:
+        """Whether no process listens at a runner's address; keeps the connection."""
+        try:
+            self.opened += 1
+            link = RunnerLink(address, CONNECT_SECONDS, self._echo, self._traffic)
+        except ConnectionRefusedError:
+            return True
+        except OSError:
+            return False
+        link.reusable = True
+        self.give(runner, address, link, None)
+        return False
+
     def give(
         self,
         runner: str,
--- a/godwitrudder/connection/shape.py
+++ b/godwitrudder/connection/shape.py
@@ -31,6 +31,7 @@
     Reason.OVERLOADED: 429,
     Reason.DEADLINE: 503,
     Reason.NO_RUNNER: 503,
+    Reason.QUARANTINED: 503,
     Reason.DRAINING: 503,
     Reason.TOO_MANY_CONNECTIONS: 503,
     Reason.CALLER_GONE: CALLER_GONE_STATUS,
--- a/godwitrudder/error_messages.py
+++ b/godwitrudder/error_messages.py
@@ -19,6 +19,9 @@
     "overloaded": "The target {target!r} has too much queued work.",
     "deadline_exceeded": "The request was not started before its deadline.",
     "no_runner": "The target {target!r} has no usable runner.",
+    "prompt_quarantined": (
+        "Runners ended under a part of this prompt; it is not sent for now."
+    ),
     "draining": "This process is shutting down.",
     "caller_gone": "The caller closed the connection.",
     "runner_failed": "The runner did not finish: {problem}.",
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -34,6 +34,7 @@
     Reason.BUDGET_UNREACHABLE: 503,
     Reason.LOG_UNREACHABLE: 503,
     Reason.NO_RUNNER: 503,
+    Reason.QUARANTINED: 503,
     Reason.OVERLOADED: 503,
     Reason.DRAINING: 503,
     Reason.DEADLINE: 504,
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -23,6 +23,7 @@
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarder import Forwarder
+from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.process.sender import Sender
 from godwitrudder.request.holding import Policy
@@ -90,15 +91,21 @@
             settings.peers,
             Random(),
         )
+        random = Random()
+        quarantine = FleetQuarantine(self.reservations, log, random.random())
+        sender = Sender(
+            self.pool, log, self._metrics, self.directory.runner_replaced, quarantine
+        )
         self.forwarder = Forwarder(
             settings.failure_domain,
             self.directory,
             self.reservations,
-            Sender(self.pool, log, self._metrics, self.directory.runner_replaced),
+            sender,
             log,
             self._metrics,
-            Random(),
+            random,
             self._new_retry_window,
+            quarantine,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -49,6 +49,10 @@
         Time from its arrival to its first event.
     succeeded_whole : bool
         Whether a successful answer that is not a stream is passed on.
+    trial_parts : tuple of str
+        Suspect parts of its prompt, about which the attempt in progress will tell.
+    quarantine_seconds : float or None
+        Time for which it is held back; None if it is not.
     failed_answer : Whole or None
         A failed answer of a runner, passed on if no other runner gives a better one.
     """
@@ -72,6 +76,8 @@
     token_wait_seconds: float = 0.0
     first_event_seconds: float | None = None
     succeeded_whole: bool = False
+    trial_parts: tuple[str, ...] = ()
+    quarantine_seconds: float | None = None
     failed_answer: Whole | None = None
 
     @property
@@ -79,6 +85,11 @@
         """Return the request's id for logs."""
         return self.caller_headers.request.decode("latin-1")
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Return the ids of the prompt's parts that other requests may share."""
+        return tuple(part.id for part in self.caller_headers.parts[:-1])
+
     @property
     def seconds_left(self) -> float:
         """Return the seconds until the deadline."""
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -25,11 +25,13 @@
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarded_request import (
+    AttemptResult,
     ForwardedRequest,
     NotRun,
     Streamed,
     Whole,
 )
+from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.reservations import (
     Reservation,
     ReservationRefused,
@@ -47,6 +49,7 @@
     refuse,
 )
 from godwitrudder.request.placement import Candidate, place
+from godwitrudder.request.quarantine import Quarantined
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import Route, RouteKind, Target
 
@@ -93,6 +96,7 @@
         metrics: EntryMetrics,
         random: Random,
         new_retry_window: Callable[[], RetryWindow],
+        quarantine: FleetQuarantine,
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
@@ -102,6 +106,7 @@
         self._metrics = metrics
         self._random = random
         self._new_retry_window = new_retry_window
+        self._quarantine = quarantine
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -190,6 +195,10 @@
     def _forward_with_reservation(self, forwarded: ForwardedRequest) -> bool:
         """Reserve tokens for a request of a prepaid workspace, then try runners."""
         caller_headers, workspace = forwarded.caller_headers, forwarded.workspace
+        verdict = self._quarantine.check(forwarded.shared_parts)
+        if isinstance(verdict, Quarantined):
+            forwarded.quarantine_seconds = verdict.seconds
+            return self._give_up(forwarded)
         max_tokens = caller_headers.prompt_tokens + caller_headers.output_tokens
         if workspace is None or workspace.prepaid is None or not max_tokens:
             return self._try_runners(forwarded)
@@ -262,10 +271,9 @@
             if forwarded.sends and not window.take(self.host_count(), time.monotonic()):
                 forwarded.problem = forwarded.problem or "the retry budget is exhausted"
                 return self._give_up(forwarded)
-            candidate = self._choose_runner(forwarded)
-            if candidate is None:
+            result = self._attempt(forwarded)
+            if result is None:
                 return self._give_up(forwarded)
-            result = self._sender.send(forwarded, candidate)
             if isinstance(result, Streamed):
                 return self._record_answer(forwarded, 200)
             if isinstance(result, Whole):
@@ -285,6 +293,20 @@
             if forwarded.possible_runs >= forwarded.route.max_attempts:
                 return self._give_up(forwarded)
 
+    def _attempt(self, forwarded: ForwardedRequest) -> AttemptResult | None:
+        """Send the request to one runner; return None if that is not possible now."""
+        max_wait = forwarded.route.latency_objective_seconds / 2
+        with self._quarantine.admitted(forwarded.shared_parts, max_wait) as verdict:
+            if isinstance(verdict, Quarantined):
+                forwarded.quarantine_seconds = verdict.seconds
+                forwarded.problem = "its prompt is quarantined"
+                return None
+            forwarded.trial_parts = () if verdict is None else verdict.parts
+            candidate = self._choose_runner(forwarded)
+            if candidate is None:
+                return None
+            return self._sender.send(forwarded, candidate)
+
     def _should_retry(self, forwarded: ForwardedRequest, whole: Whole) -> bool:
         """Whether to retry a request that a runner answered with a server error."""
         route = forwarded.route
@@ -315,6 +337,7 @@
             self._random,
             now,
             self._sender.connected_runners(),
+            bool(forwarded.trial_parts),
         )
         self._log.note(
             "place",
@@ -375,8 +398,13 @@
             problem = forwarded.problem
             failed = fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
             return self._fail(forwarded, failed)
-        seconds = retry_delay.jitter(retry_delay.NO_RUNNER_RETRY_SECONDS, self._random)
-        refused = refuse(Reason.NO_RUNNER, seconds, target=forwarded.target.name)
+        if forwarded.quarantine_seconds is not None:
+            refused = refuse(Reason.QUARANTINED, forwarded.quarantine_seconds)
+        else:
+            seconds = retry_delay.jitter(
+                retry_delay.NO_RUNNER_RETRY_SECONDS, self._random
+            )
+            refused = refuse(Reason.NO_RUNNER, seconds, target=forwarded.target.name)
         return self._refuse(
             forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
         )
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -29,6 +29,12 @@
     seal,
     unseal,
 )
+from godwitrudder.connection.reports import (
+    AnswerReport,
+    CrashReport,
+    Report,
+    TrialReport,
+)
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import Lending
@@ -107,6 +113,8 @@
         Set once this process has bound the port.
     refused_messages : int
         Messages that were malformed or not sealed for this process.
+    on_report : callable
+        Called with each report of another host.
     loans_by_outcome : Counter of str
         Loans by outcome: ``lent`` (to another host), ``borrowed``, ``nothing`` (the
         lender lent none), ``silent`` (no answer in time), ``lost`` (no receipt).
@@ -125,6 +133,7 @@
         self.lending = Lending(host_holdings, random)
         self.epoch = 0
         self.refused_messages = 0
+        self.on_report: Callable[[Report], None] = lambda report: None
         self.loans_by_outcome: Counter[str] = Counter()
         self._host_holdings = host_holdings
         self._address = address
@@ -302,6 +311,18 @@
                 address in self._age_key_by_address and message.seconds is not None
             ):
                 self._age_answers.append(max(0.0, message.seconds))
+            case CrashReport() | AnswerReport() | TrialReport():
+                self.on_report(message)
+
+    def broadcast(self, report: Report) -> None:
+        """Send a report to all other hosts that have stated an address."""
+        for host in list(self._host_holdings.statements.statements_by_host):
+            if host != self._host_holdings.host:
+                self._send(host, report)
+
+    def send_report(self, host: str, report: Report) -> None:
+        """Send a report to one host."""
+        self._send(host, report)
 
     def _handle_ask(self, ask: Ask) -> None:
         endpoint = self._endpoint(ask.host)
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -35,7 +35,7 @@
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
-from godwitrudder.version.statements import Statement
+from godwitrudder.version.statements import RunnerCrash, Statement
 
 RETRY_INTERVAL_SECONDS: Final = 0.4
 """Delay between calls to a store that does not answer; calls are priced."""
@@ -109,6 +109,8 @@
         Time at which the store last answered, in seconds since boot.
     opened : Event
         Set once former incarnations are fenced and the ledger was read.
+    on_statement : callable
+        Called with each statement that was read, and the host that made it.
     """
 
     def __init__(
@@ -148,6 +150,9 @@
         self._offset = 0
         self.answered_at = 0.0
         self.opened = Event()
+        self.on_statement: Callable[[str, Statement], None] = (
+            lambda host, statement: None
+        )
 
     def now(self) -> float:
         """Return the seconds since boot, including time spent suspended."""
@@ -226,6 +231,12 @@
             self._serve_waiters()
             gevent.sleep(STATEMENT_BATCH_SECONDS)
 
+    def state_crashes(self, crashes: tuple[RunnerCrash, ...]) -> None:
+        """State these crashes instead of the former ones; new ones soon."""
+        former, self.host_holdings.crashes = self.host_holdings.crashes, crashes
+        if any(crash not in former for crash in crashes):
+            self._statement_wanted.set()
+
     def close(self) -> None:
         """Close the port for messages of other hosts."""
         if self.lending is not None:
@@ -415,6 +426,9 @@
         )
         if problem is not None:
             self._log.note("statement_unread", host_of=record.key, why=problem.reason)
+            return
+        statement = self.host_holdings.statements.statements_by_host[record.key]
+        self.on_statement(record.key, statement)
 
     def _producer(self) -> Producer:
         return Producer(self.host_holdings.host, self._epoch, self._sequence)
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -25,6 +25,7 @@
     Streamed,
     Whole,
 )
+from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.request.event_stream import EventReader
 from godwitrudder.request.placement import Candidate
 from godwitrudder.version.catalogue import RouteKind
@@ -34,6 +35,10 @@
 a multiple of the route's latency objective."""
 PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 """Prompt tokens that a busy engine reads for one request while others run."""
+ANSWERED_EVENTS: Final = 3
+"""Events after which a runner counts as having answered a prompt."""
+REFUSAL_VALID_SECONDS: Final = 0.5
+"""Time for which a refused connection tells that a runner's process has ended."""
 NEXT_EVENT_TIMEOUT_FACTOR: Final = 3.0
 """Wait for a stream's next event before it is resumed at another runner, as a multiple
 of the route's longest gap between events."""
@@ -49,8 +54,12 @@
         Monotonic seconds at which it began.
     pending_tokens : int
         Prompt tokens that the runner still has to read; ``candidate`` counts them.
+    shared_parts : tuple of str
+        Parts of the prompt that other requests may share.
     events : int
         Events with content that this runner has sent.
+    aborted : bool
+        Whether it was ended here because its prompt is quarantined.
     body_parts : list of bytes
         Body of an answer that is not a stream.
     """
@@ -58,8 +67,10 @@
     candidate: Candidate
     link: RunnerLink
     began_at: float
+    shared_parts: tuple[str, ...] = ()
     pending_tokens: int = 0
     events: int = 0
+    aborted: bool = False
     head: ResponseHead | None = None
     event_reader: EventReader = field(default_factory=EventReader)
     body_parts: list[bytes] = field(default_factory=list)
@@ -89,8 +100,12 @@
         log: DecisionLog,
         metrics: EntryMetrics,
         on_replaced: Callable[[Candidate, str], None],
+        quarantine: FleetQuarantine,
     ) -> None:
         self._pool = pool
+        self._quarantine = quarantine
+        self._attempts: list[Attempt] = []
+        quarantine.on_blamed = self._abort
         self._on_replaced = on_replaced
         self._log = log
         self._metrics = metrics
@@ -114,14 +129,48 @@
             link.close()
             self._log_attempt(forwarded, candidate, "left", now, 0)
             return NotRun("the runner has left")
-        attempt = Attempt(candidate, link, now)
+        attempt = Attempt(candidate, link, now, forwarded.shared_parts)
         self._count_at_runner(forwarded, attempt)
         try:
             self._exchange(forwarded, attempt)
         finally:
             self._finish(forwarded, attempt)
+        self._record_evidence(attempt)
         return attempt.result
 
+    def _record_evidence(self, attempt: Attempt) -> None:
+        """Record what the end of an attempt says about the parts of its prompt."""
+        result, parts = attempt.result, attempt.shared_parts
+        if isinstance(result, Streamed) or (
+            isinstance(result, Whole) and result.head.status < 300
+        ):
+            self._quarantine.record_answer(parts)
+        elif isinstance(result, Lost) and not attempt.aborted:
+            unanswered = attempt.events < ANSWERED_EVENTS
+            suspects = self._quarantine.suspects(parts)
+            if unanswered and suspects and self._has_ended(attempt.candidate):
+                age = time.monotonic() - attempt.began_at
+                runner = attempt.candidate.entry.id
+                self._quarantine.record_crash(runner, parts, age)
+
+    def _has_ended(self, candidate: Candidate) -> bool:
+        """Whether the runner's process has ended: nothing listens at its address."""
+        now = time.monotonic()
+        if now - candidate.refused_at > REFUSAL_VALID_SECONDS:
+            entry = candidate.entry
+            if not self._pool.refuses(entry.id, entry.address):
+                return False
+            candidate.refused_at = now
+            candidate.unreachable(now)
+        return True
+
+    def _abort(self, blamed: set[str]) -> None:
+        """End the attempts with blamed parts that no runner has begun to answer."""
+        for attempt in self._attempts:
+            if attempt.events < ANSWERED_EVENTS and blamed & {*attempt.shared_parts}:
+                attempt.aborted = True
+                attempt.link.close()
+
     def _count_at_runner(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Count the request as load at its runner."""
         candidate, parts = attempt.candidate, forwarded.caller_headers.parts
@@ -129,6 +178,8 @@
         attempt.pending_tokens = max(0, uncached)
         candidate.pending_tokens += attempt.pending_tokens
         candidate.in_flight += 1
+        candidate.trials += bool(forwarded.trial_parts)
+        self._attempts.append(attempt)
         candidate.record_prompt(parts)
         forwarded.sends += 1
         forwarded.possible_runs += 1
@@ -166,7 +217,11 @@
         if not self._is_stream(forwarded, head):
             attempt.body_parts.append(data)
             return
-        if self._pass_on_events(forwarded, attempt, head, data):
+        answered = attempt.events >= ANSWERED_EVENTS
+        has_content = self._pass_on_events(forwarded, attempt, head, data)
+        if not answered and attempt.events >= ANSWERED_EVENTS:
+            self._quarantine.record_answer(attempt.shared_parts)
+        if has_content:
             attempt.link.note_progress()
             attempt.link.wait_until = self._next_event_deadline(forwarded)
 
@@ -174,6 +229,8 @@
         """Stop counting the request as load; keep or close the connection."""
         candidate, result, link = attempt.candidate, attempt.result, attempt.link
         candidate.in_flight -= 1
+        candidate.trials -= bool(forwarded.trial_parts)
+        self._attempts.remove(attempt)
         attempt.prompt_read()
         if isinstance(result, NotRun):
             forwarded.possible_runs -= 1
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -21,6 +21,7 @@
 from godwitrudder.version.statements import (
     UNBOUNDED_TOKENS,
     Row,
+    RunnerCrash,
     Statement,
     StatementTable,
     max_spent,
@@ -87,6 +88,8 @@
     stopping : bool
         Whether the process is stopping; it then states no tokens beyond those that are
         spent or waited for.
+    crashes : tuple of RunnerCrash
+        Crashes to state beside the holdings.
     """
 
     def __init__(
@@ -99,6 +102,8 @@
         self.statements = StatementTable()
         self.holdings: dict[str, Holding] = {}
         self.stopping = False
+        self.crashes: tuple[RunnerCrash, ...] = ()
+        self._stated_crashes: tuple[RunnerCrash, ...] = ()
         self._prepaid: dict[str, int | None] = {}
         self._stored_end_offset = 0
         self._first_request_at: float | None = None
@@ -207,7 +212,7 @@
     def statement(self, now: float, booted: float, epoch: int) -> Statement | None:
         """Return the statement to send now, None if none is due."""
         rows: dict[str, Row] = {}
-        due = False
+        due = any(crash not in self._stated_crashes for crash in self.crashes)
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
@@ -218,7 +223,7 @@
             due = due or _row_due(row, holding, now, refresh_seconds)
         if not due:
             return None
-        return Statement(epoch, now, booted, rows, self._peer, self._key)
+        return Statement(epoch, now, booted, rows, self._peer, self._key, self.crashes)
 
     def statement_sent(self, statement: Statement) -> None:
         """Record that a statement is about to be sent; call this before sending.
@@ -226,6 +231,7 @@
         Lower limits apply at once, higher ones after the statement is confirmed and
         read back.
         """
+        self._stated_crashes = statement.crashes
         for workspace, row in statement.rows_by_workspace.items():
             holding = self.holding(workspace)
             holding.statement_sent(row, statement.sent)
--- a/godwitrudder/request/outcome.py
+++ b/godwitrudder/request/outcome.py
@@ -35,6 +35,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline_exceeded"
     NO_RUNNER = "no_runner"
+    QUARANTINED = "prompt_quarantined"
     DRAINING = "draining"
     CALLER_GONE = "caller_gone"
     RUNNER_FAILED = "runner_failed"
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -35,6 +35,8 @@
 """Cost of a runner that fails every request."""
 DISTANCE_TOKENS: Final = 150.0
 """Cost of another failure domain; traffic between domains has a price."""
+TRIAL_TOKENS: Final = 30_000.0
+"""Cost of a runner with a request on trial, which may end all that it works on."""
 CONNECT_TOKENS: Final = 750.0
 """Cost of a new connection: it is priced as 250 shared tokens that are read again, at
 ``READ_WEIGHT``."""
@@ -72,6 +74,8 @@
     ----------
     in_flight : int
         Requests of this host at the runner.
+    trials : int
+        Those of them whose prompts may end the runner.
     pending_tokens : int
         Prompt tokens of those requests whose answer has not begun.
     others : float
@@ -80,6 +84,8 @@
         Requests that waited at the runner, as of ``others_at``.
     failures : float
         Weighted share of failures, 0 to 1, as of ``failed_at``.
+    refused_at : float
+        Time at which its address last refused a connection after it had ended one.
     unlisted : bool
         Whether its entry was removed at a time at which the store may have been away.
         The entry may only have expired, or the runner may have left.
@@ -91,12 +97,14 @@
 
     entry: ListedRunner
     in_flight: int = 0
+    trials: int = 0
     pending_tokens: int = 0
     others: float = 0.0
     waiting: int = 0
     others_at: float = -math.inf
     failures: float = 0.0
     failed_at: float = 0.0
+    refused_at: float = -math.inf
     ejections: int = 0
     ejected_until: float = -math.inf
     unlisted: bool = False
@@ -165,6 +173,7 @@
     random: Random,
     now: float,
     connected: Collection[str] = (),
+    on_trial: bool = False,
 ) -> Candidate | None:
     """Return the runner for a request, None if there is none.
 
@@ -181,6 +190,8 @@
         Largest number of requests of this host at one runner.
     connected : collection of str
         Ids of the runners with an idle connection.
+    on_trial : bool
+        Whether the prompt may end the runner.
     """
     eligible = [
         candidate
@@ -195,6 +206,8 @@
     costs = [
         (
             _cost(candidate, parts, home, candidate is home_runner, now)
+            + (TRIAL_TOKENS if candidate.trials else 0.0)
+            + (REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0)
             + (0.0 if candidate.entry.id in connected else CONNECT_TOKENS),
             random.random(),
             index,
--- /dev/null
+++ b/godwitrudder/request/quarantine.py
@@ -0,0 +1,345 @@
+"""Quarantine of prompt parts that end the runners that answer them.
+
+A *query of death* ends every runner that begins to answer it.  When a runner ends,
+several requests are in flight there, and a prompt has several parts, most of them
+shared with sound prompts.  So the parts that were not being answered are only suspects.
+A part is blamed when enough separate crashes have it in common and no sound answer
+came in between.  Crashes that the most suspicious part explains are not held against
+others.
+
+Requests with a blamed part are held back until the quarantine ends.  Then one request
+is let through on trial: a sound answer clears the part, a crash doubles the quarantine.
+While two parts are equally suspect, a request that has only one of them is a trial too,
+since its outcome tells which is at fault.
+
+Times are Unix seconds, as hosts exchange them and as they survive a restart.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
+from typing import Final
+
+NEW_PART_CRASHES: Final = 2
+"""Crashes that blame a part that was never answered."""
+ANSWERED_PART_CRASHES: Final = 4
+"""Crashes that blame a part that was answered before, but not for a while."""
+ANSWER_TRUST_SECONDS: Final = 10.0
+"""Time after a sound answer in which its parts are no suspects."""
+SAME_CRASH_SECONDS: Final = 6.0
+"""Time within which reports of one runner are of one crash; a runner takes some seconds
+to return."""
+COMMON_CAUSE_SECONDS: Final = 0.1
+"""Crashes of several runners within this time count as one: a failure domain that fails
+ends all its runners at once."""
+QUARANTINE_SECONDS: Final = 60.0
+"""First quarantine of a part; each further crash doubles it."""
+MAX_QUARANTINE_SECONDS: Final = 480.0
+CRASH_MEMORY_SECONDS: Final = 2 * MAX_QUARANTINE_SECONDS
+"""Time after the last crash under a part at which all of them are forgotten."""
+MAX_CRASHES: Final = 64
+"""Crashes kept; the oldest are forgotten first."""
+MAX_ANSWERED_PARTS: Final = 20_000
+TRIAL_SECONDS: Final = 3.0
+"""Time after which a trial without an outcome no longer holds others back."""
+TRIAL_RETRY_SECONDS: Final = 0.3
+"""Delay before a request is tried again that is held back by another one's trial."""
+
+
+@dataclass(slots=True)
+class Crash:
+    """The end of a runner.
+
+    Attributes
+    ----------
+    at : float
+        Unix seconds of the first report.
+    sent_at_by_part : dict
+        Parts of the prompts that the runner had not begun to answer, each with the
+        Unix seconds at which the last such prompt was sent.
+    own : bool
+        Whether this host, or a former process on its machine, has seen it.
+    """
+
+    runner: str
+    at: float
+    sent_at_by_part: dict[str, float]
+    own: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Blame:
+    """A part that is held back.
+
+    Attributes
+    ----------
+    crashes : tuple of int
+        Indexes of the crashes that the part explains.
+    until : float
+        Unix seconds at which the quarantine ends.
+    """
+
+    crashes: tuple[int, ...]
+    until: float
+
+
+@dataclass(frozen=True, slots=True)
+class Free:
+    """No part of the request is suspect."""
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """The request may be sent; its outcome is evidence about ``parts``."""
+
+    parts: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class OnTrial:
+    """Another request's trial, which is still open, will tell."""
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantined:
+    """The request is held back.
+
+    Attributes
+    ----------
+    seconds : float
+        Time until a request with these parts may be let through.
+    """
+
+    seconds: float
+
+
+Verdict = Free | Trial | OnTrial | Quarantined
+
+
+@dataclass(slots=True)
+class Quarantine:
+    """Suspect and blamed prompt parts, as one host knows them.
+
+    Parameters
+    ----------
+    delay_share : float
+        Share, 0 to 1, of the longest delay by which this host ends a quarantine later
+        than others, so that the hosts don't try a part at the same moment.
+    """
+
+    delay_share: float = 0.0
+    _crashes: list[Crash] = field(default_factory=list)
+    _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _trial_until_by_part: dict[str, float] = field(default_factory=dict)
+    _blame_by_part: dict[str, Blame] = field(default_factory=dict)
+
+    def suspects(self, parts: Collection[str], now: float) -> tuple[str, ...]:
+        """Return the parts that may have ended a runner that did not answer them."""
+        since = now - ANSWER_TRUST_SECONDS
+        return tuple(
+            part for part in parts if self._answered_at.get(part, -math.inf) < since
+        )
+
+    def answered_at(self, part: str) -> float | None:
+        """Return the Unix seconds of the last sound answer on a part, if any."""
+        return self._answered_at.get(part)
+
+    def blamed(self) -> set[str]:
+        """Return the parts that are held back."""
+        return set(self._blame_by_part)
+
+    def own_crashes(self) -> list[Crash]:
+        """Return the crashes that this host has seen and that are not explained away.
+
+        Other hosts need them if no report reached them.
+        """
+        return [crash for crash in self._crashes if crash.own]
+
+    def record_crash(self, seen: Crash, now: float) -> set[str]:
+        """Record that a runner ended; return the parts that are newly blamed."""
+        at = min(seen.at, now)
+        unanswered = {
+            part: min(sent_at, at)
+            for part, sent_at in seen.sent_at_by_part.items()
+            if self._answered_at.get(part, -math.inf) < at
+        }
+        if not unanswered:
+            return set()
+        crash = self._find_crash(seen.runner, at)
+        if crash is None:
+            crash = Crash(seen.runner, at, {})
+            self._crashes.append(crash)
+            self._crashes.sort(key=lambda crash: crash.at)
+        crash.own = crash.own or seen.own
+        for part, sent_at in unanswered.items():
+            known = crash.sent_at_by_part.get(part, sent_at)
+            crash.sent_at_by_part[part] = max(known, sent_at)
+            self._trial_until_by_part.pop(part, None)
+        before = self.blamed()
+        self._forget(now)
+        self._update_blame()
+        return self.blamed() - before
+
+    def _find_crash(self, runner: str, at: float) -> Crash | None:
+        for crash in self._crashes:
+            if crash.runner == runner and abs(crash.at - at) <= SAME_CRASH_SECONDS:
+                return crash
+        return None
+
+    def record_answer(self, parts: Iterable[str], at: float) -> list[str]:
+        """Record a sound answer; return the parts that it clears of a suspicion."""
+        cleared: list[str] = []
+        for part in parts:
+            at = max(at, self._answered_at.get(part, at))
+            self._answered_at[part] = at
+            self._answered_at.move_to_end(part)
+            self._trial_until_by_part.pop(part, None)
+            if self._clear(part, at):
+                cleared.append(part)
+        while len(self._answered_at) > MAX_ANSWERED_PARTS:
+            self._answered_at.popitem(last=False)
+        if cleared:
+            self._crashes = [each for each in self._crashes if each.sent_at_by_part]
+            self._update_blame()
+        return cleared
+
+    def admit(self, parts: Collection[str], now: float) -> Verdict:
+        """Decide whether a request with these parts may be sent to a runner."""
+        if not self._crashes:
+            return Free()
+        self._forget(now)
+        blamed = [part for part in parts if part in self._blame_by_part]
+        if blamed:
+            return self._admit_blamed(parts, blamed, now)
+        suspect = tuple(part for part in parts if self._is_suspect(part))
+        if not suspect:
+            return Free()
+        return OnTrial() if self._on_trial(suspect, now) else Trial(suspect)
+
+    def begin_trial(self, parts: Iterable[str], now: float) -> None:
+        """Hold other requests with these parts back until the outcome is known."""
+        for part in parts:
+            self._trial_until_by_part[part] = now + TRIAL_SECONDS
+
+    def end_trial(self, parts: Iterable[str]) -> None:
+        """End a trial, with or without an outcome."""
+        for part in parts:
+            self._trial_until_by_part.pop(part, None)
+
+    def _admit_blamed(
+        self, parts: Collection[str], blamed: list[str], now: float
+    ) -> Verdict:
+        held_until = max(
+            (
+                self._until(part)
+                for part in blamed
+                if not self._has_alternative(part, parts)
+            ),
+            default=now,
+        )
+        if held_until > now:
+            return Quarantined(held_until - now)
+        if self._on_trial(blamed, now):
+            return Quarantined(TRIAL_RETRY_SECONDS)
+        return Trial(tuple(blamed))
+
+    def _until(self, part: str) -> float:
+        """Return the Unix seconds at which this host lets a part through on trial."""
+        delay = self.delay_share * QUARANTINE_SECONDS / 10
+        return self._blame_by_part[part].until + delay
+
+    def _has_alternative(self, part: str, parts: Collection[str]) -> bool:
+        """Whether a blamed part that is not in this request explains the crashes."""
+        crashes = set(self._blame_by_part[part].crashes)
+        return any(
+            crashes <= set(blame.crashes)
+            for other, blame in self._blame_by_part.items()
+            if other not in parts
+        )
+
+    def _on_trial(self, parts: Iterable[str], now: float) -> bool:
+        until = self._trial_until_by_part
+        return any(until.get(part, -math.inf) > now for part in parts)
+
+    def _is_suspect(self, part: str) -> bool:
+        """Whether a part that was never answered was at a runner that ended."""
+        return part not in self._answered_at and any(
+            part in crash.sent_at_by_part for crash in self._crashes
+        )
+
+    def _clear(self, part: str, at: float) -> bool:
+        """Take a part out of the crashes before ``at``; return if it was in one."""
+        found = [
+            crash
+            for crash in self._crashes
+            if part in crash.sent_at_by_part and crash.at <= at
+        ]
+        for crash in found:
+            del crash.sent_at_by_part[part]
+        return bool(found)
+
+    def _forget(self, now: float) -> None:
+        """Forget the crashes none of whose parts was in a recent one."""
+        recent = {
+            part
+            for crash in self._crashes
+            if now - crash.at < CRASH_MEMORY_SECONDS
+            for part in crash.sent_at_by_part
+        }
+        kept = [
+            crash
+            for crash in self._crashes[-MAX_CRASHES:]
+            if not recent.isdisjoint(crash.sent_at_by_part)
+        ]
+        if len(kept) < len(self._crashes):
+            self._crashes = kept
+            self._update_blame()
+
+    def _update_blame(self) -> None:
+        """Blame the parts that explain most crashes, until no crashes are left."""
+        self._blame_by_part = {}
+        unexplained = set(range(len(self._crashes)))
+        while True:
+            crashes_by_part = self._crashes_by_part(unexplained)
+            surplus_by_part = {
+                part: self._separate(part, crashes) - self._crashes_to_blame(part)
+                for part, crashes in crashes_by_part.items()
+            }
+            most = max(surplus_by_part.values(), default=-1)
+            if most < 0:
+                return
+            seconds = QUARANTINE_SECONDS * 2.0**most
+            seconds = min(MAX_QUARANTINE_SECONDS, seconds)
+            for part, surplus in surplus_by_part.items():
+                if surplus == most:
+                    crashes = crashes_by_part[part]
+                    until = self._crashes[crashes[-1]].at + seconds
+                    self._blame_by_part[part] = Blame(crashes, until)
+                    unexplained.difference_update(crashes)
+
+    def _crashes_by_part(self, indexes: set[int]) -> dict[str, tuple[int, ...]]:
+        found: dict[str, list[int]] = {}
+        for index in sorted(indexes):
+            for part in self._crashes[index].sent_at_by_part:
+                found.setdefault(part, []).append(index)
+        return {part: tuple(crashes) for part, crashes in found.items()}
+
+    def _separate(self, part: str, indexes: tuple[int, ...]) -> int:
+        """Return the number of crashes that can't have one other cause in common.
+
+        A crash is separate if the prompt was sent after the one before it.
+        """
+        count, last = 0, -math.inf
+        for index in indexes:
+            crash = self._crashes[index]
+            sent_after = crash.sent_at_by_part[part] > last
+            if sent_after or crash.at - last > COMMON_CAUSE_SECONDS:
+                count += 1
+                last = crash.at
+        return count
+
+    def _crashes_to_blame(self, part: str) -> int:
+        return ANSWERED_PART_CRASHES if part in self._answered_at else NEW_PART_CRASHES
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -81,6 +81,22 @@
         return (tokens - self.cap) / self.rate
 
 
+class RunnerCrash(msgspec.Struct, frozen=True, array_like=True):
+    """The end of a runner, and the prompt parts that may have caused it.
+
+    Attributes
+    ----------
+    at : float
+        Unix seconds.
+    sent_at_by_part : dict
+        Unix seconds at which a prompt with that part was last sent there.
+    """
+
+    runner: str
+    at: float
+    sent_at_by_part: dict[str, float]
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """The record of one host.
 
@@ -96,6 +112,8 @@
         Address for messages from other hosts, as IP:PORT; empty for none.
     key : bytes
         Key with which messages to this incarnation are sealed.
+    crashes : tuple of RunnerCrash
+        What hosts that restarted or missed a report must know.
     """
 
     epoch: int
@@ -104,6 +122,7 @@
     rows_by_workspace: dict[str, Row]
     peer: str = ""
     key: bytes = b""
+    crashes: tuple[RunnerCrash, ...] = ()
 
 
 UNBOUNDED_TOKENS: Final = 2**53
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -2,11 +2,21 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
+from typing import Any
+
 import gevent
 import pytest
 
 from standins.platform_runner import Crash, ReceivedRequest, Step
-from tests.entry_setup import FleetSetup, run_fleet, status_of, streaming
+from tests.entry_setup import (
+    EntrySetup,
+    FleetSetup,
+    run_fleet,
+    start_host,
+    status_of,
+    streaming,
+)
 
 DEADLY = "dead"
 DOWN_SECONDS = 0.5
@@ -47,3 +57,107 @@
             gevent.sleep(0.3)
         assert crashes(fleet) <= MOST_CRASHES
         assert ask(fleet, 0, 200, "b1", DEADLY) == 503
+
+
+def decisions(setup: EntrySetup, kind: str) -> list[dict[str, Any]]:
+    return [inputs for name, _, inputs in setup.log.decisions if name == kind]
+
+
+def test_sound_requests_beside_a_quarantined_part_are_served() -> None:
+    """They share the caller, the first part and the part before the deadly one."""
+    with run_fleet(2, *[crashing] * 4, lending=True) as fleet:
+        for number in range(4):
+            ask(fleet, number % 2, number, "b1", DEADLY)
+        gevent.sleep(DOWN_SECONDS)
+        before = crashes(fleet)
+        statuses = [ask(fleet, n % 2, 50 + n, "b1") for n in range(6)]
+        assert statuses == [200] * 6
+        assert crashes(fleet) == before
+        assert ask(fleet, 1, 99, "b1", DEADLY) == 503
+
+
+def test_a_host_that_starts_later_knows_the_quarantine() -> None:
+    """It reads the crashes from the statements; no peer reaches it."""
+    with ExitStack() as stack:
+        fleet = stack.enter_context(run_fleet(1, *[crashing] * 4))
+        ask(fleet, 0, 1, DEADLY)
+        gevent.sleep(1.0)
+        before = crashes(fleet)
+        sink = stack.enter_context(open("/dev/null", "wb"))
+        fleet.hosts.append(start_host(stack, fleet, 2, False, sink.fileno()))
+        while not fleet.hosts[1].entry.ready:
+            gevent.sleep(0.01)
+        assert ask(fleet, 1, 2, DEADLY) == 503
+        assert ask(fleet, 1, 3) == 200
+        assert crashes(fleet) == before == 2
+
+
+def test_a_plain_crash_quarantines_nothing() -> None:
+    """Interrupted requests are answered elsewhere, also those with new parts."""
+
+    def slow(seen: ReceivedRequest, number: int) -> list[Step]:
+        return [0.1, *streaming(0, 1, 2, 3)(seen, number)]
+
+    with run_fleet(2, *[slow] * 4, lending=True) as fleet:
+        for turn in range(5):
+            asked = [
+                gevent.spawn(ask, fleet, n % 2, 10 * turn + n, f"b{turn}", f"c{n}")
+                for n in range(8)
+            ]
+            gevent.sleep(0.05)
+            fleet.runners[turn % 4].crash(0.2)
+            gevent.joinall(asked)
+            assert [each.value for each in asked] == [200] * 8
+            gevent.sleep(0.3)
+        assert crashes(fleet) == 5
+        for host in fleet.hosts:
+            assert not decisions(host, "part_blamed")
+
+
+def test_a_reset_connection_is_no_crash() -> None:
+    """The runner still accepts connections, so its end explains nothing."""
+
+    def resetting_once(seen: ReceivedRequest, number: int) -> list[Step]:
+        return [None] if number % 2 == 0 else streaming(0, 1)(seen, number)
+
+    with run_fleet(1, *[resetting_once] * 3) as fleet:
+        for number in range(12):
+            ask(fleet, 0, number, "b1")
+        assert not decisions(fleet.hosts[0], "runner_crashed")
+        assert ask(fleet, 0, 50, "b1") in (200, 502)
+
+
+def test_an_attempt_in_flight_ends_when_its_part_is_blamed() -> None:
+    """Two requests end two runners while a third one waits at another runner."""
+
+    def scripted(seen: ReceivedRequest, number: int) -> list[Step]:
+        last = seen.headers["x-godwitrudder-prefix-hash"].rpartition(",")[2]
+        return [30.0] if last.startswith("e9") else crashing(seen, number)
+
+    with run_fleet(1, *[scripted] * 4) as fleet:
+        waiting = gevent.spawn(ask, fleet, 0, 9, DEADLY)
+        gevent.sleep(0.05)
+        ask(fleet, 0, 1, DEADLY)
+        assert waiting.get(timeout=0.5) == 502
+        assert crashes(fleet) == 2
+
+
+def test_an_answer_without_length_that_a_crash_ends_is_evidence() -> None:
+    """The end of the connection ends such an answer; it had no event yet."""
+
+    def unframed(seen: ReceivedRequest, number: int) -> list[Step]:
+        if DEADLY not in seen.headers["x-godwitrudder-prefix-hash"]:
+            return streaming(0, 1)(seen, number)
+        request_id = seen.headers["x-godwitrudder-request-id"]
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"X-Godwitrudder-Request-Id: {request_id}\r\n"
+            "X-Godwitrudder-Response-Signature: proof\r\n\r\n"
+        )
+        return [head.encode(), 0.01, Crash(DOWN_SECONDS)]
+
+    with run_fleet(1, *[unframed] * 4) as fleet:
+        for number in range(4):
+            ask(fleet, 0, number, DEADLY)
+        assert crashes(fleet) == 2
+        assert ask(fleet, 0, 9, DEADLY) == 503
