Log the rate limit that a runner names in its answer

Cause: no line said what limit an answer named, so the hypotheses of the postmortem could not be told apart. The attempt line has the field limit now.

--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from typing import Final
 
@@ -187,6 +188,21 @@
         return value.decode("latin-1")
 
 
+def rate_limit(head: ResponseHead) -> float | str | None:
+    """Return the requests per second that a runner accepts from all hosts together.
+
+    None if it names no limit.  An invalid value is returned as text, for the log.
+    """
+    value = head.header(names.SERVER_LIMIT)
+    if not value:
+        return None
+    try:
+        limit = float(value)
+    except ValueError:
+        return value.decode("latin-1")
+    return limit if 0 <= limit < math.inf else value.decode("latin-1")
+
+
 def idle_seconds(head: ResponseHead) -> float | None:
     """Return how long a runner keeps idle connections, None if it does not say."""
     for field in head.header(b"keep-alive").split(b","):
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -245,8 +245,9 @@
         entry, head = candidate.entry, attempt.head
         idle = None if head is None else wire.idle_seconds(head)
         self._pool.give(entry.id, entry.address, link, idle)
+        limit = None if head is None else wire.rate_limit(head)
         self._log_attempt(
-            forwarded, candidate, result, attempt.began_at, attempt.events
+            forwarded, candidate, result, attempt.began_at, attempt.events, limit
         )
 
     def _runner_headers(
@@ -274,6 +275,7 @@
         result: AttemptResult | str,
         began: float,
         attempt_events: int,
+        limit: float | str | None = None,
     ) -> None:
         status = result.head.status if isinstance(result, Whole) else None
         self._log.note(
@@ -285,6 +287,7 @@
             status=status,
             events=forwarded.events,
             attempt_events=attempt_events,
+            limit=limit,
             parts=[part.id for part in forwarded.caller_headers.parts],
             seconds=round(time.monotonic() - began, 4),
         )
