Share the rate limit that a runner names among all hosts

What operators saw: an engine that had named one request a second got 16 in 4 s from hosts that it had told. Cause: no host read the limit; placement went on by load, and an engine that asks for less looked like the best one.

Change: time is divided into slots of one request each, which go to the hosts in turn by their names, so that any number of hosts keep to one limit without a message for each request. Unused slots stay valid for 1 s and two slots more: never more than limit + 2 beyond the limit itself. Every attempt takes a slot, repeats too. A change is reported to all peers, and statements name limits for hosts that restart; a host that has not read the other hosts' statements sends a limited runner nothing. An answer without a limit ends it.

--- a/godwitrudder/connection/reports.py
+++ b/godwitrudder/connection/reports.py
@@ -16,7 +16,8 @@
 MAX_NAME_CHARACTERS: Final = 40
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 Names = Annotated[list[Name], msgspec.Meta(max_length=MAX_PARTS)]
-Age = Annotated[float, msgspec.Meta(ge=0, le=3600)]
+MAX_AGE_SECONDS: Final = 3600.0
+Age = Annotated[float, msgspec.Meta(ge=0, le=MAX_AGE_SECONDS)]
 
 
 class CrashReport(msgspec.Struct, frozen=True, array_like=True, tag="crash"):
@@ -59,7 +60,26 @@
     parts: Names
 
 
-Report = CrashReport | AnswerReport | TrialReport
+class LimitReport(msgspec.Struct, frozen=True, array_like=True, tag="limit"):
+    """A runner named another rate limit than before, or none any more.
+
+    Attributes
+    ----------
+    host : str
+        Host that reports it.
+    per_second : float or None
+        Requests per second from all hosts together; None for no limit.
+    age : float
+        Seconds since the runner said so.
+    """
+
+    host: str
+    runner: Name
+    per_second: Annotated[float, msgspec.Meta(ge=0)] | None
+    age: Age
+
+
+Report = CrashReport | AnswerReport | TrialReport | LimitReport
 
 
 def names(values: list[str] | tuple[str, ...]) -> list[str]:
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -24,6 +24,7 @@
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarder import Forwarder
 from godwitrudder.process.quarantine import FleetQuarantine
+from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.process.sender import Sender
 from godwitrudder.request.holding import Policy
@@ -93,8 +94,14 @@
         )
         random = Random()
         quarantine = FleetQuarantine(self.reservations, log, random.random())
+        limits = FleetLimits(self.reservations, log)
         sender = Sender(
-            self.pool, log, self._metrics, self.directory.runner_replaced, quarantine
+            self.pool,
+            log,
+            self._metrics,
+            self.directory.runner_replaced,
+            quarantine,
+            limits,
         )
         self.forwarder = Forwarder(
             settings.failure_domain,
@@ -106,6 +113,7 @@
             random,
             self._new_retry_window,
             quarantine,
+            limits,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -32,6 +32,7 @@
     Whole,
 )
 from godwitrudder.process.quarantine import FleetQuarantine
+from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import (
     Reservation,
     ReservationRefused,
@@ -97,6 +98,7 @@
         random: Random,
         new_retry_window: Callable[[], RetryWindow],
         quarantine: FleetQuarantine,
+        limits: FleetLimits,
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
@@ -107,6 +109,7 @@
         self._random = random
         self._new_retry_window = new_retry_window
         self._quarantine = quarantine
+        self._limits = limits
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -328,8 +331,9 @@
             or MIN_CONNECTIONS_PER_RUNNER
         )
         now = time.monotonic()
+        permitted = self._limits.permitted(candidates)
         candidate = place(
-            candidates,
+            permitted,
             forwarded.caller_headers.parts,
             self._failure_domain,
             forwarded.excluded,
@@ -339,11 +343,14 @@
             self._sender.connected_runners(),
             bool(forwarded.trial_parts),
         )
+        if candidate is not None:
+            self._limits.take(candidate.entry.id)
         self._log.note(
             "place",
             forwarded.request_id,
             target=target.name,
             candidates=len(candidates),
+            permitted=len(permitted),
             excluded=len(forwarded.excluded),
             runner=None if candidate is None else candidate.entry.id,
             load=None if candidate is None else round(candidate.load(now), 1),
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -32,6 +32,7 @@
 from godwitrudder.connection.reports import (
     AnswerReport,
     CrashReport,
+    LimitReport,
     Report,
     TrialReport,
 )
@@ -113,7 +114,7 @@
         Set once this process has bound the port.
     refused_messages : int
         Messages that were malformed or not sealed for this process.
-    on_report : callable
+    report_handlers : list of callable
         Called with each report of another host.
     loans_by_outcome : Counter of str
         Loans by outcome: ``lent`` (to another host), ``borrowed``, ``nothing`` (the
@@ -133,7 +134,7 @@
         self.lending = Lending(host_holdings, random)
         self.epoch = 0
         self.refused_messages = 0
-        self.on_report: Callable[[Report], None] = lambda report: None
+        self.report_handlers: list[Callable[[Report], None]] = []
         self.loans_by_outcome: Counter[str] = Counter()
         self._host_holdings = host_holdings
         self._address = address
@@ -311,8 +312,9 @@
                 address in self._age_key_by_address and message.seconds is not None
             ):
                 self._age_answers.append(max(0.0, message.seconds))
-            case CrashReport() | AnswerReport() | TrialReport():
-                self.on_report(message)
+            case CrashReport() | AnswerReport() | TrialReport() | LimitReport():
+                for handle in self.report_handlers:
+                    handle(message)
 
     def broadcast(self, report: Report) -> None:
         """Send a report to all other hosts that have stated an address."""
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -15,6 +15,7 @@
 import gevent
 
 from godwitrudder.connection.reports import (
+    MAX_AGE_SECONDS,
     AnswerReport,
     CrashReport,
     Report,
@@ -60,9 +61,9 @@
         self._reservations = reservations
         self._log = log
         self.on_blamed: Callable[[set[str]], None] = lambda parts: None
-        reservations.on_statement = self._handle_statement
+        reservations.statement_handlers.append(self._handle_statement)
         if reservations.lending is not None:
-            reservations.lending.on_report = self._handle_report
+            reservations.lending.report_handlers.append(self._handle_report)
 
     def check(self, parts: Collection[str]) -> Verdict:
         """Return whether a request with these parts may be sent to a runner."""
@@ -156,7 +157,9 @@
         lending = self._reservations.lending
         if answered and lending is not None:
             age = max(0.0, now - min(answered.values()))
-            answer = AnswerReport(self._host, names(list(answered)), min(3600.0, age))
+            answer = AnswerReport(
+                self._host, names(list(answered)), min(MAX_AGE_SECONDS, age)
+            )
             lending.send_report(report.host, answer)
 
     def _handle_statement(self, host: str, statement: Statement) -> None:
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -35,7 +35,7 @@
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
-from godwitrudder.version.statements import RunnerCrash, Statement
+from godwitrudder.version.statements import NamedLimit, RunnerCrash, Statement
 
 RETRY_INTERVAL_SECONDS: Final = 0.4
 """Delay between calls to a store that does not answer; calls are priced."""
@@ -109,7 +109,7 @@
         Time at which the store last answered, in seconds since boot.
     opened : Event
         Set once former incarnations are fenced and the ledger was read.
-    on_statement : callable
+    statement_handlers : list of callable
         Called with each statement that was read, and the host that made it.
     """
 
@@ -150,9 +150,7 @@
         self._offset = 0
         self.answered_at = 0.0
         self.opened = Event()
-        self.on_statement: Callable[[str, Statement], None] = (
-            lambda host, statement: None
-        )
+        self.statement_handlers: list[Callable[[str, Statement], None]] = []
 
     def now(self) -> float:
         """Return the seconds since boot, including time spent suspended."""
@@ -237,6 +235,12 @@
         if any(crash not in former for crash in crashes):
             self._statement_wanted.set()
 
+    def state_limits(self, limits: tuple[NamedLimit, ...]) -> None:
+        """State these rate limits instead of the former ones; new ones soon."""
+        former, self.host_holdings.limits = self.host_holdings.limits, limits
+        if {each.runner for each in limits} - {each.runner for each in former}:
+            self._statement_wanted.set()
+
     def close(self) -> None:
         """Close the port for messages of other hosts."""
         if self.lending is not None:
@@ -428,7 +432,8 @@
             self._log.note("statement_unread", host_of=record.key, why=problem.reason)
             return
         statement = self.host_holdings.statements.statements_by_host[record.key]
-        self.on_statement(record.key, statement)
+        for handle in self.statement_handlers:
+            handle(record.key, statement)
 
     def _producer(self) -> Producer:
         return Producer(self.host_holdings.host, self._epoch, self._sequence)
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -26,6 +26,7 @@
     Whole,
 )
 from godwitrudder.process.quarantine import FleetQuarantine
+from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.request.event_stream import EventReader
 from godwitrudder.request.placement import Candidate
 from godwitrudder.version.catalogue import RouteKind
@@ -101,8 +102,10 @@
         metrics: EntryMetrics,
         on_replaced: Callable[[Candidate, str], None],
         quarantine: FleetQuarantine,
+        limits: FleetLimits,
     ) -> None:
         self._pool = pool
+        self._limits = limits
         self._quarantine = quarantine
         self._attempts: list[Attempt] = []
         quarantine.on_blamed = self._abort
@@ -200,6 +203,7 @@
             if isinstance(event, ResponseHead):
                 attempt.head = event
                 self._apply_load_report(attempt.candidate, event)
+                self._apply_rate_limit(attempt, event)
             elif isinstance(event, bytes):
                 self._handle_data(forwarded, attempt, event)
             elif isinstance(event, End):
@@ -303,6 +307,18 @@
         elif load is not None:
             candidate.reported(load.running, load.waiting, time.monotonic())
 
+    def _apply_rate_limit(self, attempt: Attempt, head: ResponseHead) -> None:
+        runner, limit = attempt.candidate.entry.id, wire.rate_limit(head)
+        if wire.is_other_instance(head):
+            return
+        if isinstance(limit, str):
+            self._log.note("limit_unread", runner=runner, value=limit)
+        elif limit is not None:
+            self._limits.record_limit(runner, limit)
+        elif wire.has_signature(head) or wire.not_executed(head):
+            age = time.monotonic() - attempt.began_at
+            self._limits.record_no_limit(runner, age)
+
     def _pass_on_events(
         self,
         forwarded: ForwardedRequest,
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -21,6 +21,7 @@
 from godwitrudder.version.statements import (
     UNBOUNDED_TOKENS,
     Row,
+    NamedLimit,
     RunnerCrash,
     Statement,
     StatementTable,
@@ -90,6 +91,8 @@
         spent or waited for.
     crashes : tuple of RunnerCrash
         Crashes to state beside the holdings.
+    limits : tuple of NamedLimit
+        Rate limits to state beside them.
     """
 
     def __init__(
@@ -103,7 +106,9 @@
         self.holdings: dict[str, Holding] = {}
         self.stopping = False
         self.crashes: tuple[RunnerCrash, ...] = ()
+        self.limits: tuple[NamedLimit, ...] = ()
         self._stated_crashes: tuple[RunnerCrash, ...] = ()
+        self._stated_runners: frozenset[str] = frozenset()
         self._prepaid: dict[str, int | None] = {}
         self._stored_end_offset = 0
         self._first_request_at: float | None = None
@@ -213,6 +218,9 @@
         """Return the statement to send now, None if none is due."""
         rows: dict[str, Row] = {}
         due = any(crash not in self._stated_crashes for crash in self.crashes)
+        due = due or any(
+            limit.runner not in self._stated_runners for limit in self.limits
+        )
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
@@ -223,7 +231,16 @@
             due = due or _row_due(row, holding, now, refresh_seconds)
         if not due:
             return None
-        return Statement(epoch, now, booted, rows, self._peer, self._key, self.crashes)
+        return Statement(
+            epoch,
+            now,
+            booted,
+            rows,
+            self._peer,
+            self._key,
+            self.crashes,
+            self.limits,
+        )
 
     def statement_sent(self, statement: Statement) -> None:
         """Record that a statement is about to be sent; call this before sending.
@@ -232,6 +249,7 @@
         read back.
         """
         self._stated_crashes = statement.crashes
+        self._stated_runners = frozenset(each.runner for each in statement.limits)
         for workspace, row in statement.rows_by_workspace.items():
             holding = self.holding(workspace)
             holding.statement_sent(row, statement.sent)
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -97,6 +97,22 @@
     sent_at_by_part: dict[str, float]
 
 
+class NamedLimit(msgspec.Struct, frozen=True, array_like=True):
+    """A rate limit that a runner has named to the host.
+
+    Attributes
+    ----------
+    per_second : float
+        Requests per second from all hosts together.
+    at : float
+        Unix seconds at which the runner last named it.
+    """
+
+    runner: str
+    per_second: float
+    at: float
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """The record of one host.
 
@@ -114,6 +130,8 @@
         Key with which messages to this incarnation are sealed.
     crashes : tuple of RunnerCrash
         What hosts that restarted or missed a report must know.
+    limits : tuple of NamedLimit
+        Likewise.
     """
 
     epoch: int
@@ -123,6 +141,7 @@
     peer: str = ""
     key: bytes = b""
     crashes: tuple[RunnerCrash, ...] = ()
+    limits: tuple[NamedLimit, ...] = ()
 
 
 UNBOUNDED_TOKENS: Final = 2**53
