--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -20,8 +20,8 @@
 )
 from godwitrudder.version.statements import (
     UNBOUNDED_TOKENS,
-    Row,
     NamedLimit,
+    Row,
     RunnerCrash,
     Statement,
     StatementTable,
