Send nothing to a runner that says in an answer that it leaves

What operators would see: requests that reach a runner after it has told this host that it leaves, until the store lists it so, or for ever where its entry is only removed. Cause: the header Server-Leaving was not read. Change: the instance, known by id and start time, is left out from its answer on, also when its entry is renewed, expires and returns, or the store is away; an entry with another start time is another instance.

--- a/godwitrudder/platform/documents.py
+++ b/godwitrudder/platform/documents.py
@@ -154,6 +154,7 @@
     state: str
     zone: str = ""
     slots: int = 1
+    born: int = 0
 
 
 def catalogue(data: bytes) -> Catalogue | Malformed:
@@ -197,7 +198,13 @@
         return Malformed(str(address))
     leaving = model.state != "ready"
     return ListedRunner(
-        key, model.service, address, model.zone, leaving, max(1, model.slots)
+        key,
+        model.service,
+        address,
+        model.zone,
+        leaving,
+        max(1, model.slots),
+        model.born,
     )
 
 
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -188,6 +188,11 @@
         return value.decode("latin-1")
 
 
+def is_leaving(head: ResponseHead) -> bool:
+    """Return whether a runner says that it leaves."""
+    return head.header(names.SERVER_LEAVING).strip() == b"1"
+
+
 def rate_limit(head: ResponseHead) -> float | str | None:
     """Return the requests per second that a runner accepts from all hosts together.
 
--- a/godwitrudder/platform/names.py
+++ b/godwitrudder/platform/names.py
@@ -20,6 +20,7 @@
 NOT_EXECUTED: Final = b"x-godwitrudder-not-executed"
 SERVER_LOAD: Final = b"x-godwitrudder-server-load"
 SERVER_LIMIT: Final = b"server-limit"
+SERVER_LEAVING: Final = b"server-leaving"
 PRIORITY: Final = b"x-godwitrudder-request-priority"
 LAST_EVENT_ID: Final = b"last-event-id"
 
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Final
@@ -46,6 +47,8 @@
 RELIST_SECONDS: Final = 2.0
 """Time in which live runners are listed again after the store's first answer, or its
 first one after a silence."""
+MAX_LEAVING_REMEMBERED: Final = 1000
+"""Instances that said that they leave; the oldest are forgotten first."""
 
 
 class Directory:
@@ -96,6 +99,7 @@
         self._target_by_id: dict[str, str] = {}
         self._relist_deadline_by_id: dict[str, float] = {}
         self._unlisted_instances: set[str] = set()
+        self._leaving_started_ms_by_id: OrderedDict[str, int] = OrderedDict()
         self.answered_at = 0.0
         self._store_returned_at = 0.0
 
@@ -209,14 +213,28 @@
         if known.entry.leaving != entry.leaving:
             self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
         known.entry = entry
+        known.said_leaving = self._said_leaving(entry)
         known.unlisted = known.replaced = False
 
     def _add(self, entry: ListedRunner) -> None:
-        self.candidates_by_target.setdefault(entry.target, {})[entry.id] = Candidate(
-            entry
-        )
+        candidate = Candidate(entry, said_leaving=self._said_leaving(entry))
+        self.candidates_by_target.setdefault(entry.target, {})[entry.id] = candidate
         self._target_by_id[entry.id] = entry.target
 
+    def runner_says_it_leaves(self, candidate: Candidate) -> None:
+        """Use the instance no more, whatever its entry says from now on."""
+        if candidate.said_leaving:
+            return
+        candidate.said_leaving = True
+        self._leaving_started_ms_by_id[candidate.entry.id] = candidate.entry.started_ms
+        while len(self._leaving_started_ms_by_id) > MAX_LEAVING_REMEMBERED:
+            self._leaving_started_ms_by_id.popitem(last=False)
+        self._log.note("runner_says_it_leaves", runner=candidate.entry.id)
+
+    def _said_leaving(self, entry: ListedRunner) -> bool:
+        """Whether the instance of an entry has said that it leaves."""
+        return self._leaving_started_ms_by_id.get(entry.id) == entry.started_ms
+
     def runner_replaced(self, candidate: Candidate, instance: str) -> None:
         """Use the instance at a replaced runner's address while the store is silent.
 
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -93,6 +93,8 @@
     on_replaced : callable
         Called with a runner that was replaced and the id of the instance that
         answered at its address.
+    on_leaving : callable
+        Called with a runner that says that it leaves.
     """
 
     def __init__(
@@ -101,6 +103,7 @@
         log: DecisionLog,
         metrics: EntryMetrics,
         on_replaced: Callable[[Candidate, str], None],
+        on_leaving: Callable[[Candidate], None],
         quarantine: FleetQuarantine,
         limits: FleetLimits,
     ) -> None:
@@ -110,6 +113,7 @@
         self._attempts: list[Attempt] = []
         quarantine.on_blamed = self._abort
         self._on_replaced = on_replaced
+        self._on_leaving = on_leaving
         self._log = log
         self._metrics = metrics
 
@@ -204,6 +208,8 @@
                 attempt.head = event
                 self._apply_load_report(attempt.candidate, event)
                 self._apply_rate_limit(attempt, event)
+                if wire.is_leaving(event) and not wire.is_other_instance(event):
+                    self._on_leaving(attempt.candidate)
             elif isinstance(event, bytes):
                 self._handle_data(forwarded, attempt, event)
             elif isinstance(event, End):
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -86,6 +86,8 @@
         Weighted share of failures, 0 to 1, as of ``failed_at``.
     refused_at : float
         Time at which its address last refused a connection after it had ended one.
+    said_leaving : bool
+        Whether it has said in an answer that it leaves.
     unlisted : bool
         Whether its entry was removed at a time at which the store may have been away.
         The entry may only have expired, or the runner may have left.
@@ -107,6 +109,7 @@
     refused_at: float = -math.inf
     ejections: int = 0
     ejected_until: float = -math.inf
+    said_leaving: bool = False
     unlisted: bool = False
     replaced: bool = False
     gone: bool = False
@@ -115,7 +118,8 @@
     @property
     def may_be_used(self) -> bool:
         """Whether the runner may get requests, by what its entry and answers say."""
-        return not (self.entry.leaving or self.replaced or self.gone)
+        leaving = self.entry.leaving or self.said_leaving
+        return not (leaving or self.replaced or self.gone)
 
     def reported(self, running: int, waiting: int, now: float) -> None:
         """Record a load report of the runner; it includes the requests of this host."""
--- a/godwitrudder/version/catalogue.py
+++ b/godwitrudder/version/catalogue.py
@@ -150,6 +150,8 @@
         Whether the runner is leaving and gets no new requests.
     slots : int
         Number of requests that it processes concurrently.
+    started_ms : int
+        Unix milliseconds at which it started; 0 if it does not say.
     """
 
     id: str
@@ -158,6 +160,7 @@
     failure_domain: str
     leaving: bool
     slots: int
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
