Send nothing to a runner for the time that it names with status 503

What operators would see: a runner that turned a request away with Retry-After gets more of them from the same host at once. Cause: the header was not read, and a runner that rejects counts as idle. Change: the runner gets nothing from this host until the time is over, also if no other one is left and if its entry expires and returns; an entry with another start time is another instance. What an instance has asked for is kept with its former entry, which replaces the list of leaving instances. Where all runners rest, callers are told to return when the first of them does.

--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -193,6 +193,18 @@
     return head.header(names.SERVER_LEAVING).strip() == b"1"
 
 
+def rest_seconds(head: ResponseHead) -> float | None:
+    """Return how long a runner that turns a request away wants no other one.
+
+    None if it names no time, or a value that is no number of seconds.
+    """
+    try:
+        seconds = float(head.header(names.RETRY_AFTER))
+    except ValueError:
+        return None
+    return seconds if head.status == 503 and 0 < seconds < math.inf else None
+
+
 def rate_limit(head: ResponseHead) -> float | str | None:
     """Return the requests per second that a runner accepts from all hosts together.
 
@@ -219,7 +231,7 @@
 
 def retry_after(seconds: float) -> Headers:
     """Return the header that tells a caller when to retry."""
-    return [(b"retry-after", f"{seconds:.3f}".encode())]
+    return [(names.RETRY_AFTER, f"{seconds:.3f}".encode())]
 
 
 def _parse_key(value: bytes) -> str:
--- a/godwitrudder/platform/names.py
+++ b/godwitrudder/platform/names.py
@@ -21,6 +21,7 @@
 SERVER_LOAD: Final = b"x-godwitrudder-server-load"
 SERVER_LIMIT: Final = b"server-limit"
 SERVER_LEAVING: Final = b"server-leaving"
+RETRY_AFTER: Final = b"retry-after"
 PRIORITY: Final = b"x-godwitrudder-request-priority"
 LAST_EVENT_ID: Final = b"last-event-id"
 
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -47,8 +48,9 @@
 RELIST_SECONDS: Final = 2.0
 """Time in which live runners are listed again after the store's first answer, or its
 first one after a silence."""
-MAX_LEAVING_REMEMBERED: Final = 1000
-"""Instances that said that they leave; the oldest are forgotten first."""
+MAX_FORMER_RUNNERS: Final = 1000
+"""Dropped runners remembered, as their entries may return; the oldest are forgotten
+first."""
 
 
 class Directory:
@@ -99,7 +101,7 @@
         self._target_by_id: dict[str, str] = {}
         self._relist_deadline_by_id: dict[str, float] = {}
         self._unlisted_instances: set[str] = set()
-        self._leaving_started_ms_by_id: OrderedDict[str, int] = OrderedDict()
+        self._former_by_id: OrderedDict[str, Candidate] = OrderedDict()
         self.answered_at = 0.0
         self._store_returned_at = 0.0
 
@@ -212,12 +214,16 @@
             return
         if known.entry.leaving != entry.leaving:
             self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
+        if known.entry.started_ms != entry.started_ms:
+            known.said_leaving, known.rests_until = False, -math.inf
         known.entry = entry
-        known.said_leaving = self._said_leaving(entry)
         known.unlisted = known.replaced = False
 
     def _add(self, entry: ListedRunner) -> None:
-        candidate = Candidate(entry, said_leaving=self._said_leaving(entry))
+        candidate = Candidate(entry)
+        former = self._former_by_id.pop(entry.id, None)
+        if former is not None:
+            candidate.keep_requests_of(former)
         self.candidates_by_target.setdefault(entry.target, {})[entry.id] = candidate
         self._target_by_id[entry.id] = entry.target
 
@@ -226,15 +232,8 @@
         if candidate.said_leaving:
             return
         candidate.said_leaving = True
-        self._leaving_started_ms_by_id[candidate.entry.id] = candidate.entry.started_ms
-        while len(self._leaving_started_ms_by_id) > MAX_LEAVING_REMEMBERED:
-            self._leaving_started_ms_by_id.popitem(last=False)
         self._log.note("runner_says_it_leaves", runner=candidate.entry.id)
 
-    def _said_leaving(self, entry: ListedRunner) -> bool:
-        """Whether the instance of an entry has said that it leaves."""
-        return self._leaving_started_ms_by_id.get(entry.id) == entry.started_ms
-
     def runner_replaced(self, candidate: Candidate, instance: str) -> None:
         """Use the instance at a replaced runner's address while the store is silent.
 
@@ -297,6 +296,10 @@
         self._relist_deadline_by_id.pop(runner, None)
         target = self._target_by_id.pop(runner, None)
         if target is not None:
-            self.candidates_by_target[target].pop(runner).gone = True
+            candidate = self.candidates_by_target[target].pop(runner)
+            candidate.gone = True
+            self._former_by_id[runner] = candidate
+            while len(self._former_by_id) > MAX_FORMER_RUNNERS:
+                self._former_by_id.popitem(last=False)
             self._on_runner_gone(runner)
             self._log.note("runner_gone", runner=runner, target=target, why=why)
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -345,6 +345,9 @@
         )
         if candidate is not None:
             self._limits.take(candidate.entry.id)
+        else:
+            rests = (each.rests_until - now for each in permitted if each.may_be_used)
+            forwarded.rest_seconds = max(0.0, min(rests, default=0.0))
         self._log.note(
             "place",
             forwarded.request_id,
@@ -411,6 +414,7 @@
             seconds = retry_delay.jitter(
                 retry_delay.NO_RUNNER_RETRY_SECONDS, self._random
             )
+            seconds = max(seconds, forwarded.rest_seconds)
             refused = refuse(Reason.NO_RUNNER, seconds, target=forwarded.target.name)
         return self._refuse(
             forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -207,9 +207,8 @@
             if isinstance(event, ResponseHead):
                 attempt.head = event
                 self._apply_load_report(attempt.candidate, event)
-                self._apply_rate_limit(attempt, event)
-                if wire.is_leaving(event) and not wire.is_other_instance(event):
-                    self._on_leaving(attempt.candidate)
+                if not wire.is_other_instance(event):
+                    self._apply_requests(attempt, event)
             elif isinstance(event, bytes):
                 self._handle_data(forwarded, attempt, event)
             elif isinstance(event, End):
@@ -313,10 +312,18 @@
         elif load is not None:
             candidate.reported(load.running, load.waiting, time.monotonic())
 
+    def _apply_requests(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Apply what a runner asks of this host, or of all hosts, in its answer."""
+        self._apply_rate_limit(attempt, head)
+        if wire.is_leaving(head):
+            self._on_leaving(attempt.candidate)
+        seconds = wire.rest_seconds(head)
+        if seconds is not None:
+            attempt.candidate.rest(seconds, time.monotonic())
+            self._log.note("rest", runner=attempt.candidate.entry.id, seconds=seconds)
+
     def _apply_rate_limit(self, attempt: Attempt, head: ResponseHead) -> None:
         runner, limit = attempt.candidate.entry.id, wire.rate_limit(head)
-        if wire.is_other_instance(head):
-            return
         if isinstance(limit, str):
             self._log.note("limit_unread", runner=runner, value=limit)
         elif limit is not None:
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -86,6 +86,8 @@
         Weighted share of failures, 0 to 1, as of ``failed_at``.
     refused_at : float
         Time at which its address last refused a connection after it had ended one.
+    rests_until : float
+        Time until which it has asked this host for no further request.
     said_leaving : bool
         Whether it has said in an answer that it leaves.
     unlisted : bool
@@ -109,6 +111,7 @@
     refused_at: float = -math.inf
     ejections: int = 0
     ejected_until: float = -math.inf
+    rests_until: float = -math.inf
     said_leaving: bool = False
     unlisted: bool = False
     replaced: bool = False
@@ -141,6 +144,16 @@
         self.ejected_until = now + seconds
         self.ejections += 1
 
+    def rest(self, seconds: float, now: float) -> None:
+        """Send the runner nothing for a time that it has named."""
+        self.rests_until = max(self.rests_until, now + seconds)
+
+    def keep_requests_of(self, former: Candidate) -> None:
+        """Respect what the same instance asked for under a former entry."""
+        if former.entry.started_ms == self.entry.started_ms:
+            self.said_leaving = former.said_leaving
+            self.rests_until = former.rests_until
+
     def failure_share(self, now: float) -> float:
         """Return the share of failures, decayed to now."""
         return self.failures * math.exp(-(now - self.failed_at) / FAILURE_DECAY_SECONDS)
@@ -200,7 +213,9 @@
     eligible = [
         candidate
         for candidate in _trusted(candidates)
-        if candidate.entry.id not in excluded and candidate.in_flight < connections_most
+        if candidate.entry.id not in excluded
+        and candidate.in_flight < connections_most
+        and now >= candidate.rests_until
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
     usable = usable or eligible
--- /dev/null
+++ b/tests/test_resting_runner.py
@@ -0,0 +1,65 @@
+"""A runner that turns a request away for some seconds gets nothing in that time."""
+
+from __future__ import annotations
+
+import time
+
+import gevent
+
+from standins.platform_runner import ReceivedRequest, Script, Step, build_response
+from tests.entry_setup import good, rejecting, run_entry, status_of
+
+
+def resting(seconds: str, proof: bool = True) -> Script:
+    """Return the script of a runner that names a time with status 503."""
+
+    def script(seen: ReceivedRequest, _number: int) -> list[Step]:
+        headers = [f"Retry-After: {seconds}"]
+        if proof:
+            headers.append("X-Godwitrudder-Not-Executed: 1")
+        return [build_response(seen, "503 Full", b"", *headers, signed=False)]
+
+    return script
+
+
+def test_a_resting_runner_gets_nothing_until_its_time_is_over() -> None:
+    """Requests went on, most of them where all other runners reject too."""
+    with run_entry(resting("1.5"), rejecting) as setup:
+        setup.ask()
+        rested_at = time.monotonic()
+        statuses = [status_of(setup.ask()) for _ in range(10)]
+        assert statuses == [503] * 10
+        assert time.monotonic() - rested_at < 1.0
+        assert len(setup.runners[0].received_requests) == 1
+        setup.runners[0].script = good
+        gevent.sleep(rested_at + 1.6 - time.monotonic())
+        assert status_of(setup.ask()) == 200
+
+
+def test_callers_are_served_by_the_other_runners() -> None:
+    with run_entry(resting("30"), good) as setup:
+        assert [status_of(setup.ask()) for _ in range(10)] == [200] * 10
+        assert len(setup.runners[0].received_requests) <= 1
+
+
+def test_a_rest_without_proof_counts_too() -> None:
+    with run_entry(resting("30", proof=False), good) as setup:
+        for _ in range(10):
+            setup.ask()
+        assert len(setup.runners[0].received_requests) <= 1
+
+
+def test_callers_are_told_to_come_back_when_all_runners_rest_no_longer() -> None:
+    with run_entry(resting("0.5")) as setup:
+        setup.ask()
+        refused = setup.ask()
+        assert status_of(refused) == 503
+        fields = refused.lower().split(b"retry-after: ")[1]
+        assert 0.3 < float(fields.split(b"\r\n")[0]) <= 0.6
+
+
+def test_a_time_that_is_no_number_is_ignored() -> None:
+    with run_entry(resting("soon")) as setup:
+        for _ in range(3):
+            assert status_of(setup.ask()) == 503
+        assert len(setup.runners[0].received_requests) == 3
