Take no refusal without an id on a kept connection as proof

What callers saw elsewhere: 'not run, try again' for requests that a runner had run, or a request that ran at a second runner. Cause: a faulty runner writes an earlier refusal once more; a copy that names no request was taken for the answer to the next one. Change: on a connection that was used before, a refusal must name the request that it refuses; otherwise the attempt is lost and may have run. An answer that ends in its head was no success before either; that is tested now.

--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -281,6 +281,8 @@
         Until when the connection may be reused, on the monotonic clock, in seconds.
     reusable : bool
         Whether the last response was complete and no surplus bytes followed it.
+    requests : int
+        Requests sent on the connection so far.
     """
 
     def __init__(
@@ -297,6 +299,7 @@
         )
         self._http = h11.Connection(h11.CLIENT)
         self.reusable = False
+        self.requests = 0
         self.idle_until = 0.0
         self.wait_until = math.inf
         self._write_error = ""
@@ -322,6 +325,7 @@
             Id of the request, which the response echoes.
         """
         self.reusable = False
+        self.requests += 1
         self._unforwarded_bytes = 0
         event = h11.Request(method=method, target=path, headers=headers)
         data = self._http.send(event) or b""
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -158,6 +158,11 @@
     return is_other_instance(head) or bool(head.header(names.NOT_EXECUTED))
 
 
+def names_request(head: ResponseHead) -> bool:
+    """Return whether a runner names the request that it answers."""
+    return bool(head.header(names.REQUEST_ID))
+
+
 def is_other_instance(head: ResponseHead) -> bool:
     """Return whether another instance answered than the one the request names."""
     return head.status == 421
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -381,6 +381,9 @@
         head = attempt.head
         assert head is not None
         if wire.not_executed(head):
+            if attempt.link.requests > 1 and not wire.names_request(head):
+                # It may repeat the refusal of an earlier request.
+                return Lost("a refusal that names no request on a kept connection")
             replaced = wire.is_other_instance(head)
             return NotRun(f"status {head.status}", replaced, wire.instance(head))
         if self._is_stream(forwarded, head):
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -27,15 +27,20 @@
     down_seconds: float
 
 
-Step = bytes | float | Crash | None
+@dataclass(frozen=True)
+class Close:
+    """The runner closes the connection in an orderly way."""
+
+
+Step = bytes | float | Crash | Close | None
 Script = Callable[[ReceivedRequest, int], list[Step]]
 
 
 class PlatformRunner:
     """Executes a script for each request.
 
-    A step is bytes to send, seconds to wait, None to reset the connection, or a crash
-    of the whole runner.
+    A step is bytes to send, seconds to wait, None to reset the connection, ``Close`` to
+    close it, or a crash of the whole runner.
 
     Parameters
     ----------
@@ -118,6 +123,9 @@
                     )
                     sock.close()
                     return
+                if isinstance(step, Close):
+                    sock.shutdown(socket.SHUT_RDWR)
+                    return
                 if isinstance(step, Crash):
                     self.crash(step.down_seconds)
                     return
