Count an error that follows a begun stream as a failed attempt

What callers saw here: a stream that had begun was cut although another runner could have gone on with it, and the log had no line of its end. Cause: the next runner's error was passed on as an answer; the HTTP layer refused a second head on the connection with an exception that nothing handled. Change: after a stream has begun, an answer that is no stream is a failed attempt; another runner is tried within the limits, else the stream is broken off and logged as failed.

--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -393,6 +393,8 @@
             return Streamed()
         if 200 <= head.status < 300 and not wire.has_signature(head):
             return Lost("a successful status without a signature")
+        if forwarded.answer_begun:
+            return Lost(f"status {head.status} after the stream had begun")
         return Whole(head, b"".join(attempt.body_parts))
 
     def _first_byte_deadline(self, forwarded: ForwardedRequest) -> float:
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -60,6 +60,28 @@
         assert setup.ask("/unsafe/1", "POST").endswith(b"hello")
 
 
+@pytest.mark.parametrize("status", ["500 Error", "404 Not Found", "503 Full"])
+def test_an_error_of_the_next_runner_does_not_end_up_in_a_stream(status: str) -> None:
+    """Clients found an error's text in their stream, or a stream that looked whole."""
+
+    def broken_then_failing(seen: ReceivedRequest, number: int) -> list[Step]:
+        if "last-event-id" not in seen.headers:
+            return streaming(0, 1, whole=False)(seen, number)
+        return [build_response(seen, status, b"error text")]
+
+    with run_entry(broken_then_failing, broken_then_failing) as setup:
+        data = setup.ask("/stream/1", "POST", body=b"x")
+        assert status_of(data) == 200
+        assert data.count(b"HTTP/1.1") == 1
+        assert b"piece 1" in data
+        assert b"error text" not in data
+        assert not data.endswith(b"0\r\n\r\n")
+        assert "failed" in [kind for kind, _, _ in setup.log.decisions]
+        for runner in setup.runners:
+            runner.script = good
+        assert setup.ask().endswith(b"hello")
+
+
 @pytest.mark.parametrize(
     "head",
     [
