soak: let runners crash, ask for less and get deadly prompts; overlapping series

Change: runners crash, name limits, say that they leave (a new instance under the same id follows), reject with Retry-After, and end under a prompt part; soak/runner_rules.py checks what reaches them then. A host counts as told once its caller has got such an answer, and is excused for 3 s after a fault or restart. SIGTERM, SIGHUP and changes of the configuration also come in series that overlap.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -14,6 +14,7 @@
 from soak.deployment import Deployment
 from soak.hosts import Host
 from soak.oracle import ReceivedResponse, SentRequest
+from soak.runners import LEAVING_HEADER, LIMIT_HEADER, RUNNER_HEADER
 
 REQUEST_KINDS: Final = ("safe", "unsafe", "stream", "stream", "fixed")
 # Maximum number of events and of prompt tokens of a streamed request.
@@ -21,6 +22,8 @@
 MAX_PROMPT_TOKENS: Final = 120
 # Deadline that a caller sends; its socket times out after twice this time.
 DEADLINE_SECONDS: Final = 2.5
+DEADLY_SHARE: Final = 0.1
+"""Share of the streamed requests with a deadly part, while there is one."""
 MEAN_PAUSE_SECONDS: Final = 0.05
 """Mean pause between two requests of a caller."""
 
@@ -53,7 +56,7 @@
 
     def _send_one(self, connection: http.client.HTTPConnection, host: Host) -> bool:
         """Send one request; return False if the connection can't be used again."""
-        request = self._next_request()
+        request = self._next_request(host)
         self._deployment.oracle.requests_by_id[request.id] = request
         received = self._exchange(connection, host, request)
         self._deployment.oracle.check_response(request, received)
@@ -61,16 +64,19 @@
             bool(received.status) and received.complete and connection.sock is not None
         )
 
-    def _next_request(self) -> SentRequest:
+    def _next_request(self, host: Host) -> SentRequest:
         self._count += 1
         kind = self._random.choice(REQUEST_KINDS)
         is_stream = kind in ("stream", "fixed")
+        deadly = self._random.random() < DEADLY_SHARE
         return SentRequest(
             f"{self._name}-{self._count}",
             self._random.choice(sorted(self._deployment.oracle.prepaid_by_workspace)),
             kind,
             self._random.randint(1, MAX_PROMPT_TOKENS) if is_stream else 0,
             self._random.randint(1, MAX_EVENTS) if is_stream else 0,
+            (host.name, host.process_number),
+            self._deployment.deadly_part if is_stream and deadly else "",
         )
 
     def _exchange(
@@ -82,6 +88,7 @@
             connection.request("POST", f"/{request.kind}/x", b"", _headers(request))
             response = connection.getresponse()
             status = response.status
+            self._record_passed_on(request, response)
             body, complete = response.read(), True
         except http.client.IncompleteRead as error:
             body = error.partial
@@ -90,6 +97,18 @@
         graceful = host.stopping and undisturbed_before and host.undisturbed
         return ReceivedResponse(status, body, complete, host.name, graceful)
 
+    def _record_passed_on(
+        self, request: SentRequest, response: http.client.HTTPResponse
+    ) -> None:
+        """Record what a runner has asked for in an answer that a host passed on."""
+        name = response.getheader(RUNNER_HEADER)
+        if name is not None:
+            self._deployment.runners_by_name[name].passed_on(
+                request.process,
+                response.getheader(LIMIT_HEADER) is not None,
+                response.getheader(LEAVING_HEADER) is not None,
+            )
+
 
 def _headers(request: SentRequest) -> dict[str, str]:
     headers = {
@@ -101,4 +120,8 @@
     if request.events:
         tokens = f"{request.prompt_tokens},{request.events * 2}"
         headers["X-Godwitrudder-Token-Count"] = tokens
+        parts = ["all", request.workspace, request.deadly_part, request.id]
+        headers["X-Godwitrudder-Prefix-Hash"] = ",".join(
+            f"{part}:10" for part in parts if part
+        )
     return headers
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.deployment import Deployment
 from soak.hosts import Host
 from soak.proxy import Cut
+from soak.runners import DOWN_SECONDS, SoakRunner
 
 PAUSE_RANGE_SECONDS: Final = (0.1, 0.8)
 """Lowest and highest time between the starts of two faults."""
@@ -22,6 +23,16 @@
 The range has values below and above the 1.2 s after which a host counts its store as
 silent.
 """
+LIMIT_RANGE_SECONDS: Final = (4.0, 8.0)
+"""Shortest and longest time for which a runner names a limit, or requests have a deadly
+part: hosts have 3 s to adapt."""
+REST_RANGE_SECONDS: Final = (0.6, 3.0)
+# Requests per second that a runner names as its limit.
+LIMITS: Final = (0.5, 1.0, 4.0, 10.0)
+MAX_SERIES: Final = 6
+"""Most signals or changes in a series."""
+SERIES_PAUSE_SECONDS: Final = 0.4
+"""Longest pause between two of them."""
 # Fraction of the appends whose answer is lost while the fault lasts.
 LOST_ANSWER_SHARE: Final = 0.4
 
@@ -58,6 +69,13 @@
             self._forget,
             self._topup,
             self._reload,
+            self._stop_series,
+            self._change_series,
+            self._crash_runner,
+            self._limit_runner,
+            self._rest_runner,
+            self._replace_runner,
+            self._send_deadly_parts,
         ]
 
     def run(self) -> None:
@@ -70,7 +88,8 @@
 
     def wait_until_ended(self) -> None:
         """Wait until all faults have ended."""
-        gevent.joinall(self._tasks, raise_error=True)
+        for task in self._tasks:  # a fault may start others
+            task.get()
 
     def _host(self) -> Host:
         return self._random.choice(self._deployment.hosts)
@@ -150,3 +169,55 @@
 
     def _reload(self) -> None:
         self._host().signal(signal.SIGHUP)
+
+    def _stop_series(self) -> None:
+        """Stop several hosts one after the other; their grace periods overlap."""
+        for _ in range(self._random.randint(2, MAX_SERIES)):
+            self._tasks.append(gevent.spawn(self._term))
+            self._reload()
+            gevent.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+
+    def _change_series(self) -> None:
+        for _ in range(self._random.randint(2, MAX_SERIES)):
+            self._topup()
+            self._reload()
+            gevent.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+
+    def _runner(self) -> SoakRunner:
+        return self._random.choice(self._deployment.runners)
+
+    def _crash_runner(self) -> None:
+        self._runner().crash(DOWN_SECONDS)
+
+    def _limit_runner(self) -> None:
+        runner = self._runner()
+        if runner.limit is None:
+            runner.limit = self._random.choice(LIMITS)
+            gevent.sleep(self._random.uniform(*LIMIT_RANGE_SECONDS))
+            runner.limit = None
+            self._deployment.rules.limit_ended(runner.name)
+
+    def _rest_runner(self) -> None:
+        runner = self._runner()
+        if not runner.rest_seconds:
+            runner.rest_seconds = round(self._random.uniform(*REST_RANGE_SECONDS), 1)
+            self._wait_for_duration()
+            runner.rest_seconds = 0.0
+
+    def _replace_runner(self) -> None:
+        """Let a runner say that it leaves; a new instance under its id follows."""
+        runner = self._runner()
+        if not runner.leaving:
+            runner.leaving = True
+            self._wait_for_duration()
+            runner.crash(DOWN_SECONDS)
+            runner.leaving = False
+            runner.born += 1
+            self._deployment.rules.instance_replaced(runner.name)
+            self._deployment.list_runner(runner)
+
+    def _send_deadly_parts(self) -> None:
+        if not self._deployment.deadly_part:
+            self._deployment.deadly_part = f"deadly-{len(self.injected)}"
+            gevent.sleep(self._random.uniform(*LIMIT_RANGE_SECONDS))
+            self._deployment.deadly_part = ""
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -48,6 +48,8 @@
     was_ready : bool
         Whether a readiness check of this process has succeeded.  Before that, a signal
         may end the process with any status, because it has accepted no request.
+    process_number : int
+        Number of processes started so far.
     """
 
     def __init__(self, name: str, directory: Path, store: Address, port: int) -> None:
@@ -56,6 +58,8 @@
         self.proxy = Proxy(store)
         self.stopping = False
         self.was_ready = False
+        self.process_number = 0
+        self._started_at = 0.0
         self._last_fault_at = 0.0
         self._ready_port = port + 1
         self._peer_port = free_datagram_port()
@@ -97,6 +101,12 @@
         """Whether the host had no recent fault; a graceful stop is not a fault."""
         return time.monotonic() - self._last_fault_at > UNDISTURBED_AFTER_SECONDS
 
+    @property
+    def excused(self) -> bool:
+        """Whether a recent fault or restart excuses what runners see of the host."""
+        age = time.monotonic() - self._started_at
+        return not self.undisturbed or age < UNDISTURBED_AFTER_SECONDS
+
     def record_fault(self) -> None:
         """Record that a fault affects the host now."""
         self._last_fault_at = time.monotonic()
@@ -105,6 +115,8 @@
         """Start a new process."""
         self.stopping = False
         self.was_ready = False
+        self.process_number += 1
+        self._started_at = time.monotonic()
         with self._log.open("ab") as output:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", "godwitrudder.process.entry_main"],
