godwitctl: name quarantined prompts and rate limits as causes

Cause: both showed as 'refused otherwise' and 'no runner', so an operator could not tell a quarantine or a limit from a lack of runners. causes and explain name them now. Tests of both commands hold the new cases.

--- a/godwitrudder/ctl/causes.py
+++ b/godwitrudder/ctl/causes.py
@@ -20,6 +20,7 @@
     SLOW_SECONDS,
     Decision,
     LineCounts,
+    at_rate_limits,
     read_decisions,
 )
 from godwitrudder.ctl.settings import CtlSettings
@@ -39,11 +40,19 @@
     CUT_ELSEWHERE = "cut: tokens elsewhere"
     CUT_SPENT = "cut: budget spent"
     NO_RUNNER = "no runner"
+    RATE_LIMITED = "runners at their rate limits"
+    QUARANTINED = "prompt quarantined"
     OTHER_REFUSAL = "refused otherwise"
     RUNNER_FAILED = "runner failed"
     CALLER_LEFT = "caller left"
 
 
+CAUSE_BY_REASON: Final = {
+    "no_runner": Cause.NO_RUNNER,
+    "prompt_quarantined": Cause.QUARANTINED,
+}
+
+
 def request_causes(
     decisions: Iterable[Decision], late_seconds: float
 ) -> Iterator[tuple[float, Cause]]:
@@ -57,14 +66,21 @@
         Time to the first event above which an answer counts as late.
     """
     shortages: dict[str, Decision] = {}
+    limited: set[str] = set()
     for decision in decisions:
         if decision.kind == "no_tokens":
             shortages[decision.request] = decision
+        elif at_rate_limits(decision):
+            limited.add(decision.request)
         elif decision.kind == "caller_gone":
             yield decision.wall, Cause.CALLER_LEFT
         elif decision.kind in FINAL_KINDS:
             shortage = shortages.pop(decision.request, None)
-            yield decision.wall, _cause(decision, shortage, late_seconds)
+            cause = _cause(decision, shortage, late_seconds)
+            if cause is Cause.NO_RUNNER and decision.request in limited:
+                cause = Cause.RATE_LIMITED
+            limited.discard(decision.request)
+            yield decision.wall, cause
 
 
 def _cause(end: Decision, shortage: Decision | None, late_seconds: float) -> Cause:
@@ -77,8 +93,7 @@
         return _shortage_cause(shortage)
     if int(end.inputs.get("status", 503)) in (400, 401, 403, 404):
         return Cause.NOT_ALLOWED
-    reason = end.inputs.get("reason")
-    return Cause.NO_RUNNER if reason == "no_runner" else Cause.OTHER_REFUSAL
+    return CAUSE_BY_REASON.get(str(end.inputs.get("reason")), Cause.OTHER_REFUSAL)
 
 
 def _shortage_cause(shortage: Decision) -> Cause:
--- a/godwitrudder/ctl/decision_log.py
+++ b/godwitrudder/ctl/decision_log.py
@@ -106,11 +106,26 @@
     return _explain_answered(decisions, end)
 
 
+def at_rate_limits(decision: Decision) -> bool:
+    """Whether no runner was chosen since rate limits left no room at any of them."""
+    inputs = decision.inputs
+    return (
+        decision.kind == "place"
+        and inputs.get("permitted") == 0
+        and inputs.get("candidates", 0) > 0
+    )
+
+
 def _explain_refused(decisions: list[Decision], end: Decision) -> Explanation:
     shortage = _last(decisions, "no_tokens")
     if shortage is None:
         attempt = _last(decisions, "attempt")
         reason = str(end.inputs.get("reason"))
+        if reason == "prompt_quarantined":
+            return Explanation("runners ended under a part of its prompt", end)
+        place = _last(decisions, "place")
+        if place is not None and at_rate_limits(place):
+            return Explanation("all its runners were at their rate limits", place)
         return Explanation(f"refused: {reason}", attempt or end)
     inputs = shortage.inputs
     if inputs.get("exhausted"):
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -33,6 +33,17 @@
     (refusal(silent=0.1, **SHORT), Cause.ELSEWHERE),
     (refusal(silent=0.1, **{**SHORT, "exhausted": True}), Cause.SPENT),
     ([log_line(1.0, "refused", reason="no_runner", status=503)], Cause.NO_RUNNER),
+    (
+        [log_line(1.0, "refused", reason="prompt_quarantined", status=503)],
+        Cause.QUARANTINED,
+    ),
+    (
+        [
+            log_line(1.0, "place", candidates=3, permitted=0, runner=None),
+            log_line(1.0, "refused", reason="no_runner", status=503),
+        ],
+        Cause.RATE_LIMITED,
+    ),
     ([log_line(1.0, "refused", reason="unknown", status=404)], Cause.NOT_ALLOWED),
     ([log_line(1.0, "failed")], Cause.RUNNER_FAILED),
     ([log_line(1.0, "caller_gone")], Cause.CALLER_LEFT),
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -55,6 +55,17 @@
         ],
         "answered; runner i-1 took 4.0 s",
     ),
+    (
+        [log_line(1.0, "refused", reason="prompt_quarantined")],
+        "runners ended under a part of its prompt",
+    ),
+    (
+        [
+            log_line(1.0, "place", candidates=2, permitted=0, runner=None),
+            log_line(1.1, "refused", reason="no_runner"),
+        ],
+        "all its runners were at their rate limits",
+    ),
     ([PLACED], "no final decision: its process stopped, or log lines are missing"),
 ]
 
