soak: a runner's rest ends with its instance

Change: a new instance ends the rest in the check, as it does with leaving; the entry has decided so from the start. The test of the check holds both sides.

--- a/soak/runner_rules.py
+++ b/soak/runner_rules.py
@@ -72,6 +72,8 @@
         """Record that a new instance has the runner's id."""
         for key in [key for key in self._leaving_at if key[0] == runner]:
             del self._leaving_at[key]
+        for key in [key for key in self._rests if key[0] == runner]:
+            del self._rests[key]
 
     def rest_asked(self, runner: str, process: Process, seconds: float) -> None:
         """Record a rejection that names a time."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -139,6 +139,9 @@
     assert not found
     rules.arrived("i-0", PROCESS, None)
     assert len(found) == 1
+    rules.instance_replaced("i-0")
+    rules.arrived("i-0", PROCESS, None)
+    assert len(found) == 1
 
 
 def test_a_fourth_deadly_request_after_five_crashes_is_a_violation(
