soak: start one process a host when faults overlap

Trace (kills, stops and series only, every 0.02 to 0.2 s): two faults restarted one host at the same time, since starting a process lets others run; the second process found the port in use and ended with status 1, or was signalled before it had a handler, and the first one was left over. So the fault was the soak's. Change: a host is claimed by one fault from its kill or stop until its new process stands. Not changed: a SIGHUP that comes before Python has begun to run our code ends the process, as the system decides.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -105,8 +105,9 @@
             self._kill_and_start(host)
 
     def _kill_and_start(self, host: Host) -> None:
-        if host.stopping:
+        if host.restarting:
             return
+        host.restarting = True
         host.kill()
         host.start()
 
@@ -120,8 +121,9 @@
 
     def _term(self) -> None:
         host = self._host()
-        if host.stopping:
+        if host.restarting:
             return
+        host.restarting = True
         host.check_ready()
         status = host.stop()
         if host.was_ready and status not in (0, -signal.SIGKILL):
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -45,6 +45,8 @@
     ----------
     stopping : bool
         Whether the process has received SIGTERM and has not been restarted.
+    restarting : bool
+        Whether a fault is ending the process and will start another one.
     was_ready : bool
         Whether a readiness check of this process has succeeded.  Before that, a signal
         may end the process with any status, because it has accepted no request.
@@ -57,6 +59,7 @@
         self.caller_address = Address(IP, port)
         self.proxy = Proxy(store)
         self.stopping = False
+        self.restarting = False
         self.was_ready = False
         self.process_number = 0
         self._started_at = 0.0
@@ -112,18 +115,18 @@
         self._last_fault_at = time.monotonic()
 
     def start(self) -> None:
-        """Start a new process."""
-        self.stopping = False
-        self.was_ready = False
-        self.process_number += 1
-        self._started_at = time.monotonic()
+        """Start a new process; other greenlets run meanwhile."""
         with self._log.open("ab") as output:
-            self._process = subprocess.Popen(
+            process = subprocess.Popen(
                 [sys.executable, "-m", "godwitrudder.process.entry_main"],
                 stdout=output,
                 stderr=output,
                 env={**os.environ, names.SETTINGS_VARIABLE: str(self._settings)},
             )
+        self._process = process
+        self.process_number += 1
+        self._started_at = time.monotonic()
+        self.stopping = self.restarting = self.was_ready = False
 
     def wait_ready(self) -> None:
         """Wait until the process is ready for callers."""
