--- a/godwitrudder/ctl/decision_log.py
+++ b/godwitrudder/ctl/decision_log.py
@@ -107,7 +107,7 @@
 
 
 def at_rate_limits(decision: Decision) -> bool:
-    """Whether no runner was chosen since rate limits left no room at any of them."""
+    """Whether a request found no runner with room under its rate limit."""
     inputs = decision.inputs
     return (
         decision.kind == "place"
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -223,7 +223,7 @@
         candidate = Candidate(entry)
         former = self._former_by_id.pop(entry.id, None)
         if former is not None:
-            candidate.keep_requests_of(former)
+            candidate.carry_over(former)
         self.candidates_by_target.setdefault(entry.target, {})[entry.id] = candidate
         self._target_by_id[entry.id] = entry.target
 
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -208,7 +208,7 @@
                 attempt.head = event
                 self._apply_load_report(attempt.candidate, event)
                 if not wire.is_other_instance(event):
-                    self._apply_requests(attempt, event)
+                    self._apply_directives(attempt, event)
             elif isinstance(event, bytes):
                 self._handle_data(forwarded, attempt, event)
             elif isinstance(event, End):
@@ -312,8 +312,8 @@
         elif load is not None:
             candidate.reported(load.running, load.waiting, time.monotonic())
 
-    def _apply_requests(self, attempt: Attempt, head: ResponseHead) -> None:
-        """Apply what a runner asks of this host, or of all hosts, in its answer."""
+    def _apply_directives(self, attempt: Attempt, head: ResponseHead) -> None:
+        """Apply the directives to hosts in a runner's answer."""
         self._apply_rate_limit(attempt, head)
         if wire.is_leaving(head):
             self._on_leaving(attempt.candidate)
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -148,7 +148,7 @@
         """Send the runner nothing for a time that it has named."""
         self.rests_until = max(self.rests_until, now + seconds)
 
-    def keep_requests_of(self, former: Candidate) -> None:
+    def carry_over(self, former: Candidate) -> None:
         """Respect what the same instance asked for under a former entry."""
         if former.entry.started_ms == self.entry.started_ms:
             self.said_leaving = former.said_leaving
