Send no request whose prompt was quarantined while its connection was opened

What callers saw: a third runner could end under a part that two crashes had blamed already. Cause: a request is admitted before its connection is opened, which may take 0.4 s, and only attempts that had a connection were ended when a part was blamed. Change: the quarantine is asked once more when the connection is open, as the runner's entry is; a trial that the quarantine allows still goes. Measured: the new test failed before (502 instead of 503, three runners ended); the tests of poison requests, the quarantine and runners' entries pass. Found by reading, seen in no play.

--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -69,6 +69,10 @@
         """Return whether a request with these parts may be sent to a runner."""
         return self._quarantine.admit(parts, time.time())
 
+    def holds(self, parts: Collection[str]) -> bool:
+        """Return whether not even a trial with these parts is allowed now."""
+        return self._quarantine.held_seconds(parts, time.time()) > 0
+
     @contextmanager
     def admitted(
         self, parts: Collection[str], max_wait: float
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -131,11 +131,11 @@
             candidate.unreachable(now)
             self._log_attempt(forwarded, candidate, link, now, 0)
             return NotRun(link)
-        if not candidate.may_be_used:
-            # It has left while the connection was being opened.
+        obstacle = self._obstacle(forwarded, candidate)
+        if obstacle is not None:
             link.close()
-            self._log_attempt(forwarded, candidate, "left", now, 0)
-            return NotRun("the runner has left")
+            self._log_attempt(forwarded, candidate, obstacle, now, 0)
+            return NotRun(obstacle)
         attempt = Attempt(candidate, link, now, forwarded.shared_parts)
         self._count_at_runner(forwarded, attempt)
         try:
@@ -145,6 +145,16 @@
         self._record_evidence(attempt)
         return attempt.result
 
+    def _obstacle(
+        self, forwarded: ForwardedRequest, candidate: Candidate
+    ) -> str | None:
+        """Return what came up while the connection was opened, None if nothing."""
+        if not candidate.may_be_used:
+            return "the runner has left"
+        if self._quarantine.holds(forwarded.shared_parts):
+            return "the prompt was quarantined"
+        return None
+
     def _record_evidence(self, attempt: Attempt) -> None:
         """Record what the end of an attempt says about the parts of its prompt."""
         result, parts = attempt.result, attempt.shared_parts
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -219,6 +219,19 @@
             return Free()
         return OnTrial() if self._on_trial(suspect, now) else Trial(suspect)
 
+    def held_seconds(self, parts: Collection[str], now: float) -> float:
+        """Return the seconds until a request with these parts may be tried."""
+        held_until = max(
+            (
+                self._until(part)
+                for part in parts
+                if part in self._blame_by_part
+                and not self._has_alternative(part, parts)
+            ),
+            default=now,
+        )
+        return max(0.0, held_until - now)
+
     def begin_trial(self, parts: Iterable[str], now: float) -> None:
         """Hold other requests with these parts back until the outcome is known."""
         for part in parts:
@@ -232,16 +245,9 @@
     def _admit_blamed(
         self, parts: Collection[str], blamed: list[str], now: float
     ) -> Verdict:
-        held_until = max(
-            (
-                self._until(part)
-                for part in blamed
-                if not self._has_alternative(part, parts)
-            ),
-            default=now,
-        )
-        if held_until > now:
-            return Quarantined(held_until - now)
+        seconds = self.held_seconds(parts, now)
+        if seconds > 0:
+            return Quarantined(seconds)
         if self._on_trial(blamed, now):
             return Quarantined(TRIAL_RETRY_SECONDS)
         return Trial(tuple(blamed))
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from contextlib import ExitStack
 from typing import Any
 
 import gevent
 import pytest
 
+from godwitrudder.connection.http import RunnerLink
+from godwitrudder.validation import Address
 from standins.platform_runner import Crash, ReceivedRequest, Step
 from tests.entry_setup import (
     EntrySetup,
@@ -142,6 +145,29 @@
         assert crashes(fleet) == 2
 
 
+def test_a_part_blamed_during_a_connect_reaches_no_runner() -> None:
+    """Two runners end while a third request with the part opens its connection."""
+    with run_fleet(1, *[crashing] * 4) as fleet:
+        entry = fleet.hosts[0].entry
+        pool, take = entry.pool, entry.pool.take
+
+        def take_late(runner: str, address: Address) -> RunnerLink | str:
+            pool.take = take  # type: ignore[method-assign]
+            for candidate in entry.directory.candidates("s"):
+                if candidate.entry.id == runner:
+                    candidate.ejected_until = time.monotonic() + 60.0
+            gevent.sleep(0.4)
+            return take(runner, address)
+
+        pool.take = take_late  # type: ignore[method-assign]
+        connecting = gevent.spawn(ask, fleet, 0, 9, DEADLY)
+        gevent.sleep(0.05)
+        ask(fleet, 0, 1, DEADLY)
+        assert crashes(fleet) == 2
+        assert connecting.get(timeout=1.0) == 503
+        assert crashes(fleet) == 2
+
+
 def test_an_answer_without_length_that_a_crash_ends_is_evidence() -> None:
     """The end of the connection ends such an answer; it had no event yet."""
 
