Send nothing to a runner that rests since its connection was opened

What operators could see: a request reached a runner after the runner had told the host to rest. Cause: the rest was looked at when the runner was chosen, not when the connection stood, up to 0.4 s later. Change: it is looked at once more, like the runner's entry. Measured: the new test failed before (200, the runner got the request); the six tests of resting runners pass.

--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -151,6 +151,8 @@
         """Return what came up while the connection was opened, None if nothing."""
         if not candidate.may_be_used:
             return "the runner has left"
+        if time.monotonic() < candidate.rests_until:
+            return "the runner rests"
         if self._quarantine.holds(forwarded.shared_parts):
             return "the prompt was quarantined"
         return None
--- a/tests/test_resting_runner.py
+++ b/tests/test_resting_runner.py
@@ -6,6 +6,8 @@
 
 import gevent
 
+from godwitrudder.connection.http import RunnerLink
+from godwitrudder.validation import Address
 from standins.platform_runner import ReceivedRequest, Script, Step, build_response
 from tests.entry_setup import good, rejecting, run_entry, status_of
 
@@ -36,6 +38,20 @@
         assert status_of(setup.ask()) == 200
 
 
+def test_a_runner_that_rests_during_a_connect_gets_no_request() -> None:
+    with run_entry(good) as setup:
+        candidate = setup.entry.directory.candidates("s")[0]
+        take = setup.entry.pool.take
+
+        def take_late(runner: str, address: Address) -> RunnerLink | str:
+            candidate.rest(1.0, time.monotonic())
+            return take(runner, address)
+
+        setup.entry.pool.take = take_late  # type: ignore[method-assign]
+        assert status_of(setup.ask()) == 503
+        assert not setup.runners[0].received_requests
+
+
 def test_callers_are_served_by_the_other_runners() -> None:
     with run_entry(resting("30"), good) as setup:
         assert [status_of(setup.ask()) for _ in range(10)] == [200] * 10
