Suspect a prompt part that two runners ended under since its last answer

What callers saw: a prompt that had been answered a moment ago, and that ends runners from now on (as after a new engine version), ended runner after runner. Cause: a part was no suspect for 10 s after a sound answer, whatever happened since. Change: each host counts the runners that ended under a part since its last answer; from the second on the part is a suspect like others, and four separate crashes blame it as before. An answer anywhere in the fleet still clears it, so that first parts that all requests share stay free.

--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -114,10 +114,11 @@
         age : float
             Seconds since the request was sent to the runner.
         """
+        now = time.time()
+        self._quarantine.record_end(runner, parts, now)
         suspects = self.suspects(parts)
         self._log.note("runner_crashed", runner=runner, parts=suspects)
         if suspects:
-            now = time.time()
             crash = Crash(runner, now, dict.fromkeys(suspects, now - age), own=True)
             self._record_crash(crash)
             self._broadcast(CrashReport(self._host, runner, names(suspects), age))
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -166,8 +166,7 @@
             self._quarantine.record_answer(parts)
         elif isinstance(result, Lost) and not attempt.aborted:
             unanswered = attempt.events < ANSWERED_EVENTS
-            suspects = self._quarantine.suspects(parts)
-            if unanswered and suspects and self._has_ended(attempt.candidate):
+            if unanswered and parts and self._has_ended(attempt.candidate):
                 age = time.monotonic() - attempt.began_at
                 runner = attempt.candidate.entry.id
                 self._quarantine.record_crash(runner, parts, age)
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -29,6 +29,8 @@
 """Crashes that blame a part that was answered before, but not for a while."""
 ANSWER_TRUST_SECONDS: Final = 10.0
 """Time after a sound answer in which its parts are no suspects."""
+TRUSTED_PART_CRASHES: Final = 1
+"""Runners that may end under such a part since its answer before it is a suspect."""
 SAME_CRASH_SECONDS: Final = 6.0
 """Time within which reports of one runner are of one crash; a runner takes some seconds
 to return."""
@@ -133,6 +135,7 @@
     delay_share: float = 0.0
     _crashes: list[Crash] = field(default_factory=list)
     _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    _ends_by_part: dict[str, dict[str, float]] = field(default_factory=dict)
     _trial_until_by_part: dict[str, float] = field(default_factory=dict)
     _blame_by_part: dict[str, Blame] = field(default_factory=dict)
 
@@ -140,9 +143,18 @@
         """Return the parts that may have ended a runner that did not answer them."""
         since = now - ANSWER_TRUST_SECONDS
         return tuple(
-            part for part in parts if self._answered_at.get(part, -math.inf) < since
+            part
+            for part in parts
+            if self._answered_at.get(part, -math.inf) < since
+            or len(self._ends_by_part.get(part, ())) > TRUSTED_PART_CRASHES
         )
 
+    def record_end(self, runner: str, parts: Iterable[str], at: float) -> None:
+        """Record that a runner ended under parts, whether or not they are suspects."""
+        for part in parts:
+            if self._answered_at.get(part, math.inf) < at:
+                self._ends_by_part.setdefault(part, {})[runner] = at
+
     def answered_at(self, part: str) -> float | None:
         """Return the Unix seconds of the last sound answer on a part, if any."""
         return self._answered_at.get(part)
@@ -161,6 +173,7 @@
     def record_crash(self, seen: Crash, now: float) -> set[str]:
         """Record that a runner ended; return the parts that are newly blamed."""
         at = min(seen.at, now)
+        self.record_end(seen.runner, seen.sent_at_by_part, at)
         unanswered = {
             part: min(sent_at, at)
             for part, sent_at in seen.sent_at_by_part.items()
@@ -197,10 +210,12 @@
             self._answered_at[part] = at
             self._answered_at.move_to_end(part)
             self._trial_until_by_part.pop(part, None)
+            self._forget_ends(part, at)
             if self._clear(part, at):
                 cleared.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
-            self._answered_at.popitem(last=False)
+            forgotten, _ = self._answered_at.popitem(last=False)
+            self._ends_by_part.pop(forgotten, None)
         if cleared:
             self._crashes = [each for each in self._crashes if each.sent_at_by_part]
             self._update_blame()
@@ -276,6 +291,13 @@
             part in crash.sent_at_by_part for crash in self._crashes
         )
 
+    def _forget_ends(self, part: str, until: float) -> None:
+        """Forget the runners that ended under a part until a sound answer on it."""
+        ends = self._ends_by_part.pop(part, {})
+        later = {runner: at for runner, at in ends.items() if at > until}
+        if later:
+            self._ends_by_part[part] = later
+
     def _clear(self, part: str, at: float) -> bool:
         """Take a part out of the crashes before ``at``; return if it was in one."""
         found = [
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -24,7 +24,8 @@
 DEADLY = "dead"
 DOWN_SECONDS = 0.5
 MOST_CRASHES = 5
-"""Crashes after which no more than three such requests may reach a runner."""
+"""Crashes after which no more than ``MORE_REQUESTS`` may reach a runner."""
+MORE_REQUESTS = 3
 
 
 def crashing(seen: ReceivedRequest, number: int) -> list[Step]:
@@ -79,6 +80,30 @@
         assert ask(fleet, 1, 99, "b1", DEADLY) == 503
 
 
+@pytest.mark.parametrize("lending", [True, False])
+def test_a_part_that_was_sound_until_a_moment_ago_is_quarantined(lending: bool) -> None:
+    """Its last sound answers protected it for 10 s, while runner after runner ended."""
+    harmful = False
+
+    def turning(seen: ReceivedRequest, number: int) -> list[Step]:
+        return (crashing if harmful else streaming(0, 1))(seen, number)
+
+    with run_fleet(3, *[turning] * 6, lending=lending) as fleet:
+        assert [ask(fleet, n % 3, n, "b1", DEADLY) for n in range(6)] == [200] * 6
+        harmful = True
+        crashes_by_round = []
+        for number in range(12):
+            ask(fleet, number % 3, 100 + number, "b1", DEADLY)
+            assert ask(fleet, number % 3, 200 + number) == 200
+            assert ask(fleet, number % 3, 300 + number, "b1") == 200
+            crashes_by_round.append(crashes(fleet))
+            gevent.sleep(0.3)
+        if lending:
+            assert crashes_by_round[-1] <= MOST_CRASHES + MORE_REQUESTS
+        assert crashes_by_round[7] == crashes_by_round[-1]
+        assert ask(fleet, 0, 400, "b1", DEADLY) == 503
+
+
 def test_a_host_that_starts_later_knows_the_quarantine() -> None:
     """It reads the crashes from the statements; no peer reaches it."""
     with ExitStack() as stack:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -185,3 +185,15 @@
         quarantine.record_crash(seen, 10.0 + number)
     assert 0 < len(quarantine.own_crashes()) <= MAX_CRASHES
     assert all(each.own for each in quarantine.own_crashes())
+
+
+def test_a_part_is_suspect_once_two_runners_ended_since_its_answer() -> None:
+    quarantine = Quarantine()
+    quarantine.record_answer(["was-sound"], 10.0)
+    quarantine.record_end("i-1", ["was-sound"], 11.0)
+    quarantine.record_end("i-1", ["was-sound"], 11.1)
+    assert not quarantine.suspects(["was-sound"], 11.2)
+    quarantine.record_end("i-2", ["was-sound"], 12.0)
+    assert quarantine.suspects(["was-sound"], 12.1) == ("was-sound",)
+    quarantine.record_answer(["was-sound"], 12.2)
+    assert not quarantine.suspects(["was-sound"], 12.3)
