Take a few events without a length for no proof that a prompt is sound

What callers saw: a prompt whose runner ended after a whole event of an answer without length ended runner after runner. Cause: such an answer looks complete where its connection ends between two events, so it cleared the prompt's parts each time. Change: an answer without length or chunks clears them only from the third event on, as for streams that go on; a shorter one after which the runner's address refuses connections is a crash. Measured: the new case of the test failed before (four runners ended, none blamed), two end now. Found by reading.

--- a/godwitrudder/connection/messages.py
+++ b/godwitrudder/connection/messages.py
@@ -81,3 +81,8 @@
     def header(self, name: bytes) -> bytes:
         """Return a header's value, empty if it is missing."""
         return first_value(self.headers, name)
+
+    @property
+    def framed(self) -> bool:
+        """Whether the body ends by its length or chunks, not with its connection."""
+        return bool(self.header(b"content-length") or self.header(b"transfer-encoding"))
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -79,6 +79,17 @@
         default_factory=lambda: Lost("the caller disconnected")
     )
 
+    @property
+    def is_sound(self) -> bool:
+        """Whether the runner has answered the prompt and did not end under it.
+
+        A few events without a length may be what a crash has left of an answer.
+        """
+        if isinstance(self.result, Streamed):
+            framed = self.head is not None and self.head.framed
+            return framed or self.events >= ANSWERED_EVENTS
+        return isinstance(self.result, Whole) and self.result.head.status < 300
+
     def prompt_read(self) -> None:
         """Stop counting the prompt as pending at the runner."""
         self.candidate.pending_tokens -= self.pending_tokens
@@ -160,13 +171,12 @@
     def _record_evidence(self, attempt: Attempt) -> None:
         """Record what the end of an attempt says about the parts of its prompt."""
         result, parts = attempt.result, attempt.shared_parts
-        if isinstance(result, Streamed) or (
-            isinstance(result, Whole) and result.head.status < 300
-        ):
+        if not parts or attempt.aborted:
+            return
+        if attempt.is_sound:
             self._quarantine.record_answer(parts)
-        elif isinstance(result, Lost) and not attempt.aborted:
-            unanswered = attempt.events < ANSWERED_EVENTS
-            if unanswered and parts and self._has_ended(attempt.candidate):
+        elif isinstance(result, Lost | Streamed) and attempt.events < ANSWERED_EVENTS:
+            if self._has_ended(attempt.candidate):
                 age = time.monotonic() - attempt.began_at
                 runner = attempt.candidate.entry.id
                 self._quarantine.record_crash(runner, parts, age)
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -11,7 +11,7 @@
 
 from godwitrudder.connection.http import RunnerLink
 from godwitrudder.validation import Address
-from standins.platform_runner import Crash, ReceivedRequest, Step
+from standins.platform_runner import Crash, ReceivedRequest, Step, build_event
 from tests.entry_setup import (
     EntrySetup,
     FleetSetup,
@@ -193,8 +193,9 @@
         assert crashes(fleet) == 2
 
 
-def test_an_answer_without_length_that_a_crash_ends_is_evidence() -> None:
-    """The end of the connection ends such an answer; it had no event yet."""
+@pytest.mark.parametrize("events", [0, 1])
+def test_an_answer_without_length_that_a_crash_ends_is_evidence(events: int) -> None:
+    """The end of the connection ends such an answer, perhaps between two events."""
 
     def unframed(seen: ReceivedRequest, number: int) -> list[Step]:
         if DEADLY not in seen.headers["x-godwitrudder-prefix-hash"]:
@@ -205,7 +206,8 @@
             f"X-Godwitrudder-Request-Id: {request_id}\r\n"
             "X-Godwitrudder-Response-Signature: proof\r\n\r\n"
         )
-        return [head.encode(), 0.01, Crash(DOWN_SECONDS)]
+        body = b"".join(build_event(event) for event in range(events))
+        return [head.encode() + body, 0.01, Crash(DOWN_SECONDS)]
 
     with run_fleet(1, *[unframed] * 4) as fleet:
         for number in range(4):
