Keep what a runner asks for with its instance, not with its entry

What operators would see: a runner that had said that it leaves, or to rest, got requests again, or a new instance under the same id got none. Cause: an answer's directives were noted at the entry under which its request had been sent. If that entry expired and returned, or the id got a new instance, before the answer, they went to the wrong one. Change: an attempt remembers the directives of the instance that it was sent to; an entry that returns shares them, a new instance gets its own. Measured: two new tests failed before (200 instead of 503; 503 instead of 200); the 30 tests of leaving and resting runners, placement and runners' entries pass. Found by reading.

--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable
@@ -31,7 +30,7 @@
     Unavailable,
 )
 from godwitrudder.process.decisions import DecisionLog
-from godwitrudder.request.placement import Candidate
+from godwitrudder.request.placement import Candidate, Directives
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 
 CONFIGURATION_POLL_SECONDS: Final = 2.0
@@ -215,7 +214,7 @@
         if known.entry.leaving != entry.leaving:
             self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
         if known.entry.started_ms != entry.started_ms:
-            known.said_leaving, known.rests_until = False, -math.inf
+            known.directives = Directives()
         known.entry = entry
         known.unlisted = known.replaced = False
 
@@ -227,13 +226,6 @@
         self.candidates_by_target.setdefault(entry.target, {})[entry.id] = candidate
         self._target_by_id[entry.id] = entry.target
 
-    def runner_says_it_leaves(self, candidate: Candidate) -> None:
-        """Use the instance no more, whatever its entry says from now on."""
-        if candidate.said_leaving:
-            return
-        candidate.said_leaving = True
-        self._log.note("runner_says_it_leaves", runner=candidate.entry.id)
-
     def runner_replaced(self, candidate: Candidate, instance: str) -> None:
         """Use the instance at a replaced runner's address while the store is silent.
 
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -100,7 +100,6 @@
             log,
             self._metrics,
             self.directory.runner_replaced,
-            self.directory.runner_says_it_leaves,
             quarantine,
             limits,
         )
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -346,7 +346,11 @@
         if candidate is not None:
             self._limits.take(candidate.entry.id)
         else:
-            rests = (each.rests_until - now for each in permitted if each.may_be_used)
+            rests = [
+                each.directives.rests_until - now
+                for each in permitted
+                if each.may_be_used
+            ]
             forwarded.rest_seconds = max(0.0, min(rests, default=0.0))
         self._log.note(
             "place",
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -28,7 +28,7 @@
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.request.event_stream import EventReader
-from godwitrudder.request.placement import Candidate
+from godwitrudder.request.placement import Candidate, Directives
 from godwitrudder.version.catalogue import RouteKind
 
 FIRST_BYTE_TIMEOUT_FACTOR: Final = 2.0
@@ -53,6 +53,8 @@
     ----------
     began_at : float
         Monotonic seconds at which it began.
+    directives : Directives
+        What the instance that it was sent to has asked for.
     pending_tokens : int
         Prompt tokens that the runner still has to read; ``candidate`` counts them.
     shared_parts : tuple of str
@@ -68,6 +70,7 @@
     candidate: Candidate
     link: RunnerLink
     began_at: float
+    directives: Directives
     shared_parts: tuple[str, ...] = ()
     pending_tokens: int = 0
     events: int = 0
@@ -104,8 +107,6 @@
     on_replaced : callable
         Called with a runner that was replaced and the id of the instance that
         answered at its address.
-    on_leaving : callable
-        Called with a runner that says that it leaves.
     """
 
     def __init__(
@@ -114,7 +115,6 @@
         log: DecisionLog,
         metrics: EntryMetrics,
         on_replaced: Callable[[Candidate, str], None],
-        on_leaving: Callable[[Candidate], None],
         quarantine: FleetQuarantine,
         limits: FleetLimits,
     ) -> None:
@@ -124,7 +124,6 @@
         self._attempts: list[Attempt] = []
         quarantine.on_blamed = self._abort
         self._on_replaced = on_replaced
-        self._on_leaving = on_leaving
         self._log = log
         self._metrics = metrics
 
@@ -147,7 +146,9 @@
             link.close()
             self._log_attempt(forwarded, candidate, obstacle, now, 0)
             return NotRun(obstacle)
-        attempt = Attempt(candidate, link, now, forwarded.shared_parts)
+        attempt = Attempt(
+            candidate, link, now, candidate.directives, forwarded.shared_parts
+        )
         self._count_at_runner(forwarded, attempt)
         try:
             self._exchange(forwarded, attempt)
@@ -162,7 +163,7 @@
         """Return what came up while the connection was opened, None if nothing."""
         if not candidate.may_be_used:
             return "the runner has left"
-        if time.monotonic() < candidate.rests_until:
+        if time.monotonic() < candidate.directives.rests_until:
             return "the runner rests"
         if self._quarantine.holds(forwarded.shared_parts):
             return "the prompt was quarantined"
@@ -336,12 +337,14 @@
     def _apply_directives(self, attempt: Attempt, head: ResponseHead) -> None:
         """Apply the directives to hosts in a runner's answer."""
         self._apply_rate_limit(attempt, head)
-        if wire.is_leaving(head):
-            self._on_leaving(attempt.candidate)
+        runner, directives = attempt.candidate.entry.id, attempt.directives
+        if wire.is_leaving(head) and not directives.leaving:
+            directives.leaving = True
+            self._log.note("runner_says_it_leaves", runner=runner)
         seconds = wire.rest_seconds(head)
         if seconds is not None:
-            attempt.candidate.rest(seconds, time.monotonic())
-            self._log.note("rest", runner=attempt.candidate.entry.id, seconds=seconds)
+            directives.rest(seconds, time.monotonic())
+            self._log.note("rest", runner=runner, seconds=seconds)
 
     def _apply_rate_limit(self, attempt: Attempt, head: ResponseHead) -> None:
         runner, limit = attempt.candidate.entry.id, wire.rate_limit(head)
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -66,6 +66,26 @@
     tokens: int
 
 
+@dataclass(slots=True)
+class Directives:
+    """What one instance of a runner has asked of this host in its answers.
+
+    Attributes
+    ----------
+    leaving : bool
+        Whether it has said that it leaves.
+    rests_until : float
+        Time until which it wants no further request.
+    """
+
+    leaving: bool = False
+    rests_until: float = -math.inf
+
+    def rest(self, seconds: float, now: float) -> None:
+        """Send the runner nothing for a time that it has named."""
+        self.rests_until = max(self.rests_until, now + seconds)
+
+
 @dataclass(slots=True)
 class Candidate:
     """A runner as one host knows it.
@@ -86,10 +106,8 @@
         Weighted share of failures, 0 to 1, as of ``failed_at``.
     refused_at : float
         Time at which its address last refused a connection after it had ended one.
-    rests_until : float
-        Time until which it has asked this host for no further request.
-    said_leaving : bool
-        Whether it has said in an answer that it leaves.
+    directives : Directives
+        What the present instance has asked for.
     unlisted : bool
         Whether its entry was removed at a time at which the store may have been away.
         The entry may only have expired, or the runner may have left.
@@ -111,8 +129,7 @@
     refused_at: float = -math.inf
     ejections: int = 0
     ejected_until: float = -math.inf
-    rests_until: float = -math.inf
-    said_leaving: bool = False
+    directives: Directives = field(default_factory=Directives)
     unlisted: bool = False
     replaced: bool = False
     gone: bool = False
@@ -121,7 +138,7 @@
     @property
     def may_be_used(self) -> bool:
         """Whether the runner may get requests, by what its entry and answers say."""
-        leaving = self.entry.leaving or self.said_leaving
+        leaving = self.entry.leaving or self.directives.leaving
         return not (leaving or self.replaced or self.gone)
 
     def reported(self, running: int, waiting: int, now: float) -> None:
@@ -144,15 +161,10 @@
         self.ejected_until = now + seconds
         self.ejections += 1
 
-    def rest(self, seconds: float, now: float) -> None:
-        """Send the runner nothing for a time that it has named."""
-        self.rests_until = max(self.rests_until, now + seconds)
-
     def carry_over(self, former: Candidate) -> None:
-        """Respect what the same instance asked for under a former entry."""
+        """Respect what the same instance asks for under a former entry."""
         if former.entry.started_ms == self.entry.started_ms:
-            self.said_leaving = former.said_leaving
-            self.rests_until = former.rests_until
+            self.directives = former.directives
 
     def failure_share(self, now: float) -> float:
         """Return the share of failures, decayed to now."""
@@ -215,7 +227,7 @@
         for candidate in _trusted(candidates)
         if candidate.entry.id not in excluded
         and candidate.in_flight < connections_most
-        and now >= candidate.rests_until
+        and now >= candidate.directives.rests_until
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
     usable = usable or eligible
--- a/tests/test_leaving_runner.py
+++ b/tests/test_leaving_runner.py
@@ -62,3 +62,30 @@
         list_runner(setup.store, 0, setup.runners[0], born=1_774_000_000_000)
         gevent.sleep(LIST_SECONDS)
         assert status_of(setup.ask()) == 200
+
+
+def test_an_entry_that_returns_before_the_answer_is_of_the_same_instance() -> None:
+    """The answer's directive went to the entry under which the request was sent."""
+
+    def relisted(seen: ReceivedRequest, number: int) -> list[Step]:
+        directory = setup.entry.directory
+        entry = directory.candidates("s")[0].entry
+        directory._drop(entry.id, "expired")
+        directory._add(entry)
+        return leaving(seen, number)
+
+    with run_entry(relisted) as setup:
+        assert status_of(setup.ask()) == 200
+        assert status_of(setup.ask()) == 503
+        assert len(setup.runners[0].received_requests) == 1
+
+
+def test_a_late_answer_of_a_former_instance_does_not_bind_its_successor() -> None:
+    def succeeded(seen: ReceivedRequest, number: int) -> list[Step]:
+        list_runner(setup.store, 0, setup.runners[0], born=1_774_000_000_000)
+        setup.runners[0].script = good
+        return [LIST_SECONDS, *leaving(seen, number)]
+
+    with run_entry(succeeded) as setup:
+        statuses = [status_of(setup.ask("/unsafe/1", "POST")) for _ in range(2)]
+        assert statuses == [200, 200]
--- a/tests/test_resting_runner.py
+++ b/tests/test_resting_runner.py
@@ -44,7 +44,7 @@
         take = setup.entry.pool.take
 
         def take_late(runner: str, address: Address) -> RunnerLink | str:
-            candidate.rest(1.0, time.monotonic())
+            candidate.directives.rest(1.0, time.monotonic())
             return take(runner, address)
 
         setup.entry.pool.take = take_late  # type: ignore[method-assign]
