soak: give no port to two hosts

Trace: one host had ended at its start with "Address already in use" (43713, drawn for another host too), and the run waited for it for ever. Ports were drawn by binding and closing one after the other, so that the system gave some of them twice, or to a proxy. Change: all proxies stand and all ports are held before the first process starts; a host's are given up as it starts.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from contextlib import ExitStack
 from pathlib import Path
 from random import Random
@@ -51,7 +50,7 @@
         self._version = 0
         self._stack = ExitStack()
         self.hosts = [
-            Host(f"front-{number}", directory, self.store.address, _port_pair())
+            Host(f"front-{number}", directory, self.store.address)
             for number in range(hosts)
         ]
         self.hosts_by_name = {host.name: host for host in self.hosts}
@@ -77,6 +76,8 @@
             self.list_runner(runner)
         for host in self.hosts:
             self._stack.enter_context(host)
+        for host in self.hosts:
+            host.start()
         return self
 
     def __exit__(
@@ -136,20 +137,3 @@
         "resumable": kind == "stream",
         "gap_aim_ms": 300,
     }
-
-
-def _port_pair() -> int:
-    """Return a free port whose successor is free too."""
-    while True:
-        port = free_port()
-        if _is_free(port + 1):
-            return port
-
-
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
-            sock.bind((IP, port))
-        except OSError:
-            return False
-        return True
--- a/soak/hosts.py
+++ b/soak/hosts.py
@@ -6,8 +6,10 @@
 import json
 import os
 import signal
+import socket
 import sys
 import time
+from contextlib import ExitStack
 from pathlib import Path
 from types import TracebackType
 from typing import Final, Self
@@ -19,7 +21,6 @@
 from godwitrudder.platform import names
 from godwitrudder.validation import Address
 from soak.proxy import Proxy
-from tests.ports import free_datagram_port
 
 UNDISTURBED_AFTER_SECONDS: Final = 3.0
 """A host counts as undisturbed this long after its last fault."""
@@ -30,7 +31,10 @@
 
 
 class Host:
-    """One host; a context manager that starts and ends its proxy and process.
+    """One host; a context manager that starts its proxy and ends proxy and process.
+
+    The ports of the process stay reserved until it is started, so that no other host
+    is given one of them.
 
     Parameters
     ----------
@@ -38,11 +42,13 @@
         Directory for the settings file and the log of the process.
     store : Address
         Address of the store, which the process reaches through the proxy.
-    port : int
-        Port for callers; the next port serves the readiness check.
 
     Attributes
     ----------
+    caller_address : Address
+        Address for callers.
+    ready_port, peer_port : int
+        Ports for the readiness check and for messages of other hosts.
     stopping : bool
         Whether the process has received SIGTERM and has not been restarted.
     restarting : bool
@@ -54,9 +60,8 @@
         Number of processes started so far.
     """
 
-    def __init__(self, name: str, directory: Path, store: Address, port: int) -> None:
+    def __init__(self, name: str, directory: Path, store: Address) -> None:
         self.name = name
-        self.caller_address = Address(IP, port)
         self.proxy = Proxy(store)
         self.stopping = False
         self.restarting = False
@@ -64,29 +69,30 @@
         self.process_number = 0
         self._started_at = 0.0
         self._last_fault_at = 0.0
-        self._ready_port = port + 1
-        self._peer_port = free_datagram_port()
         self._settings = directory / f"{name}.json"
         self._log = directory / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
+        self._reserved = ExitStack()
 
     def __enter__(self) -> Self:
-        """Start the proxy and the process."""
+        """Start the proxy and reserve the ports of the process."""
         self.proxy.__enter__()
+        self.caller_address = Address(IP, self._reserve(socket.SOCK_STREAM))
+        self.ready_port = self._reserve(socket.SOCK_STREAM)
+        self.peer_port = self._reserve(socket.SOCK_DGRAM)
         settings = {
             "node": self.name,
             "zone": "magong",
             "ip": IP,
-            "internal_ports": [self._peer_port],
+            "internal_ports": [self.peer_port],
             "listen": {
                 "front": f"{IP}:{self.caller_address.port}",
-                "ready": f"{IP}:{self._ready_port}",
+                "ready": f"{IP}:{self.ready_port}",
             },
             "platform": {"address": self.proxy.address},
             "bounds": {"grace_s": 8.0},
         }
         self._settings.write_text(json.dumps(settings))
-        self.start()
         return self
 
     def __exit__(
@@ -97,8 +103,14 @@
     ) -> None:
         """End the process and the proxy."""
         self.kill()
+        self._reserved.close()
         self.proxy.__exit__()
 
+    def _reserve(self, kind: socket.SocketKind) -> int:
+        sock = self._reserved.enter_context(socket.socket(socket.AF_INET, kind))
+        sock.bind((IP, 0))
+        return int(sock.getsockname()[1])
+
     @property
     def undisturbed(self) -> bool:
         """Whether the host had no recent fault; a graceful stop is not a fault."""
@@ -116,6 +128,7 @@
 
     def start(self) -> None:
         """Start a new process; other greenlets run meanwhile."""
+        self._reserved.close()
         with self._log.open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", "godwitrudder.process.entry_main"],
@@ -137,7 +150,7 @@
         """Return whether the process reports that it is ready for callers."""
         process = self._process
         connection = http.client.HTTPConnection(
-            IP, self._ready_port, timeout=READY_TIMEOUT_SECONDS
+            IP, self.ready_port, timeout=READY_TIMEOUT_SECONDS
         )
         try:
             connection.request("GET", "/")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,11 +2,18 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
+from pathlib import Path
+
 import pytest
 
+from bench.loopback import IP
+from godwitrudder.validation import Address
 from soak import runner_rules
+from soak.hosts import Host
 from soak.oracle import Oracle, ReceivedResponse, SentRequest
 from soak.run import Plan, run_soak
+from tests.ports import free_port
 
 PLAIN = SentRequest("r-1", "w", "unsafe", 0, 0)
 STREAM = SentRequest("r-2", "w", "stream", 10, 2)
@@ -21,6 +28,20 @@
     return ReceivedResponse(status, body, complete, "front-0", True)
 
 
+def test_no_port_is_given_to_two_hosts(tmp_path: Path) -> None:
+    """Runs with 60 hosts and more waited for ever for a host without its port."""
+    store = Address(IP, free_port())
+    hosts = [Host(f"front-{number}", tmp_path, store) for number in range(150)]
+    with ExitStack() as stack:
+        ports = []
+        for host in hosts:
+            stack.enter_context(host)
+            ports += [host.caller_address.port, host.ready_port]
+            ports.append(int(host.proxy.address.rpartition(":")[2]))
+        assert len(set(ports)) == len(ports)
+        assert len({host.peer_port for host in hosts}) == len(hosts)
+
+
 def test_consistent_runs_and_responses_are_no_violation() -> None:
     oracle = new_oracle()
     oracle.record_run("r-1")
