Count a runner that ends again soon after its return as another crash

What operators would see: where few runners serve a target and return within 6 s, a prompt part ended them ten and fourteen times although hosts exchanged reports. Cause: all reports of one runner within 6 s were taken for one crash, so that the second and third one added no evidence. Change: a report of a prompt that was sent after the runner's known end is of another crash. Times in statements are of other clocks; for them the 6 s stay. Measured: the new test failed before; 31 tests of the quarantine and of poison requests pass.

--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -169,9 +169,14 @@
 
     def _handle_statement(self, host: str, statement: Statement) -> None:
         for crash in statement.crashes:
-            own = host == self._host
             self._record_crash(
-                Crash(crash.runner, crash.at, crash.sent_at_by_part, own)
+                Crash(
+                    crash.runner,
+                    crash.at,
+                    crash.sent_at_by_part,
+                    own=host == self._host,
+                    by_own_clock=False,
+                )
             )
 
     def _state(self) -> None:
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -32,8 +32,8 @@
 TRUSTED_PART_CRASHES: Final = 1
 """Runners that may end under such a part since its answer before it is a suspect."""
 SAME_CRASH_SECONDS: Final = 6.0
-"""Time within which reports of one runner are of one crash; a runner takes some seconds
-to return."""
+"""Time within which reports of one runner are of one crash, unless a prompt was sent
+there in between."""
 COMMON_CAUSE_SECONDS: Final = 0.1
 """Crashes of several runners within this time count as one: a failure domain that fails
 ends all its runners at once."""
@@ -64,12 +64,15 @@
         Unix seconds at which the last such prompt was sent.
     own : bool
         Whether this host, or a former process on its machine, has seen it.
+    by_own_clock : bool
+        Whether the times were taken on this host.
     """
 
     runner: str
     at: float
     sent_at_by_part: dict[str, float]
     own: bool = False
+    by_own_clock: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -181,9 +184,9 @@
         }
         if not unanswered:
             return set()
-        crash = self._find_crash(seen.runner, at)
+        crash = self._find_crash(seen, at, min(unanswered.values()))
         if crash is None:
-            crash = Crash(seen.runner, at, {})
+            crash = Crash(seen.runner, at, {}, by_own_clock=seen.by_own_clock)
             self._crashes.append(crash)
             self._crashes.sort(key=lambda crash: crash.at)
         crash.own = crash.own or seen.own
@@ -196,11 +199,16 @@
         self._update_blame()
         return self.blamed() - before
 
-    def _find_crash(self, runner: str, at: float) -> Crash | None:
-        for crash in self._crashes:
-            if crash.runner == runner and abs(crash.at - at) <= SAME_CRASH_SECONDS:
-                return crash
-        return None
+    def _find_crash(self, seen: Crash, at: float, sent_at: float) -> Crash | None:
+        """Return the crash that was seen, if it is known."""
+        near = [
+            crash
+            for crash in self._crashes
+            if crash.runner == seen.runner
+            and abs(crash.at - at) <= SAME_CRASH_SECONDS
+            and not (crash.by_own_clock and seen.by_own_clock and sent_at > crash.at)
+        ]
+        return min(near, key=lambda crash: abs(crash.at - at), default=None)
 
     def record_answer(self, parts: Iterable[str], at: float) -> list[str]:
         """Record a sound answer; return the parts that it clears of a suspicion."""
