Listen with stand-in runners at the run's own loopback address

Cause: a run of the soak on a busy machine logged "Address already in use" when a crashed runner was to listen again at 127.0.0.1: its port had become that of somebody's outgoing connection, all of which have that address. The runner never returned. Change: runners of tests and soak listen at the run's loopback number, as hosts and store do.

--- a/soak/runners.py
+++ b/soak/runners.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Final
 
+from bench.loopback import IP
 from soak.oracle import Oracle
 from soak.runner_rules import Process, RunnerRules
 from standins.platform_runner import (
@@ -46,7 +47,7 @@
     def __init__(
         self, name: str, oracle: Oracle, rules: RunnerRules, random: Random
     ) -> None:
-        super().__init__(self._script)
+        super().__init__(self._script, IP)
         self.name = name
         self.limit: float | None = None
         self.leaving = False
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -46,6 +46,9 @@
     ----------
     script : callable
         Returns the steps for a request, given the number of earlier requests.
+    ip : str
+        Address to listen at.  With 127.0.0.1 the port of a crashed runner may become
+        that of somebody's outgoing connection before the runner is back.
 
     Attributes
     ----------
@@ -58,14 +61,15 @@
         Number of crashes so far.
     """
 
-    def __init__(self, script: Script) -> None:
+    def __init__(self, script: Script, ip: str = "127.0.0.1") -> None:
         self.script = script
+        self._ip = ip
         self.received_requests: list[ReceivedRequest] = []
         self.caller_disconnects = 0
         self.crashes = 0
         self._open_sockets: set[socket.socket] = set()
         self._restart: Greenlet | None = None
-        self._server = StreamServer(("127.0.0.1", 0), self._serve)
+        self._server = StreamServer((ip, 0), self._serve)
 
     def __enter__(self) -> PlatformRunner:
         """Start listening."""
@@ -81,14 +85,14 @@
     @property
     def address(self) -> str:
         """Address that the runner listens on, as ``ip:port``."""
-        return f"127.0.0.1:{self._server.server_port}"
+        return f"{self._ip}:{self._server.server_port}"
 
     def crash(self, down_seconds: float) -> None:
         """Close all connections and the port; listen again after a while."""
         if not self._server.started:
             return
         self.crashes += 1
-        address = ("127.0.0.1", self._server.server_port)
+        address = (self._ip, self._server.server_port)
         self._server.stop(timeout=0)
         for sock in list(self._open_sockets):
             # Ends the connection also while another greenlet reads from the socket.
--- a/tests/entry_setup.py
+++ b/tests/entry_setup.py
@@ -156,7 +156,9 @@
     """
     with ExitStack() as stack:
         store = stack.enter_context(Store(Address(IP, free_port())))
-        runners = [stack.enter_context(PlatformRunner(script)) for script in scripts]
+        runners = [
+            stack.enter_context(PlatformRunner(script, IP)) for script in scripts
+        ]
         store.put(names.OPERATOR_TOPIC, "config", configuration())
         for number, runner in enumerate(runners):
             list_runner(store, number, runner)
