Rename: the time that a runner asks for is its backoff

Cause: "rest" was the term of no field, and also the name of an event reader's unread bytes. Measured: make lint; 36 tests of backoff, leaving, placement and soak checks pass.

--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -198,7 +198,7 @@
     return head.header(names.SERVER_LEAVING).strip() == b"1"
 
 
-def rest_seconds(head: ResponseHead) -> float | None:
+def backoff_seconds(head: ResponseHead) -> float | None:
     """Return how long a runner that turns a request away wants no other one.
 
     None if it names no time, or a value that is no number of seconds.
--- a/godwitrudder/process/forwarded_request.py
+++ b/godwitrudder/process/forwarded_request.py
@@ -53,8 +53,8 @@
         Suspect parts of its prompt, about which the attempt in progress will tell.
     quarantine_seconds : float or None
         Time for which it is held back; None if it is not.
-    rest_seconds : float
-        Time until the first of the runners that rest may be sent a request; 0 for none.
+    backoff_seconds : float
+        Time until the first runner in backoff may be sent a request; 0 for none.
     failed_answer : Whole or None
         A failed answer of a runner, passed on if no other runner gives a better one.
     """
@@ -80,7 +80,7 @@
     succeeded_whole: bool = False
     trial_parts: tuple[str, ...] = ()
     quarantine_seconds: float | None = None
-    rest_seconds: float = 0.0
+    backoff_seconds: float = 0.0
     failed_answer: Whole | None = None
 
     @property
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarder.py
@@ -346,12 +346,12 @@
         if candidate is not None:
             self._limits.take(candidate.entry.id)
         else:
-            rests = [
-                each.directives.rests_until - now
+            backoffs = [
+                each.directives.backoff_until - now
                 for each in permitted
                 if each.may_be_used
             ]
-            forwarded.rest_seconds = max(0.0, min(rests, default=0.0))
+            forwarded.backoff_seconds = max(0.0, min(backoffs, default=0.0))
         self._log.note(
             "place",
             forwarded.request_id,
@@ -418,7 +418,7 @@
             seconds = retry_delay.jitter(
                 retry_delay.NO_RUNNER_RETRY_SECONDS, self._random
             )
-            seconds = max(seconds, forwarded.rest_seconds)
+            seconds = max(seconds, forwarded.backoff_seconds)
             refused = refuse(Reason.NO_RUNNER, seconds, target=forwarded.target.name)
         return self._refuse(
             forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -163,8 +163,8 @@
         """Return what came up while the connection was opened, None if nothing."""
         if not candidate.may_be_used:
             return "the runner has left"
-        if time.monotonic() < candidate.directives.rests_until:
-            return "the runner rests"
+        if time.monotonic() < candidate.directives.backoff_until:
+            return "the runner wants a pause"
         if self._quarantine.holds(forwarded.shared_parts):
             return "the prompt was quarantined"
         return None
@@ -341,10 +341,10 @@
         if wire.is_leaving(head) and not directives.leaving:
             directives.leaving = True
             self._log.note("runner_says_it_leaves", runner=runner)
-        seconds = wire.rest_seconds(head)
+        seconds = wire.backoff_seconds(head)
         if seconds is not None:
-            directives.rest(seconds, time.monotonic())
-            self._log.note("rest", runner=runner, seconds=seconds)
+            directives.back_off(seconds, time.monotonic())
+            self._log.note("backoff", runner=runner, seconds=seconds)
 
     def _apply_rate_limit(self, attempt: Attempt, head: ResponseHead) -> None:
         runner, limit = attempt.candidate.entry.id, wire.rate_limit(head)
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placement.py
@@ -74,16 +74,16 @@
     ----------
     leaving : bool
         Whether it has said that it leaves.
-    rests_until : float
-        Time until which it wants no further request.
+    backoff_until : float
+        Time until which it wants no further request, in monotonic seconds.
     """
 
     leaving: bool = False
-    rests_until: float = -math.inf
+    backoff_until: float = -math.inf
 
-    def rest(self, seconds: float, now: float) -> None:
+    def back_off(self, seconds: float, now: float) -> None:
         """Send the runner nothing for a time that it has named."""
-        self.rests_until = max(self.rests_until, now + seconds)
+        self.backoff_until = max(self.backoff_until, now + seconds)
 
 
 @dataclass(slots=True)
@@ -227,7 +227,7 @@
         for candidate in _trusted(candidates)
         if candidate.entry.id not in excluded
         and candidate.in_flight < connections_most
-        and now >= candidate.directives.rests_until
+        and now >= candidate.directives.backoff_until
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
     usable = usable or eligible
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,7 +26,7 @@
 LIMIT_RANGE_SECONDS: Final = (4.0, 8.0)
 """Shortest and longest time for which a runner names a limit, or requests have a deadly
 part: hosts have 3 s to adapt."""
-REST_RANGE_SECONDS: Final = (0.6, 3.0)
+BACKOFF_RANGE_SECONDS: Final = (0.6, 3.0)
 # Requests per second that a runner names as its limit.
 LIMITS: Final = (0.5, 1.0, 4.0, 10.0)
 MAX_SERIES: Final = 6
@@ -73,7 +73,7 @@
             self._change_series,
             self._crash_runner,
             self._limit_runner,
-            self._rest_runner,
+            self._back_off_runner,
             self._replace_runner,
             self._send_deadly_parts,
         ]
@@ -199,12 +199,14 @@
             runner.limit = None
             self._deployment.rules.limit_ended(runner.name)
 
-    def _rest_runner(self) -> None:
+    def _back_off_runner(self) -> None:
         runner = self._runner()
-        if not runner.rest_seconds:
-            runner.rest_seconds = round(self._random.uniform(*REST_RANGE_SECONDS), 1)
+        if not runner.backoff_seconds:
+            runner.backoff_seconds = round(
+                self._random.uniform(*BACKOFF_RANGE_SECONDS), 1
+            )
             self._wait_for_duration()
-            runner.rest_seconds = 0.0
+            runner.backoff_seconds = 0.0
 
     def _replace_runner(self) -> None:
         """Let a runner say that it leaves; a new instance under its id follows."""
--- a/soak/runner_rules.py
+++ b/soak/runner_rules.py
@@ -18,7 +18,7 @@
 WINDOW_SECONDS: Final = 4.0
 LIMIT_FACTOR: Final = 1.5
 LIMIT_SLACK: Final = 5
-MAX_REQUESTS_AT_REST: Final = 2
+MAX_REQUESTS_IN_BACKOFF: Final = 2
 FREE_CRASHES: Final = 5
 MAX_DEADLY_REQUESTS: Final = 3
 
@@ -46,8 +46,8 @@
         self._told_limit_at: dict[tuple[str, Process], float] = {}
         self._arrivals: dict[str, deque[float]] = defaultdict(deque)
         self._leaving_at: dict[tuple[str, Process], float] = {}
-        self._rests: dict[tuple[str, Process], tuple[float, float]] = {}
-        self._sent_at_rest: dict[tuple[str, Process], int] = {}
+        self._backoffs: dict[tuple[str, Process], tuple[float, float]] = {}
+        self._sent_in_backoff: dict[tuple[str, Process], int] = {}
         self._crash_times: dict[str, list[float]] = defaultdict(list)
         self._deadly_requests: dict[str, int] = defaultdict(int)
 
@@ -72,14 +72,14 @@
         """Record that a new instance has the runner's id."""
         for key in [key for key in self._leaving_at if key[0] == runner]:
             del self._leaving_at[key]
-        for key in [key for key in self._rests if key[0] == runner]:
-            del self._rests[key]
+        for key in [key for key in self._backoffs if key[0] == runner]:
+            del self._backoffs[key]
 
-    def rest_asked(self, runner: str, process: Process, seconds: float) -> None:
+    def backoff_asked(self, runner: str, process: Process, seconds: float) -> None:
         """Record a rejection that names a time."""
         now = time.monotonic()
-        self._rests[runner, process] = (now + TOLD_AFTER_SECONDS, now + seconds)
-        self._sent_at_rest[runner, process] = 0
+        self._backoffs[runner, process] = (now + TOLD_AFTER_SECONDS, now + seconds)
+        self._sent_in_backoff[runner, process] = 0
 
     def crashed(self, part: str) -> None:
         """Record that a prompt part has ended a runner."""
@@ -94,11 +94,11 @@
             self._report(
                 f"{runner}: got a request of {process} after it said it leaves"
             )
-        begin, end = self._rests.get(key, (now, now))
+        begin, end = self._backoffs.get(key, (now, now))
         if begin < now < end:
-            self._sent_at_rest[key] += 1
-            if self._sent_at_rest[key] > MAX_REQUESTS_AT_REST:
-                self._report(f"{runner}: got requests of {process} while it rests")
+            self._sent_in_backoff[key] += 1
+            if self._sent_in_backoff[key] > MAX_REQUESTS_IN_BACKOFF:
+                self._report(f"{runner}: got requests of {process} during its backoff")
         told = now - self._told_limit_at.get(key, now) > TOLD_AFTER_SECONDS
         if limit is not None and told:
             self._check_limit(runner, limit, now)
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -38,7 +38,7 @@
         Requests per second that it names in its answers.
     leaving : bool
         Whether it says in its answers that it leaves.
-    rest_seconds : float
+    backoff_seconds : float
         Time that it names when it rejects requests; 0 while it accepts them.
     born : int
         Number of its instance.
@@ -51,7 +51,7 @@
         self.name = name
         self.limit: float | None = None
         self.leaving = False
-        self.rest_seconds = 0.0
+        self.backoff_seconds = 0.0
         self.born = 1
         self._oracle = oracle
         self._rules = rules
@@ -69,10 +69,10 @@
         process = request.process
         self._rules.arrived(self.name, process, self.limit)
         extra = self._extra_headers()
-        if self.rest_seconds:
+        if self.backoff_seconds:
             extra += ("X-Godwitrudder-Not-Executed: 1",)
-            extra += (f"Retry-After: {self.rest_seconds}",)
-            self._rules.rest_asked(self.name, process, self.rest_seconds)
+            extra += (f"Retry-After: {self.backoff_seconds}",)
+            self._rules.backoff_asked(self.name, process, self.backoff_seconds)
             return [build_response(received, "503 Full", b"", *extra, signed=False)]
         self._oracle.record_run(request_id, self.name)
         if request.deadly_part:
--- a/tests/test_resting_runner.py
+++ b/tests/test_runner_backoff.py
@@ -12,7 +12,7 @@
 from tests.entry_setup import good, rejecting, run_entry, status_of
 
 
-def resting(seconds: str, proof: bool = True) -> Script:
+def in_backoff(seconds: str, proof: bool = True) -> Script:
     """Return the script of a runner that names a time with status 503."""
 
     def script(seen: ReceivedRequest, _number: int) -> list[Step]:
@@ -24,27 +24,27 @@
     return script
 
 
-def test_a_resting_runner_gets_nothing_until_its_time_is_over() -> None:
+def test_a_runner_in_backoff_gets_nothing_until_its_time_is_over() -> None:
     """Requests went on, most of them where all other runners reject too."""
-    with run_entry(resting("1.5"), rejecting) as setup:
+    with run_entry(in_backoff("1.5"), rejecting) as setup:
         setup.ask()
-        rested_at = time.monotonic()
+        rejected_at = time.monotonic()
         statuses = [status_of(setup.ask()) for _ in range(10)]
         assert statuses == [503] * 10
-        assert time.monotonic() - rested_at < 1.0
+        assert time.monotonic() - rejected_at < 1.0
         assert len(setup.runners[0].received_requests) == 1
         setup.runners[0].script = good
-        gevent.sleep(rested_at + 1.6 - time.monotonic())
+        gevent.sleep(rejected_at + 1.6 - time.monotonic())
         assert status_of(setup.ask()) == 200
 
 
-def test_a_runner_that_rests_during_a_connect_gets_no_request() -> None:
+def test_a_runner_whose_backoff_begins_during_a_connect_gets_no_request() -> None:
     with run_entry(good) as setup:
         candidate = setup.entry.directory.candidates("s")[0]
         take = setup.entry.pool.take
 
         def take_late(runner: str, address: Address) -> RunnerLink | str:
-            candidate.directives.rest(1.0, time.monotonic())
+            candidate.directives.back_off(1.0, time.monotonic())
             return take(runner, address)
 
         setup.entry.pool.take = take_late  # type: ignore[method-assign]
@@ -53,20 +53,20 @@
 
 
 def test_callers_are_served_by_the_other_runners() -> None:
-    with run_entry(resting("30"), good) as setup:
+    with run_entry(in_backoff("30"), good) as setup:
         assert [status_of(setup.ask()) for _ in range(10)] == [200] * 10
         assert len(setup.runners[0].received_requests) <= 1
 
 
-def test_a_rest_without_proof_counts_too() -> None:
-    with run_entry(resting("30", proof=False), good) as setup:
+def test_a_backoff_without_proof_counts_too() -> None:
+    with run_entry(in_backoff("30", proof=False), good) as setup:
         for _ in range(10):
             setup.ask()
         assert len(setup.runners[0].received_requests) <= 1
 
 
-def test_callers_are_told_to_come_back_when_all_runners_rest_no_longer() -> None:
-    with run_entry(resting("0.5")) as setup:
+def test_callers_are_told_to_come_back_when_the_first_backoff_ends() -> None:
+    with run_entry(in_backoff("0.5")) as setup:
         setup.ask()
         refused = setup.ask()
         assert status_of(refused) == 503
@@ -75,7 +75,7 @@
 
 
 def test_a_time_that_is_no_number_is_ignored() -> None:
-    with run_entry(resting("soon")) as setup:
+    with run_entry(in_backoff("soon")) as setup:
         for _ in range(3):
             assert status_of(setup.ask()) == 503
         assert len(setup.runners[0].received_requests) == 3
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -149,11 +149,11 @@
     assert len(found) == 1
 
 
-def test_a_third_request_while_a_runner_rests_is_a_violation(
+def test_a_third_request_during_a_backoff_is_a_violation(
     rules: runner_rules.RunnerRules, found: list[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     clock = Clock(monkeypatch)
-    rules.rest_asked("i-0", PROCESS, 2.0)
+    rules.backoff_asked("i-0", PROCESS, 2.0)
     clock.now += 0.6
     for _ in range(2):
         rules.arrived("i-0", PROCESS, None)
