--- a/soak/callers.py
+++ b/soak/callers.py
@@ -23,8 +23,8 @@
 MAX_PROMPT_TOKENS: Final = 120
 # Deadline that a caller sends; its socket times out after twice this time.
 DEADLINE_SECONDS: Final = 2.5
-DEADLY_SHARE: Final = 0.1
-"""Share of the streamed requests with a deadly part, while there is one."""
+POISON_SHARE: Final = 0.1
+"""Share of the streamed requests with a poison part, while there is one."""
 MEAN_PAUSE_SECONDS: Final = 0.05
 """Mean pause between two requests of a caller."""
 
@@ -69,7 +69,7 @@
         self._count += 1
         kind = self._random.choice(REQUEST_KINDS)
         is_stream = kind in ("stream", "fixed")
-        deadly = self._random.random() < DEADLY_SHARE
+        poison = self._random.random() < POISON_SHARE
         return SentRequest(
             f"{self._name}-{self._count}",
             self._random.choice(sorted(self._deployment.oracle.prepaid_by_workspace)),
@@ -77,7 +77,7 @@
             self._random.randint(1, MAX_PROMPT_TOKENS) if is_stream else 0,
             self._random.randint(1, MAX_EVENTS) if is_stream else 0,
             (host.name, host.process_number),
-            self._deployment.deadly_part if is_stream and deadly else "",
+            self._deployment.poison_part if is_stream and poison else "",
         )
 
     def _exchange(
@@ -124,7 +124,7 @@
     if request.events:
         tokens = f"{request.prompt_tokens},{request.events * 2}"
         headers["X-Godwitrudder-Token-Count"] = tokens
-        parts = ["all", request.workspace, request.deadly_part, request.id]
+        parts = ["all", request.workspace, request.poison_part, request.id]
         headers["X-Godwitrudder-Prefix-Hash"] = ",".join(
             f"{part}:10" for part in parts if part
         )
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -39,14 +39,14 @@
 
     Attributes
     ----------
-    deadly_part : str
+    poison_part : str
         Prompt part of some requests now that ends their runner; empty for none.
     """
 
     def __init__(self, hosts: int, directory: Path, random: Random) -> None:
         self.oracle = Oracle()
         self.store = Store(Address(IP, free_port()))
-        self.deadly_part = ""
+        self.poison_part = ""
         self._version = 0
         self._stack = ExitStack()
         self.hosts = [
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,7 +24,7 @@
 silent.
 """
 LIMIT_RANGE_SECONDS: Final = (4.0, 8.0)
-"""Shortest and longest time for which a runner names a limit, or requests have a deadly
+"""Shortest and longest time for which a runner names a limit, or requests have a poison
 part: hosts have 3 s to adapt."""
 BACKOFF_RANGE_SECONDS: Final = (0.6, 3.0)
 # Requests per second that a runner names as its limit.
@@ -75,7 +75,7 @@
             self._limit_runner,
             self._back_off_runner,
             self._replace_runner,
-            self._send_deadly_parts,
+            self._send_poison_parts,
         ]
 
     def run(self) -> None:
@@ -220,8 +220,8 @@
             self._deployment.rules.instance_replaced(runner.name)
             self._deployment.list_runner(runner)
 
-    def _send_deadly_parts(self) -> None:
-        if not self._deployment.deadly_part:
-            self._deployment.deadly_part = f"deadly-{len(self.injected)}"
+    def _send_poison_parts(self) -> None:
+        if not self._deployment.poison_part:
+            self._deployment.poison_part = f"poison-{len(self.injected)}"
             gevent.sleep(self._random.uniform(*LIMIT_RANGE_SECONDS))
-            self._deployment.deadly_part = ""
+            self._deployment.poison_part = ""
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -32,7 +32,7 @@
         Number of events of the complete response; 0 if it is no event stream.
     process : tuple of str and int
         Host that it was sent to, and the number of its process.
-    deadly_part : str
+    poison_part : str
         Prompt part that ends its runner; empty for a sound request.
     """
 
@@ -42,7 +42,7 @@
     prompt_tokens: int
     events: int
     process: tuple[str, int] = ("", 0)
-    deadly_part: str = ""
+    poison_part: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/runner_rules.py
+++ b/soak/runner_rules.py
@@ -20,7 +20,7 @@
 LIMIT_SLACK: Final = 5
 MAX_REQUESTS_IN_BACKOFF: Final = 2
 FREE_CRASHES: Final = 5
-MAX_DEADLY_REQUESTS: Final = 3
+MAX_POISON_REQUESTS: Final = 3
 
 Process = tuple[str, int]
 """Name of a host and number of its process."""
@@ -49,7 +49,7 @@
         self._backoffs: dict[tuple[str, Process], tuple[float, float]] = {}
         self._sent_in_backoff: dict[tuple[str, Process], int] = {}
         self._crash_times: dict[str, list[float]] = defaultdict(list)
-        self._deadly_requests: dict[str, int] = defaultdict(int)
+        self._poison_requests: dict[str, int] = defaultdict(int)
 
     def limit_named(self, runner: str, process: Process) -> None:
         """Record an answer that names a limit."""
@@ -103,14 +103,14 @@
         if limit is not None and told:
             self._check_limit(runner, limit, now)
 
-    def deadly_arrived(self, part: str, process: Process) -> None:
+    def poison_arrived(self, part: str, process: Process) -> None:
         """Check a request whose prompt part ends runners."""
         times = self._crash_times[part]
         if len(times) < FREE_CRASHES or self._excused(process[0]):
             return
         if time.monotonic() - times[FREE_CRASHES - 1] > STABLE_SECONDS:
-            self._deadly_requests[part] += 1
-            if self._deadly_requests[part] > MAX_DEADLY_REQUESTS:
+            self._poison_requests[part] += 1
+            if self._poison_requests[part] > MAX_POISON_REQUESTS:
                 self._report(f"{part}: sent again after {len(times)} crashes")
 
     def _check_limit(self, runner: str, limit: float, now: float) -> None:
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -75,9 +75,9 @@
             self._rules.backoff_asked(self.name, process, self.backoff_seconds)
             return [build_response(received, "503 Full", b"", *extra, signed=False)]
         self._oracle.record_run(request_id, self.name)
-        if request.deadly_part:
-            self._rules.deadly_arrived(request.deadly_part, process)
-            self._rules.crashed(request.deadly_part)
+        if request.poison_part:
+            self._rules.poison_arrived(request.poison_part, process)
+            self._rules.crashed(request.poison_part)
             return [RESPONSE_DELAY_SECONDS, Crash(DOWN_SECONDS)]
         steps: list[Step] = [
             RESPONSE_DELAY_SECONDS,
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -21,7 +21,7 @@
     streaming,
 )
 
-DEADLY = "dead"
+POISON = "poison"
 DOWN_SECONDS = 0.5
 MOST_CRASHES = 5
 """Crashes after which no more than ``MORE_REQUESTS`` may reach a runner."""
@@ -29,8 +29,8 @@
 
 
 def crashing(seen: ReceivedRequest, number: int) -> list[Step]:
-    """End the runner at the first event of an answer on the deadly part."""
-    if DEADLY in seen.headers["x-godwitrudder-prefix-hash"]:
+    """End the runner at the first event of an answer on the poison part."""
+    if POISON in seen.headers["x-godwitrudder-prefix-hash"]:
         return [0.02, Crash(DOWN_SECONDS)]
     return streaming(0, 1)(seen, number)
 
@@ -56,11 +56,11 @@
     """Requests with one prompt part ended 9 to 30 runners, one after the other."""
     with run_fleet(3, *[crashing] * 6, lending=lending) as fleet:
         for number in range(12):
-            ask(fleet, number % 3, number, "b1", DEADLY)
+            ask(fleet, number % 3, number, "b1", POISON)
             assert ask(fleet, number % 3, 100 + number) == 200
             gevent.sleep(0.3)
         assert crashes(fleet) <= MOST_CRASHES
-        assert ask(fleet, 0, 200, "b1", DEADLY) == 503
+        assert ask(fleet, 0, 200, "b1", POISON) == 503
 
 
 def decisions(setup: EntrySetup, kind: str) -> list[dict[str, Any]]:
@@ -68,16 +68,16 @@
 
 
 def test_sound_requests_beside_a_quarantined_part_are_served() -> None:
-    """They share the caller, the first part and the part before the deadly one."""
+    """They share the caller, the first part and the part before the poison."""
     with run_fleet(2, *[crashing] * 4, lending=True) as fleet:
         for number in range(4):
-            ask(fleet, number % 2, number, "b1", DEADLY)
+            ask(fleet, number % 2, number, "b1", POISON)
         gevent.sleep(DOWN_SECONDS)
         before = crashes(fleet)
         statuses = [ask(fleet, n % 2, 50 + n, "b1") for n in range(6)]
         assert statuses == [200] * 6
         assert crashes(fleet) == before
-        assert ask(fleet, 1, 99, "b1", DEADLY) == 503
+        assert ask(fleet, 1, 99, "b1", POISON) == 503
 
 
 @pytest.mark.parametrize("lending", [True, False])
@@ -89,11 +89,11 @@
         return (crashing if harmful else streaming(0, 1))(seen, number)
 
     with run_fleet(3, *[turning] * 6, lending=lending) as fleet:
-        assert [ask(fleet, n % 3, n, "b1", DEADLY) for n in range(6)] == [200] * 6
+        assert [ask(fleet, n % 3, n, "b1", POISON) for n in range(6)] == [200] * 6
         harmful = True
         crashes_by_round = []
         for number in range(12):
-            ask(fleet, number % 3, 100 + number, "b1", DEADLY)
+            ask(fleet, number % 3, 100 + number, "b1", POISON)
             assert ask(fleet, number % 3, 200 + number) == 200
             assert ask(fleet, number % 3, 300 + number, "b1") == 200
             crashes_by_round.append(crashes(fleet))
@@ -101,21 +101,21 @@
         if lending:
             assert crashes_by_round[-1] <= MOST_CRASHES + MORE_REQUESTS
         assert crashes_by_round[7] == crashes_by_round[-1]
-        assert ask(fleet, 0, 400, "b1", DEADLY) == 503
+        assert ask(fleet, 0, 400, "b1", POISON) == 503
 
 
 def test_a_host_that_starts_later_knows_the_quarantine() -> None:
     """It reads the crashes from the statements; no peer reaches it."""
     with ExitStack() as stack:
         fleet = stack.enter_context(run_fleet(1, *[crashing] * 4))
-        ask(fleet, 0, 1, DEADLY)
+        ask(fleet, 0, 1, POISON)
         gevent.sleep(1.0)
         before = crashes(fleet)
         sink = stack.enter_context(open("/dev/null", "wb"))
         fleet.hosts.append(start_host(stack, fleet, 2, False, sink.fileno()))
         while not fleet.hosts[1].entry.ready:
             gevent.sleep(0.01)
-        assert ask(fleet, 1, 2, DEADLY) == 503
+        assert ask(fleet, 1, 2, POISON) == 503
         assert ask(fleet, 1, 3) == 200
         assert crashes(fleet) == before == 2
 
@@ -163,9 +163,9 @@
         return [30.0] if last.startswith("e9") else crashing(seen, number)
 
     with run_fleet(1, *[scripted] * 4) as fleet:
-        waiting = gevent.spawn(ask, fleet, 0, 9, DEADLY)
+        waiting = gevent.spawn(ask, fleet, 0, 9, POISON)
         gevent.sleep(0.05)
-        ask(fleet, 0, 1, DEADLY)
+        ask(fleet, 0, 1, POISON)
         assert waiting.get(timeout=0.5) == 502
         assert crashes(fleet) == 2
 
@@ -185,9 +185,9 @@
             return take(runner, address)
 
         pool.take = take_late  # type: ignore[method-assign]
-        connecting = gevent.spawn(ask, fleet, 0, 9, DEADLY)
+        connecting = gevent.spawn(ask, fleet, 0, 9, POISON)
         gevent.sleep(0.05)
-        ask(fleet, 0, 1, DEADLY)
+        ask(fleet, 0, 1, POISON)
         assert crashes(fleet) == 2
         assert connecting.get(timeout=1.0) == 503
         assert crashes(fleet) == 2
@@ -198,7 +198,7 @@
     """The end of the connection ends such an answer, perhaps between two events."""
 
     def unframed(seen: ReceivedRequest, number: int) -> list[Step]:
-        if DEADLY not in seen.headers["x-godwitrudder-prefix-hash"]:
+        if POISON not in seen.headers["x-godwitrudder-prefix-hash"]:
             return streaming(0, 1)(seen, number)
         request_id = seen.headers["x-godwitrudder-request-id"]
         head = (
@@ -211,6 +211,6 @@
 
     with run_fleet(1, *[unframed] * 4) as fleet:
         for number in range(4):
-            ask(fleet, 0, number, DEADLY)
+            ask(fleet, 0, number, POISON)
         assert crashes(fleet) == 2
-        assert ask(fleet, 0, 9, DEADLY) == 503
+        assert ask(fleet, 0, 9, POISON) == 503
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -165,18 +165,18 @@
     assert len(found) == 1
 
 
-def test_a_fourth_deadly_request_after_five_crashes_is_a_violation(
+def test_a_fourth_poison_request_after_five_crashes_is_a_violation(
     rules: runner_rules.RunnerRules, found: list[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     clock = Clock(monkeypatch)
     for _ in range(5):
-        rules.crashed("deadly")
-    rules.deadly_arrived("deadly", PROCESS)
+        rules.crashed("poison")
+    rules.poison_arrived("poison", PROCESS)
     clock.now += 3.1
     for _ in range(3):
-        rules.deadly_arrived("deadly", PROCESS)
+        rules.poison_arrived("poison", PROCESS)
     assert not found
-    rules.deadly_arrived("deadly", PROCESS)
+    rules.poison_arrived("poison", PROCESS)
     assert len(found) == 1
 
 
