Rename: pending trials, crashes counted against trust, names that fit into a report

Cause: OnTrial meant another request's trial while `on_trial` means this one; an "end" and a crash of a runner were one thing under two names; `names` said nothing. Change: TrialPending, count_crash, MAX_TRUSTED_CRASHES, seconds_held, is_held, fitting_names; nothing decides otherwise.

--- a/godwitrudder/connection/reports.py
+++ b/godwitrudder/connection/reports.py
@@ -82,6 +82,6 @@
 Report = CrashReport | AnswerReport | TrialReport | LimitReport
 
 
-def names(values: list[str] | tuple[str, ...]) -> list[str]:
+def fitting_names(values: list[str] | tuple[str, ...]) -> list[str]:
     """Return the values that fit into a report."""
     return [value for value in values if len(value) <= MAX_NAME_CHARACTERS][:MAX_PARTS]
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -20,16 +20,16 @@
     CrashReport,
     Report,
     TrialReport,
-    names,
+    fitting_names,
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.quarantine import (
     Crash,
-    OnTrial,
     Quarantine,
     Quarantined,
     Trial,
+    TrialPending,
     Verdict,
 )
 from godwitrudder.version.statements import RunnerCrash, Statement
@@ -69,9 +69,9 @@
         """Return whether a request with these parts may be sent to a runner."""
         return self._quarantine.admit(parts, time.time())
 
-    def holds(self, parts: Collection[str]) -> bool:
+    def is_held(self, parts: Collection[str]) -> bool:
         """Return whether not even a trial with these parts is allowed now."""
-        return self._quarantine.held_seconds(parts, time.time()) > 0
+        return self._quarantine.seconds_held(parts, time.time()) > 0
 
     @contextmanager
     def admitted(
@@ -87,7 +87,7 @@
             yield verdict if isinstance(verdict, Quarantined) else None
             return
         self._quarantine.begin_trial(verdict.parts, time.time())
-        self._broadcast(TrialReport(self._host, names(verdict.parts)))
+        self._broadcast(TrialReport(self._host, fitting_names(verdict.parts)))
         self._log.note("trial", parts=verdict.parts)
         try:
             yield verdict
@@ -103,7 +103,7 @@
         cleared = self._quarantine.record_answer(parts, time.time())
         if cleared:
             self._log.note("part_cleared", parts=cleared)
-            self._broadcast(AnswerReport(self._host, names(cleared), 0.0))
+            self._broadcast(AnswerReport(self._host, fitting_names(cleared), 0.0))
             self._state()
 
     def record_crash(self, runner: str, parts: Collection[str], age: float) -> None:
@@ -115,18 +115,20 @@
             Seconds since the request was sent to the runner.
         """
         now = time.time()
-        self._quarantine.record_end(runner, parts, now)
+        self._quarantine.count_crash(runner, parts, now)
         suspects = self.suspects(parts)
         self._log.note("runner_crashed", runner=runner, parts=suspects)
         if suspects:
             crash = Crash(runner, now, dict.fromkeys(suspects, now - age), own=True)
             self._record_crash(crash)
-            self._broadcast(CrashReport(self._host, runner, names(suspects), age))
+            self._broadcast(
+                CrashReport(self._host, runner, fitting_names(suspects), age)
+            )
 
     def _wait_for_trial(self, parts: Collection[str], max_wait: float) -> Verdict:
         verdict = self.check(parts)
         ends_at = time.monotonic() + min(MAX_TRIAL_WAIT_SECONDS, max_wait)
-        while isinstance(verdict, OnTrial) and time.monotonic() < ends_at:
+        while isinstance(verdict, TrialPending) and time.monotonic() < ends_at:
             gevent.sleep(TRIAL_POLL_SECONDS)
             verdict = self.check(parts)
         return verdict
@@ -163,7 +165,7 @@
         if answered and lending is not None:
             age = max(0.0, now - min(answered.values()))
             answer = AnswerReport(
-                self._host, names(list(answered)), min(MAX_AGE_SECONDS, age)
+                self._host, fitting_names(list(answered)), min(MAX_AGE_SECONDS, age)
             )
             lending.send_report(report.host, answer)
 
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -165,7 +165,7 @@
             return "the runner has left"
         if time.monotonic() < candidate.directives.backoff_until:
             return "the runner wants a pause"
-        if self._quarantine.holds(forwarded.shared_parts):
+        if self._quarantine.is_held(forwarded.shared_parts):
             return "the prompt was quarantined"
         return None
 
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -29,8 +29,8 @@
 """Crashes that blame a part that was answered before, but not for a while."""
 ANSWER_TRUST_SECONDS: Final = 10.0
 """Time after a sound answer in which its parts are no suspects."""
-TRUSTED_PART_CRASHES: Final = 1
-"""Runners that may end under such a part since its answer before it is a suspect."""
+MAX_TRUSTED_CRASHES: Final = 1
+"""Runners that may crash under such a part since its answer before it is a suspect."""
 SAME_CRASH_SECONDS: Final = 6.0
 """Time within which reports of one runner are of one crash, unless a prompt was sent
 there in between."""
@@ -104,7 +104,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class OnTrial:
+class TrialPending:
     """Another request's trial, which is still open, will tell."""
 
 
@@ -121,7 +121,7 @@
     seconds: float
 
 
-Verdict = Free | Trial | OnTrial | Quarantined
+Verdict = Free | Trial | TrialPending | Quarantined
 
 
 @dataclass(slots=True)
@@ -138,7 +138,7 @@
     delay_share: float = 0.0
     _crashes: list[Crash] = field(default_factory=list)
     _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    _ends_by_part: dict[str, dict[str, float]] = field(default_factory=dict)
+    _crashed_runners_by_part: dict[str, dict[str, float]] = field(default_factory=dict)
     _trial_until_by_part: dict[str, float] = field(default_factory=dict)
     _blame_by_part: dict[str, Blame] = field(default_factory=dict)
 
@@ -149,14 +149,14 @@
             part
             for part in parts
             if self._answered_at.get(part, -math.inf) < since
-            or len(self._ends_by_part.get(part, ())) > TRUSTED_PART_CRASHES
+            or len(self._crashed_runners_by_part.get(part, ())) > MAX_TRUSTED_CRASHES
         )
 
-    def record_end(self, runner: str, parts: Iterable[str], at: float) -> None:
-        """Record that a runner ended under parts, whether or not they are suspects."""
+    def count_crash(self, runner: str, parts: Iterable[str], at: float) -> None:
+        """Count a runner's crash against the trust in parts that were answered."""
         for part in parts:
             if self._answered_at.get(part, math.inf) < at:
-                self._ends_by_part.setdefault(part, {})[runner] = at
+                self._crashed_runners_by_part.setdefault(part, {})[runner] = at
 
     def answered_at(self, part: str) -> float | None:
         """Return the Unix seconds of the last sound answer on a part, if any."""
@@ -176,7 +176,7 @@
     def record_crash(self, seen: Crash, now: float) -> set[str]:
         """Record that a runner ended; return the parts that are newly blamed."""
         at = min(seen.at, now)
-        self.record_end(seen.runner, seen.sent_at_by_part, at)
+        self.count_crash(seen.runner, seen.sent_at_by_part, at)
         unanswered = {
             part: min(sent_at, at)
             for part, sent_at in seen.sent_at_by_part.items()
@@ -218,12 +218,12 @@
             self._answered_at[part] = at
             self._answered_at.move_to_end(part)
             self._trial_until_by_part.pop(part, None)
-            self._forget_ends(part, at)
+            self._forget_crashed_runners(part, at)
             if self._clear(part, at):
                 cleared.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
             forgotten, _ = self._answered_at.popitem(last=False)
-            self._ends_by_part.pop(forgotten, None)
+            self._crashed_runners_by_part.pop(forgotten, None)
         if cleared:
             self._crashes = [each for each in self._crashes if each.sent_at_by_part]
             self._update_blame()
@@ -240,9 +240,11 @@
         suspect = tuple(part for part in parts if self._is_suspect(part))
         if not suspect:
             return Free()
-        return OnTrial() if self._on_trial(suspect, now) else Trial(suspect)
+        if self._is_trial_pending(suspect, now):
+            return TrialPending()
+        return Trial(suspect)
 
-    def held_seconds(self, parts: Collection[str], now: float) -> float:
+    def seconds_held(self, parts: Collection[str], now: float) -> float:
         """Return the seconds until a request with these parts may be tried."""
         held_until = max(
             (
@@ -268,10 +270,10 @@
     def _admit_blamed(
         self, parts: Collection[str], blamed: list[str], now: float
     ) -> Verdict:
-        seconds = self.held_seconds(parts, now)
+        seconds = self.seconds_held(parts, now)
         if seconds > 0:
             return Quarantined(seconds)
-        if self._on_trial(blamed, now):
+        if self._is_trial_pending(blamed, now):
             return Quarantined(TRIAL_RETRY_SECONDS)
         return Trial(tuple(blamed))
 
@@ -289,7 +291,7 @@
             if other not in parts
         )
 
-    def _on_trial(self, parts: Iterable[str], now: float) -> bool:
+    def _is_trial_pending(self, parts: Iterable[str], now: float) -> bool:
         until = self._trial_until_by_part
         return any(until.get(part, -math.inf) > now for part in parts)
 
@@ -299,12 +301,12 @@
             part in crash.sent_at_by_part for crash in self._crashes
         )
 
-    def _forget_ends(self, part: str, until: float) -> None:
-        """Forget the runners that ended under a part until a sound answer on it."""
-        ends = self._ends_by_part.pop(part, {})
-        later = {runner: at for runner, at in ends.items() if at > until}
+    def _forget_crashed_runners(self, part: str, until: float) -> None:
+        """Forget the runners that crashed under a part until a sound answer on it."""
+        crashed = self._crashed_runners_by_part.pop(part, {})
+        later = {runner: at for runner, at in crashed.items() if at > until}
         if later:
-            self._ends_by_part[part] = later
+            self._crashed_runners_by_part[part] = later
 
     def _clear(self, part: str, at: float) -> bool:
         """Take a part out of the crashes before ``at``; return if it was in one."""
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -10,10 +10,10 @@
     TRIAL_SECONDS,
     Crash,
     Free,
-    OnTrial,
     Quarantine,
     Quarantined,
     Trial,
+    TrialPending,
 )
 
 
@@ -180,7 +180,7 @@
     crash(quarantine, "i-1", 10.0, "dead")
     assert quarantine.admit(["dead"], 10.1) == Trial(("dead",))
     quarantine.begin_trial(["dead"], 10.1)
-    assert quarantine.admit(["dead"], 10.2) == OnTrial()
+    assert quarantine.admit(["dead"], 10.2) == TrialPending()
     quarantine.end_trial(["dead"])
     assert quarantine.admit(["dead"], 10.2) == Trial(("dead",))
 
@@ -207,10 +207,10 @@
 def test_a_part_is_suspect_once_two_runners_ended_since_its_answer() -> None:
     quarantine = Quarantine()
     quarantine.record_answer(["was-sound"], 10.0)
-    quarantine.record_end("i-1", ["was-sound"], 11.0)
-    quarantine.record_end("i-1", ["was-sound"], 11.1)
+    quarantine.count_crash("i-1", ["was-sound"], 11.0)
+    quarantine.count_crash("i-1", ["was-sound"], 11.1)
     assert not quarantine.suspects(["was-sound"], 11.2)
-    quarantine.record_end("i-2", ["was-sound"], 12.0)
+    quarantine.count_crash("i-2", ["was-sound"], 12.0)
     assert quarantine.suspects(["was-sound"], 12.1) == ("was-sound",)
     quarantine.record_answer(["was-sound"], 12.2)
     assert not quarantine.suspects(["was-sound"], 12.3)
