Decide apart from the sender what an attempt tells about its prompt

Cause: the module that owns connections also decided how many events are an answer, and whether an answer without a length may be what a crash has left. Change: request/evidence.py decides from values, the sender carries them there; nothing decides otherwise.

--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -28,6 +28,12 @@
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.request.event_stream import EventReader
+from godwitrudder.request.evidence import (
+    AttemptEnd,
+    Evidence,
+    evidence,
+    is_answered,
+)
 from godwitrudder.request.placement import Candidate, Directives
 from godwitrudder.version.catalogue import RouteKind
 
@@ -36,8 +42,6 @@
 a multiple of the route's latency objective."""
 PREFILL_TOKENS_PER_SECOND: Final = 20_000.0
 """Prompt tokens that a busy engine reads for one request while others run."""
-ANSWERED_EVENTS: Final = 3
-"""Events after which a runner counts as having answered a prompt."""
 REFUSAL_VALID_SECONDS: Final = 0.5
 """Time for which a refused connection tells that a runner's process has ended."""
 NEXT_EVENT_TIMEOUT_FACTOR: Final = 3.0
@@ -83,15 +87,10 @@
     )
 
     @property
-    def is_sound(self) -> bool:
-        """Whether the runner has answered the prompt and did not end under it.
-
-        A few events without a length may be what a crash has left of an answer.
-        """
-        if isinstance(self.result, Streamed):
-            framed = self.head is not None and self.head.framed
-            return framed or self.events >= ANSWERED_EVENTS
-        return isinstance(self.result, Whole) and self.result.head.status < 300
+    def evidence(self) -> Evidence:
+        """What it tells about the shared parts of its prompt."""
+        framed = self.head is not None and self.head.framed
+        return evidence(_end_of(self.result), self.events, framed)
 
     def prompt_read(self) -> None:
         """Stop counting the prompt as pending at the runner."""
@@ -171,16 +170,16 @@
 
     def _record_evidence(self, attempt: Attempt) -> None:
         """Record what the end of an attempt says about the parts of its prompt."""
-        result, parts = attempt.result, attempt.shared_parts
+        parts = attempt.shared_parts
         if not parts or attempt.aborted:
             return
-        if attempt.is_sound:
+        told = attempt.evidence
+        if told is Evidence.SOUND:
             self._quarantine.record_answer(parts)
-        elif isinstance(result, Lost | Streamed) and attempt.events < ANSWERED_EVENTS:
-            if self._has_ended(attempt.candidate):
-                age = time.monotonic() - attempt.began_at
-                runner = attempt.candidate.entry.id
-                self._quarantine.record_crash(runner, parts, age)
+        elif told is Evidence.CRASH and self._has_ended(attempt.candidate):
+            age = time.monotonic() - attempt.began_at
+            runner = attempt.candidate.entry.id
+            self._quarantine.record_crash(runner, parts, age)
 
     def _has_ended(self, candidate: Candidate) -> bool:
         """Whether the runner's process has ended: nothing listens at its address."""
@@ -196,7 +195,7 @@
     def _abort(self, blamed: set[str]) -> None:
         """End the attempts with blamed parts that no runner has begun to answer."""
         for attempt in self._attempts:
-            if attempt.events < ANSWERED_EVENTS and blamed & {*attempt.shared_parts}:
+            if not is_answered(attempt.events) and blamed & {*attempt.shared_parts}:
                 attempt.aborted = True
                 attempt.link.close()
 
@@ -248,9 +247,9 @@
         if not self._is_stream(forwarded, head):
             attempt.body_parts.append(data)
             return
-        answered = attempt.events >= ANSWERED_EVENTS
+        answered = is_answered(attempt.events)
         has_content = self._pass_on_events(forwarded, attempt, head, data)
-        if not answered and attempt.events >= ANSWERED_EVENTS:
+        if not answered and is_answered(attempt.events):
             self._quarantine.record_answer(attempt.shared_parts)
         if has_content:
             attempt.link.note_progress()
@@ -443,3 +442,15 @@
         if workspace is not None and workspace.rank is not None:
             return workspace.rank
         return forwarded.route.rank
+
+
+def _end_of(result: AttemptResult) -> AttemptEnd:
+    match result:
+        case Streamed():
+            return AttemptEnd.STREAMED
+        case Whole(head) if head.status < 300:
+            return AttemptEnd.WHOLE
+        case Lost():
+            return AttemptEnd.LOST
+        case _:
+            return AttemptEnd.FAILED
