Decide a host's position for rate limits apart from the task; name it so

Cause: the task that owns the reports also ordered the hosts, and `Share` is the name of the fleet's shares of turns. Change: HostPosition.among, with a test; a unit in the names and texts of two constants. Nothing decides otherwise.

--- a/godwitrudder/process/rate_limits.py
+++ b/godwitrudder/process/rate_limits.py
@@ -13,7 +13,7 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.placement import Candidate
-from godwitrudder.request.rate_limit import RateLimits, Share
+from godwitrudder.request.rate_limit import HostPosition, RateLimits
 from godwitrudder.version.statements import NamedLimit, Statement
 
 
@@ -33,17 +33,17 @@
         """Return the runners to which this host may send a request now."""
         if not any(self._limits.limited(each.entry.id) for each in candidates):
             return candidates
-        share, now = self._share(), self._now()
+        position, now = self._position(), self._now()
         return [
             each
             for each in candidates
-            if self._limits.permits(each.entry.id, share, now)
+            if self._limits.permits(each.entry.id, position, now)
         ]
 
     def take(self, runner: str) -> None:
         """Record that a request is sent to the runner."""
         if self._limits.limited(runner):
-            self._limits.take(runner, self._share(), self._now())
+            self._limits.take(runner, self._position(), self._now())
 
     def record_limit(self, runner: str, per_second: float) -> None:
         """Record that a runner has named a limit to this host."""
@@ -99,14 +99,12 @@
             )
         )
 
-    def _share(self) -> Share | None:
-        """Return this host's share, None until the other hosts' statements are read."""
+    def _position(self) -> HostPosition | None:
+        """Return the own position, None until the other hosts' statements are read."""
         if not self._reservations.opened.is_set():
             return None
-        own = self._reservations.host_holdings.host
-        statements = self._reservations.host_holdings.statements
-        hosts = sorted({own, *statements.statements_by_host})
-        return Share(hosts.index(own), len(hosts))
+        holdings = self._reservations.host_holdings
+        return HostPosition.among(holdings.host, holdings.statements.statements_by_host)
 
     def _now(self) -> float:
         """Return Unix seconds that no step of the wall clock changes."""
--- a/godwitrudder/request/rate_limit.py
+++ b/godwitrudder/request/rate_limit.py
@@ -16,13 +16,15 @@
 
 import math
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Final
 
 VALID_SLOTS: Final = 2.0
 """Slots of all hosts that stay valid beside those of the last ``VALID_SECONDS``."""
 VALID_SECONDS: Final = 1.0
-MIN_PER_SECOND: Final = 0.1
+"""Time for which a slot that its host has not used stays valid."""
+MIN_REQUESTS_PER_SECOND: Final = 0.1
 """Requests per second to a runner with a lower limit: without any, no answer would tell
 that the limit is over."""
 MAX_RUNNERS: Final = 1000
@@ -30,20 +32,26 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Share:
-    """Share of one host in what all hosts may send.
+class HostPosition:
+    """Position of one host among all, which says which slots are its own.
 
     Attributes
     ----------
-    position : int
+    index : int
         Number of the host among all hosts in one order, from 0.
     hosts : int
         Number of hosts.
     """
 
-    position: int
+    index: int
     hosts: int
 
+    @classmethod
+    def among(cls, own: str, others: Iterable[str]) -> HostPosition:
+        """Return the position of a host in the order of all hosts' names."""
+        hosts = sorted({own, *others})
+        return cls(hosts.index(own), len(hosts))
+
 
 @dataclass(slots=True)
 class RunnerLimit:
@@ -66,22 +74,22 @@
     own: bool
     next_slot_at: float = -math.inf
 
-    def slot_at(self, share: Share, now: float) -> float | None:
+    def slot_at(self, position: HostPosition, now: float) -> float | None:
         """Return the begin of a valid slot that this host has not used, if any."""
         if self.per_second is None:
             return now
-        rate = max(MIN_PER_SECOND, self.per_second)
+        rate = max(MIN_REQUESTS_PER_SECOND, self.per_second)
         since = now - VALID_SECONDS - VALID_SLOTS / rate
-        offset = share.position / rate
-        interval = share.hosts / rate
+        offset = position.index / rate
+        interval = position.hosts / rate
         earliest = max(self.next_slot_at, since)
         slot_at = math.ceil((earliest - offset) / interval) * interval + offset
         return slot_at if slot_at <= now else None
 
-    def use_slot(self, slot_at: float, share: Share) -> None:
+    def use_slot(self, slot_at: float, position: HostPosition) -> None:
         """Record that the host sends a request in a slot."""
         if self.per_second is not None:
-            interval = share.hosts / max(MIN_PER_SECOND, self.per_second)
+            interval = position.hosts / max(MIN_REQUESTS_PER_SECOND, self.per_second)
             self.next_slot_at = slot_at + interval / 2
 
 
@@ -122,27 +130,27 @@
         self._limits_by_runner.move_to_end(runner)
         return changed
 
-    def permits(self, runner: str, share: Share | None, now: float) -> bool:
+    def permits(self, runner: str, position: HostPosition | None, now: float) -> bool:
         """Whether this host may send the runner a request now.
 
         Parameters
         ----------
-        share : Share or None
+        position : HostPosition or None
             None if the number of hosts is not known yet.
         """
         known = self._limits_by_runner.get(runner)
         if known is None or known.per_second is None:
             return True
-        return share is not None and known.slot_at(share, now) is not None
+        return position is not None and known.slot_at(position, now) is not None
 
-    def take(self, runner: str, share: Share | None, now: float) -> None:
+    def take(self, runner: str, position: HostPosition | None, now: float) -> None:
         """Record that a request is sent to the runner."""
         known = self._limits_by_runner.get(runner)
-        if known is None or share is None:
+        if known is None or position is None:
             return
-        slot_at = known.slot_at(share, now)
+        slot_at = known.slot_at(position, now)
         if slot_at is not None:
-            known.use_slot(slot_at, share)
+            known.use_slot(slot_at, position)
 
     def limited(self, runner: str) -> bool:
         """Whether a limit of the runner is in force."""
--- a/tests/test_rate_limit_share.py
+++ b/tests/test_rate_limit_share.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from godwitrudder.request.rate_limit import RateLimits, Share
+from godwitrudder.request.rate_limit import HostPosition, RateLimits
 
 RUNNER = "i-1"
 WINDOW_SECONDS = 4.0
@@ -18,13 +18,13 @@
     sent: list[float] = []
     for position in range(hosts):
         limits = RateLimits()
-        share = Share(position, hosts)
+        own = HostPosition(position, hosts)
         skew = random.uniform(-2.0, 2.0) if skewed and random.random() < 0.3 else 0.0
         limits.record(RUNNER, limit, 1000.0 + skew, 1000.0 + skew, own=True)
         for _ in range(100):
             now = 1000.0 + random.uniform(0.0, 20.0)
-            sent += [now] if limits.permits(RUNNER, share, now + skew) else []
-            limits.take(RUNNER, share, now + skew)
+            sent += [now] if limits.permits(RUNNER, own, now + skew) else []
+            limits.take(RUNNER, own, now + skew)
     return sorted(sent)
 
 
@@ -52,9 +52,9 @@
     for step in range(2000):
         now = 1000.0 + step / 100
         position = random.randrange(hosts)
-        share = Share(position, hosts)
-        if group[position].permits(RUNNER, share, now):
-            group[position].take(RUNNER, share, now)
+        own = HostPosition(position, hosts)
+        if group[position].permits(RUNNER, own, now):
+            group[position].take(RUNNER, own, now)
             sent += 1
     assert sent >= 0.9 * 5.0 * 20
 
@@ -73,7 +73,7 @@
     assert limits.record(RUNNER, 1.0, 1000.0, 1000.0, own=True)
     assert not limits.record(RUNNER, 1.0, 1001.0, 1001.0, own=True)
     assert limits.record(RUNNER, None, 1001.5, 1002.0, own=True)
-    assert all(limits.permits(RUNNER, Share(0, 195), 1002.0) for _ in range(9))
+    assert all(limits.permits(RUNNER, HostPosition(0, 195), 1002.0) for _ in range(9))
     assert not limits.own_limits()
 
 
@@ -96,3 +96,10 @@
     limits = RateLimits()
     limits.record(RUNNER, 1.0, 5000.0, 1000.0, own=False)
     assert limits.record(RUNNER, None, 1000.5, 1001.0, own=True)
+
+
+def test_hosts_take_their_turns_by_their_names() -> None:
+    hosts = ["front-2", "front-1", "front-3"]
+    places = [HostPosition.among(own, hosts) for own in hosts]
+    assert places == [HostPosition(index, 3) for index in (1, 0, 2)]
+    assert HostPosition.among("front-1", []) == HostPosition(0, 1)
