--- a/soak/faults.py
+++ b/soak/faults.py
@@ -27,8 +27,8 @@
 """Shortest and longest time for which a runner names a limit, or requests have a poison
 part: hosts have 3 s to adapt."""
 BACKOFF_RANGE_SECONDS: Final = (0.6, 3.0)
-# Requests per second that a runner names as its limit.
-LIMITS: Final = (0.5, 1.0, 4.0, 10.0)
+# Limits that a runner may name, in requests per second.
+LIMITS_PER_SECOND: Final = (0.5, 1.0, 4.0, 10.0)
 MAX_SERIES: Final = 6
 """Most signals or changes in a series."""
 SERIES_PAUSE_SECONDS: Final = 0.4
@@ -194,7 +194,7 @@
     def _limit_runner(self) -> None:
         runner = self._runner()
         if runner.limit is None:
-            runner.limit = self._random.choice(LIMITS)
+            runner.limit = self._random.choice(LIMITS_PER_SECOND)
             gevent.sleep(self._random.uniform(*LIMIT_RANGE_SECONDS))
             runner.limit = None
             self._deployment.rules.limit_ended(runner.name)
--- a/soak/runner_rules.py
+++ b/soak/runner_rules.py
@@ -17,7 +17,8 @@
 """Time after an answer at which its host must have applied it."""
 WINDOW_SECONDS: Final = 4.0
 LIMIT_FACTOR: Final = 1.5
-LIMIT_SLACK: Final = 5
+"""Requests that are allowed, as a multiple of what the limit allows."""
+LIMIT_SLACK_REQUESTS: Final = 5
 MAX_REQUESTS_IN_BACKOFF: Final = 2
 FREE_CRASHES: Final = 5
 MAX_POISON_REQUESTS: Final = 3
@@ -120,5 +121,5 @@
         arrivals.append(now)
         while arrivals[0] <= now - WINDOW_SECONDS:
             arrivals.popleft()
-        if len(arrivals) > LIMIT_FACTOR * limit * WINDOW_SECONDS + LIMIT_SLACK:
+        if len(arrivals) > LIMIT_FACTOR * limit * WINDOW_SECONDS + LIMIT_SLACK_REQUESTS:
             self._report(f"{runner}: {len(arrivals)} requests in 4 s, limit {limit}/s")
--- a/tests/test_faulty_answers.py
+++ b/tests/test_faulty_answers.py
@@ -1,4 +1,4 @@
-"""Answers of faulty runners that other operators have reported."""
+"""Answers of faulty runners."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
 
 @pytest.mark.parametrize("path", ["/unsafe/1", "/safe/1"])
 def test_a_refusal_without_an_id_on_a_kept_connection_proves_nothing(path: str) -> None:
-    """Clients were told that a request had not run, or it ran at a second runner."""
+    """The copy may be of a refusal of another request."""
     with run_entry(repeated_refusal(echo=False)) as setup:
         assert status_of(setup.ask(path, "POST")) == 200
         assert status_of(setup.ask(path, "POST")) not in (408, 421, 429, 503)
@@ -62,7 +62,7 @@
 
 @pytest.mark.parametrize("status", ["500 Error", "404 Not Found", "503 Full"])
 def test_an_error_of_the_next_runner_does_not_end_up_in_a_stream(status: str) -> None:
-    """Clients found an error's text in their stream, or a stream that looked whole."""
+    """Neither its text nor an end that looks whole."""
 
     def broken_then_failing(seen: ReceivedRequest, number: int) -> list[Step]:
         if "last-event-id" not in seen.headers:
@@ -93,7 +93,7 @@
 )
 @pytest.mark.parametrize("path", ["/unsafe/1", "/stream/1", "/fixed/1"])
 def test_an_answer_that_ends_in_its_head_is_no_success(head: bytes, path: str) -> None:
-    """Clients got a 200 with an empty or short body, framed as whole."""
+    """Whatever part of the head has come."""
 
     def cut(_seen: ReceivedRequest, _number: int) -> list[Step]:
         return [head, Close()]
--- a/tests/test_leaving_runner.py
+++ b/tests/test_leaving_runner.py
@@ -31,7 +31,7 @@
 
 
 def test_a_runner_that_says_it_leaves_gets_no_further_request() -> None:
-    """It got requests until the store listed it as leaving, or for ever."""
+    """The store may list it as leaving later, or never."""
     with run_entry(leaving, good) as setup:
         before = ask_until_it_says_so(setup)
         assert [status_of(setup.ask()) for _ in range(4)] == [503] * 4
@@ -65,7 +65,7 @@
 
 
 def test_an_entry_that_returns_before_the_answer_is_of_the_same_instance() -> None:
-    """The answer's directive went to the entry under which the request was sent."""
+    """The request was sent under the former entry."""
 
     def relisted(seen: ReceivedRequest, number: int) -> list[Step]:
         directory = setup.entry.directory
--- a/tests/test_poison_requests.py
+++ b/tests/test_poison_requests.py
@@ -53,7 +53,7 @@
 
 @pytest.mark.parametrize("lending", [True, False])
 def test_a_part_that_ends_runners_is_quarantined_by_all_hosts(lending: bool) -> None:
-    """Requests with one prompt part ended 9 to 30 runners, one after the other."""
+    """Any host may get the next request with the part."""
     with run_fleet(3, *[crashing] * 6, lending=lending) as fleet:
         for number in range(12):
             ask(fleet, number % 3, number, "b1", POISON)
@@ -82,7 +82,7 @@
 
 @pytest.mark.parametrize("lending", [True, False])
 def test_a_part_that_was_sound_until_a_moment_ago_is_quarantined(lending: bool) -> None:
-    """Its last sound answers protected it for 10 s, while runner after runner ended."""
+    """A recent sound answer must not protect a part that ends runners now."""
     harmful = False
 
     def turning(seen: ReceivedRequest, number: int) -> list[Step]:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -96,7 +96,7 @@
 
 
 def test_a_runner_that_ends_again_soon_after_its_return_counts_again() -> None:
-    """Fleets of three runners lost 14 of them, each of which returned within 1 s."""
+    """Where few runners serve a target, the same ones end again and again."""
     quarantine = Quarantine()
     crash(quarantine, "i-1", 10.0, "dead")
     crash(quarantine, "i-1", 10.1, "dead", sent=0.3)
--- a/tests/test_rate_limit.py
+++ b/tests/test_rate_limit.py
@@ -18,14 +18,16 @@
     status_of,
 )
 
-LIMIT = 1.0
+LIMIT_PER_SECOND = 1.0
 WINDOW_SECONDS = 4.0
-MOST_ARRIVALS = 1.5 * LIMIT * WINDOW_SECONDS + 5
+MOST_ARRIVALS = 1.5 * LIMIT_PER_SECOND * WINDOW_SECONDS + 5
 """Requests that a runner with this limit may get in a window."""
 
 
 def limited(seen: ReceivedRequest, _number: int) -> list[Step]:
-    return [build_response(seen, "200 OK", b"hello", f"Server-Limit: {LIMIT}")]
+    return [
+        build_response(seen, "200 OK", b"hello", f"Server-Limit: {LIMIT_PER_SECOND}")
+    ]
 
 
 def slow(seen: ReceivedRequest, _number: int) -> list[Step]:
@@ -58,7 +60,7 @@
 
 @pytest.mark.parametrize("lending", [True, False])
 def test_hosts_together_keep_to_the_limit_of_a_runner(lending: bool) -> None:
-    """Each host sent as if it were alone: 16 requests in 4 s, 11 allowed."""
+    """No host may send as if it were alone."""
     with run_fleet(4, limited, slow, slow, lending=lending) as fleet:
         name_limit(fleet)
         before = len(fleet.runners[0].received_requests)
--- a/tests/test_runner_backoff.py
+++ b/tests/test_runner_backoff.py
@@ -25,7 +25,7 @@
 
 
 def test_a_runner_in_backoff_gets_nothing_until_its_time_is_over() -> None:
-    """Requests went on, most of them where all other runners reject too."""
+    """Also if all other runners reject."""
     with run_entry(in_backoff("1.5"), rejecting) as setup:
         setup.ask()
         rejected_at = time.monotonic()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,7 +29,7 @@
 
 
 def test_no_port_is_given_to_two_hosts(tmp_path: Path) -> None:
-    """Runs with 60 hosts and more waited for ever for a host without its port."""
+    """A host without its port never becomes ready."""
     store = Address(IP, free_port())
     hosts = [Host(f"front-{number}", tmp_path, store) for number in range(150)]
     with ExitStack() as stack:
