--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/sender.py
@@ -31,7 +31,7 @@
 from godwitrudder.request.evidence import (
     AttemptEnd,
     Evidence,
-    evidence,
+    evidence_of,
     is_answered,
 )
 from godwitrudder.request.placement import Candidate, Directives
@@ -90,7 +90,7 @@
     def evidence(self) -> Evidence:
         """What it tells about the shared parts of its prompt."""
         framed = self.head is not None and self.head.framed
-        return evidence(_end_of(self.result), self.events, framed)
+        return evidence_of(_end_of(self.result), self.events, framed)
 
     def prompt_read(self) -> None:
         """Stop counting the prompt as pending at the runner."""
--- a/godwitrudder/request/evidence.py
+++ b/godwitrudder/request/evidence.py
@@ -36,7 +36,7 @@
     return events >= ANSWERED_EVENTS
 
 
-def evidence(end: AttemptEnd, events: int, framed: bool) -> Evidence:
+def evidence_of(end: AttemptEnd, events: int, framed: bool) -> Evidence:
     """Return what an attempt tells about the parts of its prompt.
 
     Parameters
--- a/tests/test_evidence.py
+++ b/tests/test_evidence.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from godwitrudder.request.evidence import AttemptEnd, Evidence, evidence
+from godwitrudder.request.evidence import AttemptEnd, Evidence, evidence_of
 
 
 @pytest.mark.parametrize(
@@ -24,4 +24,4 @@
 def test_what_an_attempt_tells(
     end: AttemptEnd, events: int, framed: bool, expected: Evidence
 ) -> None:
-    assert evidence(end, events, framed) is expected
+    assert evidence_of(end, events, framed) is expected
