Decode the store's era in every answer; the stand-in store can be restored

Cause: after a restore from an older copy offsets are given out again, and only the header Store-Era tells; no code reads it. Change: each result of a store call names the era of its answer; the stand-in restores a copy, answers 410 to an offset that it doesn't have, and names its era.

--- a/godwitrudder/platform/documents.py
+++ b/godwitrudder/platform/documents.py
@@ -155,6 +155,7 @@
     zone: str = ""
     slots: int = 1
     born: int = 0
+    seq: int = 0
 
 
 def catalogue(data: bytes) -> Catalogue | Malformed:
@@ -205,6 +206,7 @@
         leaving,
         max(1, model.slots),
         model.born,
+        model.seq,
     )
 
 
--- a/godwitrudder/platform/names.py
+++ b/godwitrudder/platform/names.py
@@ -49,6 +49,8 @@
 READ: Final = "/api/log-read"
 NEWEST: Final = "/api/log-newest"
 
+STORE_ERA: Final = "store-era"
+
 OPERATOR_TOPIC: Final = "keyed.op"
 CONFIGURATION_KEY: Final = "config"
 RUNNERS_TOPIC: Final = "keyed.servers"
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -2,12 +2,16 @@
 
 Every call returns its result or a value that describes the failure.  An append without
 an answer may have taken effect, or may still do so seconds later.
+
+Every answer names the store's era, which rises when it comes back from an older copy:
+records appended since that copy are gone, and their offsets are given out again.
 """
 
 from __future__ import annotations
 
 import base64
 import logging
+import re
 import struct
 from collections import Counter
 from dataclasses import dataclass
@@ -38,6 +42,8 @@
 PAGE_HEADER: Final = struct.Struct(">QQ")
 # Length of a record in bytes, before the record.
 LENGTH: Final = struct.Struct(">I")
+# Decimal digits of an era that fits into 63 bits.
+_ERA: Final = re.compile("[0-9]{1,18}")
 
 logger = logging.getLogger(__name__)
 
@@ -57,18 +63,22 @@
     ----------
     expected_sequence : int or None
         The producer's next sequence number, if the call's number was wrong.
+    era : int
+        The store's era.
     """
 
     status: int
     reason: str
     expected_sequence: int | None = None
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Forgotten:
-    """The requested records are no longer retained; ``first`` is the first offset."""
+    """The store doesn't have the requested offset; ``first`` is the first retained."""
 
     first: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -79,6 +89,7 @@
     first: int
     end: int
     records: tuple[bytes, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +98,7 @@
 
     offset: int
     end: int
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -107,11 +119,14 @@
         Offset at which to continue reading.
     whole : bool
         Whether the topic has no records after these.
+    era : int
+        The store's era; offsets of other eras mean nothing in it.
     """
 
     next: int
     records: tuple[KeyedRecord, ...]
     whole: bool = True
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,6 +138,21 @@
     sequence: int
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An HTTP answer: status, body and the store's era."""
+
+    status: int
+    body: bytes
+    era: int
+
+
+class ForgottenModel(msgspec.Struct):
+    """The store's answer to a read from an offset that it doesn't have."""
+
+    first: int
+
+
 class ItemModel(msgspec.Struct):
     """One item of the newest records."""
 
@@ -215,27 +245,25 @@
         answer = self._call(self._client, "POST", names.APPEND, query, body)
         if isinstance(answer, Unavailable):
             return answer
-        status, data = answer
-        if status != 200:
-            return _decode_rejected(status, data)
+        if answer.status != 200:
+            return _decode_rejected(answer)
         try:
-            model = msgspec.json.decode(data or b"{}", type=AppendedModel)
+            model = msgspec.json.decode(answer.body or b"{}", type=AppendedModel)
         except msgspec.MsgspecError as error:
             return Unavailable(f"append: {error}")
-        return Appended(model.offset, model.end)
+        return Appended(model.offset, model.end, answer.era)
 
     def append_keyed(
         self, topic: str, record: KeyedRecord | None, producer: Producer
-    ) -> int | Rejected | Unavailable:
-        """Append a keyed record, or only set the epoch; return the offset after it."""
+    ) -> Appended | Rejected | Unavailable:
+        """Append a keyed record; a record of None only sets the producer's epoch."""
         data = None if record is None else _encode_keyed(record)
-        answer = self.append(topic, data, producer)
-        return answer.end if isinstance(answer, Appended) else answer
+        return self.append(topic, data, producer)
 
     def newest(self, topic: str) -> Page | Rejected | Unavailable:
         """Return the newest record of each key, and the offset to continue from."""
         records: list[KeyedRecord] = []
-        next_offset: int | None = None
+        first_page: tuple[int, int] | None = None
         after = ""
         while True:
             query: dict[str, Any] = {"topic": topic, "part": 0}
@@ -244,21 +272,23 @@
             answer = self._call(self._client, "GET", names.NEWEST, query, b"")
             if isinstance(answer, Unavailable):
                 return answer
-            status, data = answer
-            if status != 200:
-                return _decode_rejected(status, data)
+            if answer.status != 200:
+                return _decode_rejected(answer)
             try:
-                page = msgspec.json.decode(data, type=NewestModel)
+                page = msgspec.json.decode(answer.body, type=NewestModel)
                 records.extend(
                     KeyedRecord(item.key, base64.b64decode(item.value))
                     for item in page.items
                 )
             except (msgspec.MsgspecError, ValueError) as error:
                 return Unavailable(f"newest: {error}")
-            if next_offset is None:
-                next_offset = page.end
+            if first_page is None:
+                first_page = page.end, answer.era
+            end, era = first_page
+            if answer.era != era:
+                return Unavailable("newest: the store was restored between two pages")
             if not page.has_more or not page.items:
-                return Page(next_offset, tuple(records))
+                return Page(end, tuple(records), era=era)
             after = page.items[-1].key
 
     def read(
@@ -273,12 +303,11 @@
         answer = self._call(client, "GET", names.READ, query, b"")
         if isinstance(answer, Unavailable):
             return answer
-        status, data = answer
-        if status == 410:
-            return _decode_forgotten(data)
-        if status != 200:
-            return _decode_rejected(status, data)
-        return _decode_page(offset, data)
+        if answer.status == 410:
+            return _decode_forgotten(answer)
+        if answer.status != 200:
+            return _decode_rejected(answer)
+        return _decode_page(offset, answer)
 
     def read_keyed(
         self, topic: str, offset: int, wait_seconds: float = 0.0
@@ -288,7 +317,8 @@
         if not isinstance(page, RawPage):
             return page
         records = tuple(_decode_keyed(content) for content in page.records)
-        return Page(offset + len(records), records, offset + len(records) >= page.end)
+        next_offset = offset + len(records)
+        return Page(next_offset, records, next_offset >= page.end, page.era)
 
     def close(self) -> None:
         """Close the connections."""
@@ -324,14 +354,15 @@
         path: str,
         query: dict[str, Any],
         body: bytes,
-    ) -> tuple[int, bytes] | Unavailable:
+    ) -> Answer | Unavailable:
         try:
             response = client.request(method, f"{path}?{urlencode(query)}", body=body)
-            answer = response.status_code, bytes(response.read())
+            era = _decode_era(response.get(names.STORE_ERA))
+            answer = Answer(response.status_code, bytes(response.read()), era)
         except Exception as error:  # the client raises many unrelated types
             self.calls[path, "none"] += 1
             return Unavailable(f"{type(error).__name__}: {error}")
-        self.calls[path, str(answer[0])] += 1
+        self.calls[path, str(answer.status)] += 1
         return answer
 
 
@@ -340,8 +371,16 @@
     return bytes([len(key)]) + key + (record.value or b"")
 
 
-def _decode_page(offset: int, data: bytes) -> RawPage | Unavailable:
+def _decode_era(value: object) -> int:
+    """Return the era that an answer names; 0 for none."""
+    if not isinstance(value, str) or not _ERA.fullmatch(value):
+        return 0
+    return int(value)
+
+
+def _decode_page(offset: int, answer: Answer) -> RawPage | Unavailable:
     """Split a read's bytes into records; drop a truncated last one."""
+    data = answer.body
     if len(data) < PAGE_HEADER.size:
         return Unavailable("the read's answer is shorter than its header")
     end, first = PAGE_HEADER.unpack_from(data)
@@ -354,14 +393,15 @@
             break
         records.append(content)
         position += LENGTH.size + length
-    return RawPage(offset, first, end, tuple(records))
+    return RawPage(offset, first, end, tuple(records), answer.era)
 
 
-def _decode_forgotten(data: bytes) -> Forgotten | Unavailable:
+def _decode_forgotten(answer: Answer) -> Forgotten | Unavailable:
     try:
-        return msgspec.convert(msgspec.json.decode(data), Forgotten)
+        model = msgspec.json.decode(answer.body, type=ForgottenModel)
     except msgspec.MsgspecError as error:
         return Unavailable(f"410: {error}")
+    return Forgotten(model.first, answer.era)
 
 
 def _decode_keyed(content: bytes) -> KeyedRecord:
@@ -370,14 +410,15 @@
     return KeyedRecord(key, content[1 + size :] or None)
 
 
-def _decode_rejected(status: int, data: bytes) -> Rejected:
+def _decode_rejected(answer: Answer) -> Rejected:
     try:
-        body = msgspec.json.decode(data, type=dict[str, Any])
+        body = msgspec.json.decode(answer.body, type=dict[str, Any])
     except msgspec.MsgspecError as error:
-        return Rejected(status, f"body: {error}")
+        return Rejected(answer.status, f"body: {error}", era=answer.era)
     sequence = body.get("seq")
     return Rejected(
-        status,
+        answer.status,
         str(body.get("reason", "")),
         sequence if isinstance(sequence, int) else None,
+        answer.era,
     )
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -22,6 +22,7 @@
 from godwitrudder.connection.loans import KEY_BYTES
 from godwitrudder.platform import names
 from godwitrudder.platform.store import (
+    Appended,
     Forgotten,
     KeyedRecord,
     Producer,
@@ -379,7 +380,7 @@
             answer = self._store.append_keyed(
                 names.LEDGER_TOPIC, None, self._producer()
             )
-            if isinstance(answer, int):
+            if isinstance(answer, Appended):
                 break
             if isinstance(answer, Rejected) and answer.status == 409:
                 self._epoch += 1
@@ -458,8 +459,8 @@
             answer = self._store.append_keyed(
                 names.LEDGER_TOPIC, record, self._producer()
             )
-            if isinstance(answer, int):
-                return answer
+            if isinstance(answer, Appended):
+                return answer.end
             self._handle_rejection(answer)
             gevent.sleep(RETRY_INTERVAL_SECONDS)
 
--- a/godwitrudder/version/catalogue.py
+++ b/godwitrudder/version/catalogue.py
@@ -152,6 +152,8 @@
         Number of requests that it processes concurrently.
     started_ms : int
         Unix milliseconds at which it started; 0 if it does not say.
+    sequence : int
+        Number of the report; it starts anew with the runner.
     """
 
     id: str
@@ -161,6 +163,7 @@
     leaving: bool
     slots: int
     started_ms: int = 0
+    sequence: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/standins/http.py
+++ b/standins/http.py
@@ -36,6 +36,7 @@
     status: int
     chunks: Iterable[bytes]
     content_type: str = "application/cbor"
+    headers: tuple[tuple[str, str], ...] = ()
 
 
 def json_response(body: Any, status: int = 200) -> Response:
@@ -94,7 +95,7 @@
         self, environ: dict[str, Any], start_response: Any
     ) -> Iterable[bytes]:
         response = self._answer_with_faults(read_request(environ))
-        headers = [("Content-Type", response.content_type)]
+        headers = [("Content-Type", response.content_type), *response.headers]
         start_response(f"{response.status} {response.status}", headers)
         return response.chunks
 
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,8 @@
 """The users' metadata store in memory, with the store's HTTP protocol.
 
 A topic has keyed records.  The store keeps the newest record of each key, and the
-history of the topic until it is truncated.
+history of the topic until it is truncated.  ``restore`` brings it back from an older
+copy; each answer names its era.
 """
 
 from __future__ import annotations
@@ -10,7 +11,8 @@
 import json
 import struct
 from collections import defaultdict
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import gevent
@@ -70,6 +72,20 @@
         self.appended.set()
         self.appended = Event()
 
+    def snapshot(self) -> Topic:
+        """Return a copy; its event is set by no append to this topic."""
+        return replace(
+            self,
+            records=copy(self.records),
+            epoch_by_producer=copy(self.epoch_by_producer),
+            batch_ends_by_producer={
+                producer: copy(ends)
+                for producer, ends in self.batch_ends_by_producer.items()
+            },
+            newest_by_key=copy(self.newest_by_key),
+            appended=Event(),
+        )
+
     def truncate(self) -> None:
         """Drop the history but keep the newest record of each key."""
         self.first_offset = self.end
@@ -83,9 +99,26 @@
     ----------
     topics : dict
         Topics by name, created at their first use.
+    era : int
+        Number of times that the store came back from an older copy.
     """
 
     topics: defaultdict[str, Topic]
+    era: int = 0
+
+    def copy_topics(self) -> dict[str, Topic]:
+        """Return a copy to restore later."""
+        return {name: topic.snapshot() for name, topic in self.topics.items()}
+
+    def restore(self, copied: dict[str, Topic]) -> None:
+        """Come back from a copy; records appended since it was made are gone."""
+        waiting = [topic.appended for topic in self.topics.values()]
+        self.topics = defaultdict(Topic)
+        for name, topic in copied.items():
+            self.topics[name] = topic.snapshot()
+        self.era += 1
+        for event in waiting:
+            event.set()
 
     def put(self, topic: str, key: str, value: Any) -> None:
         """Append a JSON record as operators and runners do; None deletes the key."""
@@ -93,7 +126,11 @@
         self._topic(topic).add(bytes([len(key)]) + key.encode() + data)
 
     def answer(self, request: Request) -> Response:
-        """Answer one request."""
+        """Answer one request; the answer names the era in which it was computed."""
+        response = self._answer(request)
+        return replace(response, headers=((names.STORE_ERA, str(self.era)),))
+
+    def _answer(self, request: Request) -> Response:
         topic = self._topic(request.query.get("topic", ""))
         if request.path == names.APPEND:
             return self._append(topic, request)
@@ -139,9 +176,10 @@
     def _read(self, topic: Topic, request: Request) -> Response:
         offset = int(request.query["from"])
         wait = float(request.query.get("wait_ms", "0")) / 1000
-        if offset >= topic.end and wait:
+        if offset == topic.end and wait:
             topic.appended.wait(wait)
-        if offset < topic.first_offset:
+            topic = self._topic(request.query["topic"])
+        if not topic.first_offset <= offset <= topic.end:
             return json_response({"first": topic.first_offset}, 410)
         page = struct.pack(">QQ", topic.end, topic.first_offset)
         for record in topic.records[offset - topic.first_offset :]:
