--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -4,7 +4,8 @@
 whose entry disappears while the store answers is removed at once.  If the store was
 unreachable, the entry may only have expired, so the runner is kept until a live one
 would have been listed again. It is used until then only if most of its target's
-runners have lost their entries.
+runners have lost their entries.  The same holds if the store comes back from an older
+copy.  A runner that leaves, or has left, is not used again because of an older entry.
 """
 
 from __future__ import annotations
@@ -32,6 +33,7 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.placement import Candidate, Directives
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
+from godwitrudder.version.cursor import Cursor
 
 CONFIGURATION_POLL_SECONDS: Final = 2.0
 """Time that a long poll waits for a new version; bounds the detection of a dead
@@ -114,42 +116,51 @@
 
     def follow_configuration(self) -> None:
         """Poll the store for new configuration versions until the task is killed."""
-        offset: int | None = None
+        cursor = Cursor()
         while True:
             page = self._read_page(
-                names.OPERATOR_TOPIC, offset, CONFIGURATION_POLL_SECONDS
+                names.OPERATOR_TOPIC, cursor, CONFIGURATION_POLL_SECONDS
             )
             if page is None:
-                offset = None if self.catalogue is None else offset
+                cursor.offset = None if self.catalogue is None else cursor.offset
                 gevent.sleep(RETRY_INTERVAL_SECONDS)
                 continue
+            if cursor.enter_era(page.era):
+                self._log.note("store_restored", topic="configuration", era=page.era)
+                continue
             if isinstance(page, Forgotten):
-                offset = None
+                cursor.offset = None
                 continue
-            offset = page.next
+            cursor.offset = page.next
             for record in page.records:
                 self._apply_configuration(record)
 
     def follow_runners(self) -> None:
         """Poll the store for changes of the runners until the task is killed."""
-        offset: int | None = None
+        cursor, restored = Cursor(), False
         while True:
-            page = self._read_page(names.RUNNERS_TOPIC, offset, 0.0)
+            page = self._read_page(names.RUNNERS_TOPIC, cursor, 0.0)
             now = time.monotonic()
+            if page is not None and cursor.enter_era(page.era):
+                self._log.note("store_restored", topic="runners", era=page.era)
+                self._store_returned_at = now
+                restored = True
+                continue
             if isinstance(page, Page):
                 if now - self.answered_at > STORE_SILENT_AFTER_SECONDS:
                     self._store_returned_at = now
                     self._expect_entries_of_instances(now)
                 self.answered_at = now
-                if offset is None:
+                if cursor.offset is None:
                     self._remove_unlisted({record.key for record in page.records}, now)
-                offset = page.next
+                cursor.offset = page.next
                 for record in page.records:
-                    self._apply_entry(record, now)
+                    self._apply_entry(record, now, restored)
+                restored = False
                 self.runners_read = True
                 self._check_ready()
             elif isinstance(page, Forgotten):
-                offset = None
+                cursor.offset = None
                 continue
             self._drop_overdue(now)
             gevent.sleep(self._runners_poll_seconds)
@@ -160,12 +171,12 @@
             self.ready.set()
 
     def _read_page(
-        self, topic: str, offset: int | None, wait: float
+        self, topic: str, cursor: Cursor, wait: float
     ) -> Page | Forgotten | None:
-        if offset is None:
+        if cursor.offset is None:
             page: Page | Forgotten | Rejected | Unavailable = self._store.newest(topic)
         else:
-            page = self._store.read_keyed(topic, offset, wait)
+            page = self._store.read_keyed(topic, cursor.offset, wait)
         if isinstance(page, Rejected | Unavailable):
             self._log.note("store_no_answer", topic=topic, answer=str(page))
             return None
@@ -186,7 +197,7 @@
             "configuration", version=catalogue.version, bytes=len(record.value)
         )
 
-    def _apply_entry(self, record: KeyedRecord, now: float) -> None:
+    def _apply_entry(self, record: KeyedRecord, now: float, in_copy: bool) -> None:
         if record.value is None:
             self._remove(record.key, now)
             return
@@ -196,6 +207,9 @@
             return
         self._relist_deadline_by_id.pop(entry.id, None)
         self._unlisted_instances.discard(entry.id)
+        if self._is_outdated(entry, in_copy):
+            self._log.note("entry_outdated", runner=entry.id, sequence=entry.sequence)
+            return
         former = self._target_by_id.get(entry.id)
         if former is not None and former != entry.target:
             self._drop(entry.id, "target")
@@ -218,6 +232,25 @@
         known.entry = entry
         known.unlisted = known.replaced = False
 
+    def _is_outdated(self, entry: ListedRunner, in_copy: bool) -> bool:
+        """Whether an entry is older than what is known of a runner that left.
+
+        Parameters
+        ----------
+        in_copy : bool
+            Whether the store may have come back with an older copy of the entry.
+        """
+        target = self._target_by_id.get(entry.id)
+        known = self._former_by_id.get(entry.id)
+        if target is not None:
+            known = self.candidates_by_target[target][entry.id]
+        if known is None or entry.leaving or entry.started_ms > known.entry.started_ms:
+            return False
+        older = 0 < entry.sequence <= known.entry.sequence
+        if known.entry.leaving:
+            return older or in_copy
+        return known.gone and in_copy
+
     def _add(self, entry: ListedRunner) -> None:
         candidate = Candidate(entry)
         former = self._former_by_id.pop(entry.id, None)
