Decode JSON in one place that never raises; bound numbers and addresses

Callers saw (reported by other operators): hosts that read the list of runners ended again and again after another writer had left one odd entry. Cause: msgspec raises RecursionError for a deeply nested unknown field, which no decoder of a record caught; int() raises for a port or an event id of thousands of digits; a slot count of 400 digits was taken and overflows where it is divided. The exception ends the task and with it the process, and each restart reads the same record. Change: codec.decode_json beside codec.decode, used by all decoders of runners, callers, the store and operators; whole numbers within 2**53, times within what timers accept; addresses with ASCII ports, IPv6 in brackets, not scoped, for runners not unspecified or multicast; ids of runners that can stand in a header.

--- a/godwitrudder/connection/probe.py
+++ b/godwitrudder/connection/probe.py
@@ -8,6 +8,7 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from godwitrudder import codec
 from godwitrudder.validation import Address
 
 # Timeout of connecting, and of waiting for the next bytes.
@@ -105,7 +106,7 @@
         client.close()
     if response.status_code != 200:
         return PollFailed(f"status {response.status_code}", silent=False)
-    try:
-        return msgspec.json.decode(data, type=model), len(data)
-    except msgspec.DecodeError as error:
-        return PollFailed(str(error), silent=False)
+    value: T | codec.Malformed = codec.decode_json(data, model)
+    if isinstance(value, codec.Malformed):
+        return PollFailed(value.reason, silent=False)
+    return value, len(data)
--- a/godwitrudder/ctl/client.py
+++ b/godwitrudder/ctl/client.py
@@ -8,6 +8,8 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
+from godwitrudder import codec
+from godwitrudder.codec import Malformed
 from godwitrudder.ctl.settings import CtlSettings
 from godwitrudder.validation import Address
 from godwitrudder.views import ErrorView
@@ -119,9 +121,10 @@
 
 
 def _decode(status: int, content: bytes, view_type: type[T]) -> T | Failure:
-    try:
-        if status in VIEW_STATUSES:
-            return msgspec.json.decode(content, type=view_type)
-        return Failure(status, msgspec.json.decode(content, type=ErrorView).message)
-    except msgspec.DecodeError as error:
-        return Failure(status, f"status {status}, can't decode the answer: {error}")
+    view: T | ErrorView | Malformed = codec.decode_json(
+        content, view_type if status in VIEW_STATUSES else ErrorView
+    )
+    if isinstance(view, Malformed):
+        reason = f"status {status}, can't decode the answer: {view.reason}"
+        return Failure(status, reason)
+    return Failure(status, view.message) if isinstance(view, ErrorView) else view
--- a/godwitrudder/ctl/decision_log.py
+++ b/godwitrudder/ctl/decision_log.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from typing import Any, Final
 
-import msgspec
+from godwitrudder import codec
 
 SLOW_SECONDS: Final = 1.0
 """Above it, an answer counts as slow and a silent store as unreachable."""
@@ -169,10 +169,12 @@
 
 
 def _parse_decision(data: bytes) -> Decision | None:
+    fields = codec.decode_json(data, dict[str, Any])
+    if isinstance(fields, codec.Malformed):
+        return None
     try:
-        fields = msgspec.json.decode(data, type=dict[str, Any])
         wall, host, kind = fields.pop("wall"), fields.pop("host"), fields.pop("kind")
         request = str(fields.pop("request", ""))
         return Decision(float(wall), str(host), str(kind), request, fields)
-    except (msgspec.MsgspecError, KeyError, ValueError, TypeError):
+    except (KeyError, ValueError, TypeError, OverflowError):
         return None
--- a/godwitrudder/platform/documents.py
+++ b/godwitrudder/platform/documents.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Final
+import ipaddress
+import re
+from typing import Annotated, Final
 
 import msgspec
 
-from godwitrudder.codec import Malformed
+from godwitrudder import codec
+from godwitrudder.codec import Count, Malformed, Milliseconds, Whole
 from godwitrudder.validation import Address, Problem, parse_address
 from godwitrudder.version.catalogue import (
     CallerLimits,
@@ -21,6 +24,8 @@
     index_routes,
 )
 
+# Visible characters, as in the value of a header.
+_RUNNER_ID: Final = re.compile("[!-~]{1,200}")
 KIND_BY_NAME: Final = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -28,11 +33,14 @@
 }
 
 
+Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
 class ShareModel(msgspec.Struct):
     """One target of a route with a traffic split."""
 
     service: str
-    weight: float = 1.0
+    weight: Weight = 1.0
 
 
 class RouteModel(msgspec.Struct):
@@ -56,15 +64,15 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float = 1000.0
-    priority: int = 5
+    timeout_ms: Milliseconds
+    target_latency_ms: Milliseconds = 1000.0
+    priority: Whole = 5
     service: str = ""
     traffic_split: list[ShareModel] = []
-    max_attempts: int = 1
+    max_attempts: Whole = 1
     public: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0.0
+    gap_aim_ms: Milliseconds = 0.0
 
 
 class LoadedModel(msgspec.Struct):
@@ -82,9 +90,9 @@
         Maximum number of tokens in one event of a stream.
     """
 
-    slots: int = 1
-    stride: int = 1
-    kv_capacity_tokens: int = 0
+    slots: Whole = 1
+    stride: Whole = 1
+    kv_capacity_tokens: Whole = 0
     models: list[LoadedModel] = []
 
 
@@ -100,17 +108,17 @@
     """
 
     name: str
-    max_conns: int = 0
+    max_conns: Whole = 0
     engine: EngineModel | None = None
 
 
 class LimitsModel(msgspec.Struct):
     """Limits on the requests of callers."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Count = 16_384
+    max_body_bytes: Count = 4_194_304
+    header_timeout_ms: Milliseconds = 3000.0
+    idle_timeout_ms: Milliseconds = 15_000.0
 
 
 class TenantModel(msgspec.Struct):
@@ -126,8 +134,8 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
-    prepaid: int | None = None
+    priority: Whole | None = None
+    prepaid: Whole | None = None
 
 
 class ConfigurationModel(msgspec.Struct):
@@ -139,7 +147,7 @@
         None makes all routes public.
     """
 
-    version: int
+    version: Whole
     routes: list[RouteModel] = []
     services: list[ServiceModel] = []
     limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
@@ -153,17 +161,16 @@
     address: str
     state: str
     zone: str = ""
-    slots: int = 1
-    born: int = 0
-    seq: int = 0
+    slots: Whole = 1
+    born: Whole = 0
+    seq: Whole = 0
 
 
 def catalogue(data: bytes) -> Catalogue | Malformed:
     """Decode a configuration."""
-    try:
-        model = msgspec.json.decode(data, type=ConfigurationModel, strict=False)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Malformed(str(error))
+    model = codec.decode_json(data, ConfigurationModel, strict=False)
+    if isinstance(model, Malformed):
+        return model
     routes = [_route(route, model.tenants is None) for route in model.routes]
     workspaces = {
         tenant.name: Workspace(tenant.name, tenant.priority, tenant.prepaid)
@@ -188,15 +195,19 @@
 
 def entry(key: str, data: bytes) -> ListedRunner | Malformed:
     """Decode the store's record of one runner."""
-    try:
-        model = msgspec.json.decode(data, type=RunnerModel)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Malformed(str(error))
+    model = codec.decode_json(data, RunnerModel)
+    if isinstance(model, Malformed):
+        return model
+    if not _RUNNER_ID.fullmatch(key):
+        return Malformed("the id of a runner can't stand in a header")
     if model.state not in ("ready", "draining"):
         return Malformed(f"unknown state {model.state!r}")
     address = parse_address("servers", key, model.address)
     if isinstance(address, Problem):
         return Malformed(str(address))
+    number = ipaddress.ip_address(address.ip)
+    if number.is_unspecified or number.is_multicast:
+        return Malformed(f"{address} is no address of one machine")
     leaving = model.state != "ready"
     return ListedRunner(
         key,
--- a/godwitrudder/platform/engine_report.py
+++ b/godwitrudder/platform/engine_report.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from godwitrudder import codec
 from godwitrudder.connection.http import End, Incomplete, RunnerLink
 from godwitrudder.connection.messages import ResponseHead
 from godwitrudder.connection.traffic import Traffic
@@ -44,10 +45,9 @@
         link.close()
     if isinstance(body, str):
         return body
-    try:
-        report = msgspec.json.decode(body, type=ReportModel)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return str(error)
+    report: ReportModel | codec.Malformed = codec.decode_json(body, ReportModel)
+    if isinstance(report, codec.Malformed):
+        return report.reason
     return frozenset(model.name for model in report.models)
 
 
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import math
+import re
 from dataclasses import dataclass
 from typing import Final
 
+from godwitrudder.codec import MAX_SECONDS
 from godwitrudder.connection.messages import (
     HOP_BY_HOP,
     CallerRequest,
@@ -40,6 +42,12 @@
     Reason.DRAINING: 503,
     Reason.DEADLINE: 504,
 }
+# A whole number below 2**53.
+_WHOLE: Final = re.compile(rb"-?[0-9]{1,15}")
+MIN_RATE_LIMIT: Final = 1e-6
+"""Requests per second; a runner that names less accepts none."""
+MAX_RATE_LIMIT: Final = 1e9
+"""Requests per second, above what any runner accepts."""
 BEARER_PREFIX: Final = b"bearer "
 LEAST_URGENT_RANK: Final = 9
 """Least urgent rank that the platform's protocol allows in a request to a runner."""
@@ -103,11 +111,11 @@
             values.get(b"host", b"").decode("latin-1").lower().partition(":")[0],
             request.path.decode("latin-1").partition("?")[0],
             _parse_key(values.get(b"authorization", b"")),
-            None if deadline is None else float(deadline) / 1000,
+            None if deadline is None else _parse_milliseconds(deadline) / 1000,
             tokens[0],
             tokens[1],
             _parse_parts(values.get(names.PREFIX, b"")),
-            None if not after else int(after),
+            None if not after else _parse_whole(after),
         )
     except ValueError as error:
         return str(error)
@@ -188,7 +196,7 @@
         return None
     try:
         running, waiting, *_ = value.split(b",")
-        return Load(int(running), int(waiting))
+        return Load(_parse_whole(running), _parse_whole(waiting))
     except ValueError:
         return value.decode("latin-1")
 
@@ -207,7 +215,9 @@
         seconds = float(head.header(names.RETRY_AFTER))
     except ValueError:
         return None
-    return seconds if head.status == 503 and 0 < seconds < math.inf else None
+    if head.status != 503 or not 0 < seconds < math.inf:
+        return None
+    return min(seconds, MAX_SECONDS)
 
 
 def rate_limit(head: ResponseHead) -> float | str | None:
@@ -222,7 +232,9 @@
         limit = float(value)
     except ValueError:
         return value.decode("latin-1")
-    return limit if 0 <= limit < math.inf else value.decode("latin-1")
+    if not 0 <= limit < math.inf:
+        return value.decode("latin-1")
+    return min(limit, MAX_RATE_LIMIT) if limit >= MIN_RATE_LIMIT else 0.0
 
 
 def idle_seconds(head: ResponseHead) -> float | None:
@@ -230,7 +242,7 @@
     for field in head.header(b"keep-alive").split(b","):
         name, _, value = field.strip().partition(b"=")
         if name.lower() == b"timeout" and value.isdigit():
-            return float(value)
+            return min(float(value), MAX_SECONDS)
     return None
 
 
@@ -249,7 +261,7 @@
     if not value:
         return 0, 0
     prompt, _, output = value.partition(b",")
-    counts = int(prompt), int(output or b"0")
+    counts = _parse_whole(prompt), _parse_whole(output or b"0")
     if min(counts) < 0:
         raise ValueError("a token count is negative")
     return counts
@@ -259,4 +271,22 @@
     if not value:
         return ()
     pairs = (entry.strip().partition(b":") for entry in value.split(b","))
-    return tuple(Part(name.decode("latin-1"), int(size)) for name, _, size in pairs)
+    return tuple(
+        Part(name.decode("latin-1"), _parse_whole(size)) for name, _, size in pairs
+    )
+
+
+def _parse_whole(value: bytes) -> int:
+    """Parse a whole number; raise ValueError if it is none or too large to use."""
+    digits = value.strip()
+    if not _WHOLE.fullmatch(digits):
+        raise ValueError(f"expected a whole number, not {digits[:40]!r}")
+    return int(digits)
+
+
+def _parse_milliseconds(value: bytes) -> float:
+    """Parse a time; raise ValueError if it is none or longer than timers accept."""
+    milliseconds = float(value)
+    if not abs(milliseconds) <= MAX_SECONDS * 1000:
+        raise ValueError(f"expected milliseconds, not {value[:40]!r}")
+    return milliseconds
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -24,6 +24,8 @@
 from geventhttpclient import HTTPClient
 from geventhttpclient.connectionpool import ConnectionPool
 
+from godwitrudder import codec
+from godwitrudder.codec import Count, Whole
 from godwitrudder.platform import names
 from godwitrudder.validation import Address
 
@@ -150,7 +152,14 @@
 class ForgottenModel(msgspec.Struct):
     """The store's answer to a read from an offset that it doesn't have."""
 
-    first: int
+    first: Count
+
+
+class RejectedModel(msgspec.Struct):
+    """The store's answer to a call that it refused."""
+
+    reason: str = ""
+    seq: Count | None = None
 
 
 class ItemModel(msgspec.Struct):
@@ -158,22 +167,22 @@
 
     key: str
     value: str
-    offset: int
+    offset: Count
 
 
 class NewestModel(msgspec.Struct):
     """A page of the newest records."""
 
     items: list[ItemModel]
-    end: int
+    end: Count
     has_more: bool = False
 
 
 class AppendedModel(msgspec.Struct):
     """The store's answer to an append."""
 
-    offset: int = 0
-    end: int = 0
+    offset: Whole = 0
+    end: Whole = 0
 
 
 class BoundedSocket(socket.socket):  # type: ignore[misc]
@@ -247,10 +256,9 @@
             return answer
         if answer.status != 200:
             return _decode_rejected(answer)
-        try:
-            model = msgspec.json.decode(answer.body or b"{}", type=AppendedModel)
-        except msgspec.MsgspecError as error:
-            return Unavailable(f"append: {error}")
+        model = codec.decode_json(answer.body or b"{}", AppendedModel)
+        if isinstance(model, codec.Malformed):
+            return Unavailable(f"append: {model.reason}")
         return Appended(model.offset, model.end, answer.era)
 
     def append_keyed(
@@ -274,13 +282,15 @@
                 return answer
             if answer.status != 200:
                 return _decode_rejected(answer)
+            page = codec.decode_json(answer.body, NewestModel)
+            if isinstance(page, codec.Malformed):
+                return Unavailable(f"newest: {page.reason}")
             try:
-                page = msgspec.json.decode(answer.body, type=NewestModel)
                 records.extend(
                     KeyedRecord(item.key, base64.b64decode(item.value))
                     for item in page.items
                 )
-            except (msgspec.MsgspecError, ValueError) as error:
+            except ValueError as error:
                 return Unavailable(f"newest: {error}")
             if first_page is None:
                 first_page = page.end, answer.era
@@ -397,10 +407,9 @@
 
 
 def _decode_forgotten(answer: Answer) -> Forgotten | Unavailable:
-    try:
-        model = msgspec.json.decode(answer.body, type=ForgottenModel)
-    except msgspec.MsgspecError as error:
-        return Unavailable(f"410: {error}")
+    model = codec.decode_json(answer.body, ForgottenModel)
+    if isinstance(model, codec.Malformed):
+        return Unavailable(f"410: {model.reason}")
     return Forgotten(model.first, answer.era)
 
 
@@ -411,14 +420,7 @@
 
 
 def _decode_rejected(answer: Answer) -> Rejected:
-    try:
-        body = msgspec.json.decode(answer.body, type=dict[str, Any])
-    except msgspec.MsgspecError as error:
-        return Rejected(answer.status, f"body: {error}", era=answer.era)
-    sequence = body.get("seq")
-    return Rejected(
-        answer.status,
-        str(body.get("reason", "")),
-        sequence if isinstance(sequence, int) else None,
-        answer.era,
-    )
+    model = codec.decode_json(answer.body, RejectedModel)
+    if isinstance(model, codec.Malformed):
+        return Rejected(answer.status, f"body: {model.reason}", era=answer.era)
+    return Rejected(answer.status, model.reason, model.seq, answer.era)
--- a/godwitrudder/process/operator.py
+++ b/godwitrudder/process/operator.py
@@ -15,6 +15,7 @@
 import msgspec
 from gevent import Timeout
 
+from godwitrudder import codec
 from godwitrudder.process.console import Console
 from godwitrudder.process.publisher import Publisher
 from godwitrudder.process.settings import ADMIN_TEAM
@@ -218,10 +219,10 @@
 
 
 def _decode_body(request: OperatorRequest, model: type[T]) -> T | ErrorResponse:
-    try:
-        return msgspec.json.decode(request.body, type=model)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return ErrorResponse(422, "invalid", str(error))
+    body: T | codec.Malformed = codec.decode_json(request.body, model)
+    if isinstance(body, codec.Malformed):
+        return ErrorResponse(422, "invalid", body.reason)
+    return body
 
 
 def _check_op(op: str) -> ErrorResponse | None:
--- a/godwitrudder/request/event_stream.py
+++ b/godwitrudder/request/event_stream.py
@@ -14,7 +14,7 @@
 END: Final = re.compile(rb"\r?\n\r?\n")
 END_BYTES: Final = 3
 """Bytes of an event's terminator that may arrive before the rest of it."""
-ID: Final = re.compile(rb"^id: *(\d+)", re.MULTILINE)
+ID: Final = re.compile(rb"^id: *([0-9]{1,18})(?![0-9])", re.MULTILINE)
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/validation.py
+++ b/godwitrudder/validation.py
@@ -17,6 +17,7 @@
 T = TypeVar("T")
 
 MAX_PORT: Final = 65535
+_PORT = re.compile("[0-9]{1,5}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 _KEY_PROBLEM = re.compile(
     r"Object (?P<kind>missing required|contains unknown) field `(?P<key>.*)`"
@@ -80,7 +81,7 @@
     """
     try:
         plain = pyjson5.decode(text)
-    except pyjson5.Json5Exception as error:
+    except (pyjson5.Json5Exception, ValueError, RecursionError) as error:
         return Problem(source, "", f"expected commented JSON: {error}")
     return validate(source, plain, model)
 
@@ -89,7 +90,7 @@
     """Validate builtin values against ``model``; see ``parse``."""
     try:
         value: T = msgspec.convert(plain, model)
-    except msgspec.ValidationError as error:
+    except (msgspec.ValidationError, ValueError, OverflowError) as error:
         return _problem(source, str(error))
     return value
 
@@ -122,14 +123,18 @@
     Address or Problem
         The address, or what is wrong with the text.
     """
-    ip, colon, port = text.rpartition(":")
+    ip, _, port = text.rpartition(":")
+    bracketed = ip.startswith("[") and ip.endswith("]")
     try:
-        ipaddress.ip_address(ip.strip("[]"))
+        number = ipaddress.ip_address(ip[1:-1] if bracketed else ip)
+        scoped = "%" in ip
     except ValueError:
         return Problem(source, path, f"expected an IP number and port, not {text!r}")
-    if not colon or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
+    if scoped or bracketed != (number.version == 6):
+        return Problem(source, path, f"expected an IPv4 number or [IPv6] in {text!r}")
+    if not _PORT.fullmatch(port) or not 0 < int(port) <= MAX_PORT:
         return Problem(source, path, f"expected a port 1 to {MAX_PORT} in {text!r}")
-    return Address(ip.strip("[]"), int(port))
+    return Address(str(number), int(port))
 
 
 def is_sha256(text: str) -> bool:
--- a/godwitrudder/version/document.py
+++ b/godwitrudder/version/document.py
@@ -189,7 +189,7 @@
     """Parse the JSON5 text of one section and validate it against its model."""
     try:
         plain = pyjson5.decode(text, maxdepth=MAX_DEPTH)
-    except pyjson5.Json5Exception as error:
+    except (pyjson5.Json5Exception, ValueError) as error:
         return Problem(section, "", f"expected commented JSON: {error}")
     if not isinstance(plain, dict):
         return Problem(section, "", "expected an object with a key per identifier")
