--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -56,6 +56,7 @@
     heartbeat_ms: float = 1200.0
     limits: LimitsModel = msgspec.field(default_factory=LimitsModel)
     ip: str = ""
+    bootstrap: bool = False
     internal_ports: list[int] = msgspec.field(default_factory=list)
 
 
@@ -81,6 +82,9 @@
         Capacity of the machine's link in each direction; 0 if unknown.
     peers : Address or None
         Address for messages of other hosts; None if the platform assigns no port.
+    first_start : bool
+        Whether the whole fleet starts for the first time, so that nothing can have been
+        spent yet.
     """
 
     host: str
@@ -95,6 +99,7 @@
     retry_slack: float
     link_bytes_per_second: float = 0.0
     peers: Address | None = None
+    first_start: bool = False
 
 
 def load(path: Path) -> EntrySettings | Problem:
@@ -129,6 +134,7 @@
         bounds.retry_slack,
         model.limits.link_mbps * BYTES_PER_MEGABIT,
         _peer_address(model),
+        model.bootstrap,
     )
 
 
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -91,6 +91,7 @@
             Policy(),
             settings.peers,
             Random(),
+            settings.first_start,
         )
         random = Random()
         quarantine = FleetQuarantine(self.reservations, log, random.random())
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -61,7 +61,7 @@
         self._reservations = reservations
         self._log = log
         self.on_blamed: Callable[[set[str]], None] = lambda parts: None
-        reservations.statement_handlers.append(self._handle_statement)
+        reservations.exchange.statement_handlers.append(self._handle_statement)
         if reservations.lending is not None:
             reservations.lending.report_handlers.append(self._handle_report)
 
--- a/godwitrudder/process/rate_limits.py
+++ b/godwitrudder/process/rate_limits.py
@@ -25,7 +25,7 @@
         self._reservations = reservations
         self._log = log
         self._clock_offset = time.time() - time.monotonic()
-        reservations.statement_handlers.append(self._handle_statement)
+        reservations.exchange.statement_handlers.append(self._handle_statement)
         if reservations.lending is not None:
             reservations.lending.report_handlers.append(self._handle_report)
 
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -1,14 +1,8 @@
-"""Reserves tokens for requests and publishes this host's statements to the store.
-
-One statement is in flight at a time.  It is retried with the same bytes and the
-same sequence number until the store reports that it is stored, or that a later
-incarnation of this host has fenced this one.
-"""
+"""Reserves tokens for requests, from what this host holds or can borrow."""
 
 from __future__ import annotations
 
 import secrets
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
@@ -18,28 +12,17 @@
 from gevent import Greenlet
 from gevent.event import AsyncResult, Event
 
-from godwitrudder import codec
 from godwitrudder.connection.loans import KEY_BYTES
-from godwitrudder.platform import names
-from godwitrudder.platform.store import (
-    Appended,
-    Forgotten,
-    KeyedRecord,
-    Producer,
-    Rejected,
-    Store,
-    Unavailable,
-)
+from godwitrudder.platform.store import Store
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
+from godwitrudder.process.statement_exchange import StatementExchange, boot_seconds
 from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
-from godwitrudder.version.statements import NamedLimit, RunnerCrash, Statement
+from godwitrudder.version.statements import NamedLimit, RunnerCrash
 
-RETRY_INTERVAL_SECONDS: Final = 0.4
-"""Delay between calls to a store that does not answer; calls are priced."""
 STORE_SILENT_AFTER_SECONDS: Final = 1.2
 """Time without an answer after which the store is treated as unreachable."""
 STATEMENT_BATCH_SECONDS: Final = 0.03
@@ -103,15 +86,15 @@
         Returns the configuration in force.
     peers : Address or None
         Address that receives messages of other hosts; None disables lending.
+    first_start : bool
+        Whether the whole fleet starts for the first time.
 
     Attributes
     ----------
-    answered_at : float
-        Time at which the store last answered, in seconds since boot.
+    exchange : StatementExchange
+        Publishes and reads statements.
     opened : Event
         Set once former incarnations are fenced and the ledger was read.
-    statement_handlers : list of callable
-        Called with each statement that was read, and the host that made it.
     """
 
     def __init__(
@@ -123,6 +106,7 @@
         policy: Policy,
         peers: Address | None,
         random: Random,
+        first_start: bool = False,
     ) -> None:
         self._store = store
         self._current_catalogue = catalogue
@@ -131,13 +115,14 @@
         self.host_holdings = HostHoldings(
             host, policy, "" if peers is None else str(peers), key
         )
+        self.host_holdings.first_start = first_start
         self.lending: LendingTask | None = None
         if peers is not None:
             self.lending = LendingTask(
                 self.host_holdings,
                 peers,
                 key,
-                self.now,
+                boot_seconds,
                 self._serve_waiters,
                 log,
                 random,
@@ -146,25 +131,19 @@
         self._configured_version = -1
         self._statement_wanted = Event()
         self._waiters: list[Waiter] = []
-        self._sequence = 0
-        self._epoch = 0
-        self._offset = 0
-        self.answered_at = 0.0
+        self.exchange = StatementExchange(
+            store, self.host_holdings, self.lending, log, self._configure
+        )
         self.opened = Event()
-        self.statement_handlers: list[Callable[[str, Statement], None]] = []
 
     def now(self) -> float:
         """Return the seconds since boot, including time spent suspended."""
-        return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-    def boot_time(self) -> float:
-        """Return the wall clock time of the machine's boot, in seconds."""
-        return time.time() - self.now()
+        return boot_seconds()
 
     @property
     def silent_seconds(self) -> float:
         """Return the time since the store last answered, in seconds."""
-        return self.now() - self.answered_at
+        return self.now() - self.exchange.answered_at
 
     def host_count(self) -> int:
         """Return the number of hosts that ever made a statement, at least 1."""
@@ -220,13 +199,16 @@
 
     def run(self) -> None:
         """Publish and read statements until the process ends."""
-        self._open_ledger()
+        self.exchange.open()
+        self.opened.set()
+        self._statement_wanted.set()
         while True:
             self._statement_wanted.wait(self.host_holdings.interval_seconds)
             self._statement_wanted.clear()
             self._configure()
-            self._publish_statement()
-            self._read_statements()
+            self.exchange.publish()
+            if not self.exchange.read():
+                self._statement_wanted.set()
             self._serve_waiters()
             gevent.sleep(STATEMENT_BATCH_SECONDS)
 
@@ -256,14 +238,18 @@
         """Whether the stored statement holds no tokens beyond those spent."""
         return not self.opened.is_set() or self.host_holdings.all_tokens_returned()
 
-    def _configure(self) -> None:
+    def _configure(self) -> bool:
+        """Apply the configuration in force; return whether there is one."""
         catalogue = self._current_catalogue()
-        if catalogue is None or catalogue.version == self._configured_version:
-            return
+        if catalogue is None:
+            return False
+        if catalogue.version == self._configured_version:
+            return True
         self._configured_version = catalogue.version
         self.host_holdings.configure(
             {name: each.prepaid for name, each in catalogue.workspaces_by_name.items()}
         )
+        return True
 
     def _wait_in_queue(self, waiter: Waiter, holding: Holding) -> bool:
         """Wait in the queue for tokens; return whether they were reserved."""
@@ -366,129 +352,3 @@
         silent = self.silent_seconds
         known = silent < STORE_SILENT_AFTER_SECONDS and self.opened.is_set()
         return ReservationRefused(known and free < tokens, free, silent)
-
-    def _open_ledger(self) -> None:
-        """Fence former incarnations, then take over what they can't have spent."""
-        if self.lending is not None:
-            self.lending.bound.wait()
-        self._offset = self._read_newest()
-        own = self.host_holdings.statements.statements_by_host.get(
-            self.host_holdings.host
-        )
-        self._epoch = 1 if own is None else own.epoch + 1
-        while True:
-            answer = self._store.append_keyed(
-                names.LEDGER_TOPIC, None, self._producer()
-            )
-            if isinstance(answer, Appended):
-                break
-            if isinstance(answer, Rejected) and answer.status == 409:
-                self._epoch += 1
-            self._log.note("ledger_open", epoch=self._epoch, answer=str(answer))
-            gevent.sleep(RETRY_INTERVAL_SECONDS)
-        self._offset = self._read_newest()
-        if self.lending is not None:
-            self.lending.epoch = self._epoch
-        now, booted = self.now(), self.boot_time()
-        age = None
-        undated = self.host_holdings.former_statement_at_risk(now, booted)
-        if undated is not None and self.lending is not None:
-            age = self.lending.former_statement_age(undated)
-        takeover = self.host_holdings.recover(now, booted, age)
-        former = takeover.former
-        self._log.note(
-            "ledger_opened",
-            epoch=self._epoch,
-            hosts=self.host_holdings.statements.hosts,
-            clock=round(now, 3),
-            booted=round(booted, 3),
-            former_sent=None if former is None else round(former.sent, 3),
-            former_booted=None if former is None else round(former.booted, 3),
-            held=takeover.held,
-            stranded=takeover.stranded,
-            age=age,
-        )
-        self.opened.set()
-        self._statement_wanted.set()
-
-    def _read_newest(self) -> int:
-        """Read the newest statement of every host, retrying until the store answers."""
-        while True:
-            self.host_holdings.statements.begin_read(self.now(), newest_only=True)
-            page = self._store.newest(names.LEDGER_TOPIC)
-            if not isinstance(page, Unavailable | Rejected):
-                for record in page.records:
-                    self._apply_record(record)
-                self.host_holdings.statements.end_read()
-                self.answered_at = self.now()
-                return page.next
-            self._log.note("ledger_read", answer=str(page))
-            gevent.sleep(RETRY_INTERVAL_SECONDS)
-
-    def _apply_record(self, record: KeyedRecord) -> None:
-        problem = self.host_holdings.apply_statement(
-            record.key, record.value, self.now()
-        )
-        if problem is not None:
-            self._log.note("statement_unread", host_of=record.key, why=problem.reason)
-            return
-        statement = self.host_holdings.statements.statements_by_host[record.key]
-        for handle in self.statement_handlers:
-            handle(record.key, statement)
-
-    def _producer(self) -> Producer:
-        return Producer(self.host_holdings.host, self._epoch, self._sequence)
-
-    def _publish_statement(self) -> None:
-        """Append a statement to the store, if one is due."""
-        statement = self.host_holdings.statement(
-            self.now(), self.boot_time(), self._epoch
-        )
-        if statement is None:
-            return
-        self.host_holdings.statement_sent(statement)
-        self._sequence += 1
-        end = self._append_until_stored(statement)
-        self.answered_at = self.now()
-        self.host_holdings.statement_stored(statement, end)
-
-    def _append_until_stored(self, statement: Statement) -> int:
-        """Retry a statement until it is stored; return the offset after it."""
-        record = KeyedRecord(self.host_holdings.host, codec.encode(statement))
-        while True:
-            answer = self._store.append_keyed(
-                names.LEDGER_TOPIC, record, self._producer()
-            )
-            if isinstance(answer, Appended):
-                return answer.end
-            self._handle_rejection(answer)
-            gevent.sleep(RETRY_INTERVAL_SECONDS)
-
-    def _handle_rejection(self, answer: Rejected | Unavailable) -> None:
-        self._log.note("statement_open", sequence=self._sequence, answer=str(answer))
-        if not isinstance(answer, Rejected) or answer.status != 409:
-            return
-        if answer.expected_sequence is not None:
-            self._sequence = answer.expected_sequence
-            return
-        raise RuntimeError("a later incarnation of this host has fenced this one")
-
-    def _read_statements(self) -> None:
-        """Read new statements; if some were forgotten, read the newest per host."""
-        self.host_holdings.statements.begin_read(self.now())
-        page = self._store.read_keyed(names.LEDGER_TOPIC, self._offset)
-        if isinstance(page, Unavailable | Rejected):
-            self._log.note("ledger_read", answer=str(page))
-            return
-        if isinstance(page, Forgotten):
-            self._log.note("ledger_forgotten", offset=self._offset)
-            self._offset = self._read_newest()
-        else:
-            for record in page.records:
-                self._apply_record(record)
-            if page.whole:
-                self.host_holdings.statements.end_read()
-            self._offset = page.next
-            self.answered_at = self.now()
-        if not self.host_holdings.apply_read(self._offset):
-            self._statement_wanted.set()
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -14,6 +14,9 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+import msgspec
+
+from godwitrudder.request.allowance import Allowance
 from godwitrudder.version.statements import Row, Totals
 
 DEMAND_SECONDS: Final = 12.0
@@ -56,6 +59,11 @@
 caller."""
 MIN_CONFIDENCE: Final = 0.1
 """Lower bound of the confidence by which a holding's bound is divided."""
+DEMAND_ALLOWED_SECONDS: Final = 10.0
+"""Seconds of demand by which a host may raise its limit at once, besides the largest
+request; at least by its equal part of the prepaid amount."""
+ALLOWANCE_SLACK: Final = 1.2
+"""Factor by which a new allowance exceeds the one wanted, so that few are needed."""
 DEVIATIONS: Final = 1.5
 """Standard deviations of the demand that a holding covers: enough in 13 of 14
 outages."""
@@ -169,6 +177,12 @@
         Time at which each was sent.
     waiting_tokens : int
         Tokens of the requests that wait for this holding.
+    newest_limit : int
+        Limit of the last row sent, by this process or by its predecessor.
+    allowance : Allowance
+        Bounds how fast rows raise that limit.
+    announced_allowance : int
+        Size that rows state for it; it is in force once other hosts have read that.
     """
 
     spent: int = 0
@@ -179,6 +193,9 @@
     pending_at: float = 0.0
     waiting_tokens: int = 0
     demand: Demand = field(default_factory=Demand)
+    newest_limit: int = 0
+    allowance: Allowance = field(default_factory=Allowance)
+    announced_allowance: int = 0
 
     def spendable(self, now: float) -> int:
         """Return the tokens that may be reserved now."""
@@ -259,6 +276,40 @@
             limit, cap, round(demand, 1), self.waiting_tokens, expected, round(rate, 1)
         )
 
+    def within_allowance(self, row: Row, now: float) -> Row:
+        """Return a row with the limit lowered to what the allowance permits."""
+        highest = self.newest_limit + self.allowance.available(now)
+        limit = max(self.spent, min(row.limit, highest))
+        return msgspec.structs.replace(
+            row,
+            limit=limit,
+            cap=min(row.cap, limit),
+            allowance=self.announced_allowance,
+            allowance_in_force=self.allowance.tokens,
+        )
+
+    def announce_allowance(self, part: float, largest: int, now: float) -> None:
+        """Choose the allowance to state.
+
+        A lower one is in force at once, a higher one when others have read it.
+
+        Parameters
+        ----------
+        part : float
+            The host's equal part of the prepaid amount, in tokens.
+        largest : int
+            Tokens of the largest recent request of any workspace.
+        """
+        demand = self.demand.per_second(now)
+        wanted = max(part, demand * DEMAND_ALLOWED_SECONDS + largest)
+        if not wanted <= self.announced_allowance <= wanted * ALLOWANCE_SLACK**2:
+            self.announced_allowance = math.ceil(wanted * ALLOWANCE_SLACK)
+        self.use_allowance(self.allowance.tokens, now)
+
+    def use_allowance(self, tokens: int, now: float) -> None:
+        """Put an allowance in force, as far as the announced one permits."""
+        self.allowance.resize(min(tokens, self.announced_allowance), now)
+
     def tokens_ahead(
         self,
         now: float,
@@ -322,6 +373,15 @@
         self.pending = row
         self.pending_at = now
         self.granted = min(self.granted, row.limit)
+        self.allowance.take(max(0, row.limit - self.newest_limit), now)
+        self.newest_limit = row.limit
+
+    def take_over(self, spent: int, limit: int, allowance: int, now: float) -> None:
+        """Continue a former incarnation, which can't have spent or stated more."""
+        self.spent = self.granted = spent
+        self.newest_limit = limit
+        self.announced_allowance = allowance
+        self.allowance.take_over(allowance, now)
 
     def statement_stored(self) -> None:
         """Record that the store has confirmed the pending row."""
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Final
@@ -19,8 +20,10 @@
     interval_seconds,
 )
 from godwitrudder.version.statements import (
+    ACTIVE_SECONDS,
     UNBOUNDED_TOKENS,
     NamedLimit,
+    RememberedRows,
     Row,
     RunnerCrash,
     Statement,
@@ -31,6 +34,12 @@
 
 MIN_RELATIVE_CHANGE: Final = 0.02
 """Smallest change that is worth a new statement, relative to the tokens held."""
+IDLE_STATEMENT_SECONDS: Final = ACTIVE_SECONDS / 3
+"""Longest time between statements; a host that states nothing counts as inactive."""
+NO_TOKENS: Final = Row(0, 0)
+PASS_ON_SECONDS: Final = 1.0
+"""Time in which hosts that are alive state again in a new era.  After it their peers
+pass on the bounds of those that have not."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,11 +71,28 @@
         Tokens of these that it may have spent; they count as spent.
     former : Statement or None
         The former incarnation's last statement; None if there is none.
+    lost : bool
+        Whether its last statement is unknown, so that a bound counts as spent.
     """
 
     held: int
     stranded: int
     former: Statement | None
+    lost: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Announcement:
+    """Allowances that a stored statement names.
+
+    Attributes
+    ----------
+    end : int
+        Offset after the statement.
+    """
+
+    end: int
+    rows_by_workspace: dict[str, Row]
 
 
 class HostHoldings:
@@ -93,6 +119,10 @@
         Crashes to state beside the holdings.
     limits : tuple of NamedLimit
         Rate limits to state beside them.
+    fence : int
+        Highest epoch that this process has used as a producer.
+    first_start : bool
+        Whether the whole fleet starts for the first time.
     """
 
     def __init__(
@@ -112,6 +142,17 @@
         self._prepaid: dict[str, int | None] = {}
         self._stored_end_offset = 0
         self._first_request_at: float | None = None
+        self.fence = 0
+        self.first_start = False
+        self._read_to = 0
+        self._sent_at = -math.inf
+        self._confirmed_at = -math.inf
+        self._era_began_at = -math.inf
+        self._stated_in_era = False
+        self._bounds_passed = False
+        self._witness_due = False
+        self._announcement: Announcement | None = None
+        self._remembered: RememberedRows | None = None
 
     def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
         """Set the prepaid amounts in force; None means no limit."""
@@ -138,7 +179,56 @@
         self, host: str, data: bytes | None, now: float
     ) -> codec.Malformed | None:
         """Store a host's newest statement; return the error if it can't be decoded."""
-        return self.statements.put(host, data, now)
+        former = self.statements.statements_by_host.get(host)
+        problem = self.statements.put(host, data, now)
+        newest = self.statements.statements_by_host.get(host)
+        if host != self.host and newest is not None:
+            self._witness_due = self._witness_due or _raises_allowance(former, newest)
+            if self.statements.has_stated(host):
+                self._remember(newest.remembered_by_host.get(self.host))
+        return problem
+
+    def _remember(self, rows: RememberedRows | None) -> None:
+        """Keep what another host remembers of the former incarnation."""
+        known = self._remembered
+        if rows is not None and (known is None or rows.sent > known.sent):
+            self._remembered = rows
+
+    def begin_era(self, era: int, now: float) -> None:
+        """Note that the store has come back from an older copy.
+
+        The holdings stay as they are; none grows before this host has stated again.
+        """
+        active = now - self._confirmed_at < ACTIVE_SECONDS
+        trusted = active and not self.stopping
+        self.statements.begin_era(era, now, trusted)
+        self._stored_end_offset = 0
+        self._read_to = 0
+        self._era_began_at = now
+        self._stated_in_era = False
+        self._bounds_passed = False
+        self._announcement = None
+        self._remembered = None
+
+    @property
+    def former_is_lost(self) -> bool:
+        """Whether the former incarnation may have stated more than the store has."""
+        return self.host in self.statements.bounds_by_host or self.needs_bound
+
+    @property
+    def needs_bound(self) -> bool:
+        """Whether another host must tell what the former incarnation may have spent.
+
+        While the store has statements of hosts that nobody has bounded, or none at all
+        after a restore, one of those hosts may remember this one.
+        """
+        table = self.statements
+        if self.host in table.bounds_by_host:
+            return table.bounds_by_host[self.host] is None
+        empty = not (table.statements_by_host or table.bounds_by_host)
+        if empty:
+            return table.era > 0 and not self.first_start
+        return None in table.bounds_by_host.values()
 
     def former_statement_at_risk(self, now: float, booted: float) -> Statement | None:
         """Return the statement of the machine's former boot if a limit exceeds its cap.
@@ -154,7 +244,11 @@
         return former if any(row.limit > row.cap for row in rows) else None
 
     def recover(
-        self, now: float, booted: float, age: float | None = None
+        self,
+        now: float,
+        booted: float,
+        age: float | None = None,
+        started: float = math.inf,
     ) -> RecoveryResult:
         """Take over the holdings of the former incarnation on this machine.
 
@@ -164,6 +258,8 @@
         ----------
         age : float or None
             Upper bound on the statement's age in seconds; see ``max_spent``.
+        started : float
+            Time at which the former incarnation was gone.
 
         Raises
         ------
@@ -176,19 +272,51 @@
             )
         former = self.statements.statements_by_host.get(self.host)
         rows = {} if former is None else former.rows_by_workspace
+        held = sum(row.limit - row.cap for row in rows.values())
+        for workspace, row in rows.items():
+            if row.demand:
+                self.holding(workspace).demand.expect(row.demand, now)
+        if self.former_is_lost:
+            bounds = self._former_bounds(min(now, started), booted)
+            for workspace, tokens in bounds.items():
+                self.holding(workspace).take_over(tokens, tokens, 0, now)
+            return RecoveryResult(held, sum(bounds.values()), former, lost=True)
         stranded = 0
         for workspace, row in rows.items():
             assert former is not None
             spent = max_spent(row, former, now, booted, age)
-            holding = self.holding(workspace)
-            holding.spent = spent
-            holding.granted = spent
-            if row.demand:
-                holding.demand.expect(row.demand, now)
+            allowance = row.allowance_in_force
+            self.holding(workspace).take_over(spent, row.limit, allowance, now)
             stranded += spent - row.cap
-        held = sum(row.limit - row.cap for row in rows.values())
         return RecoveryResult(held, stranded, former)
 
+    def _former_bounds(self, ended: float, booted: float) -> dict[str, int]:
+        """Return the most that the former incarnation can have spent, by workspace.
+
+        Without a bound from another host that is the whole prepaid amount.
+
+        Parameters
+        ----------
+        ended : float
+            Time by which it had ended, in seconds.
+        """
+        bounds = self.statements.bounds_by_host.get(self.host)
+        if bounds is None:
+            return {
+                name: prepaid
+                for name, prepaid in self._prepaid.items()
+                if prepaid is not None
+            }
+        known = self._remembered
+        if known is None or not same_boot(known, ended, booted):
+            return bounds
+        rows = known.rows_by_workspace
+        return {
+            name: min(bound, rows[name].max_later_limit(ended - known.sent))
+            for name, bound in bounds.items()
+            if name in rows
+        }
+
     def remainder(self, workspace: str) -> BudgetRemainder:
         """Return what is left of a workspace's prepaid tokens."""
         others = self.statements.totals_excluding(self.host, workspace)
@@ -217,16 +345,26 @@
     def statement(self, now: float, booted: float, epoch: int) -> Statement | None:
         """Return the statement to send now, None if none is due."""
         rows: dict[str, Row] = {}
-        due = any(crash not in self._stated_crashes for crash in self.crashes)
-        due = due or any(
-            limit.runner not in self._stated_runners for limit in self.limits
-        )
+        table = self.statements
+        bounds_by_host = self._bounds_to_pass_on(now)
+        remembered_by_host = {
+            host: table.remembered(host)
+            for host, bounds in bounds_by_host.items()
+            if bounds is not None and host in table.statements_by_host
+        }
+        due = self._statement_due(now, bool(bounds_by_host))
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
+        alone = table.read_by_active_hosts(self.host, UNBOUNDED_TOKENS)
+        largest = self._largest_request(now)
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
                 continue
             holding = self.holding(workspace)
-            row = self._row(workspace, holding, now)
+            prepaid = self.prepaid(workspace)
+            holding.announce_allowance(prepaid / max(1, table.hosts), largest, now)
+            if alone:
+                holding.use_allowance(holding.announced_allowance, now)
+            row = holding.within_allowance(self._row(workspace, holding, now), now)
             rows[workspace] = row
             due = due or _row_due(row, holding, now, refresh_seconds)
         if not due:
@@ -240,14 +378,55 @@
             self._key,
             self.crashes,
             self.limits,
+            table.era,
+            self._read_to,
+            self.fence,
+            bounds_by_host,
+            remembered_by_host,
+            self.stopping,
         )
 
+    def _largest_request(self, now: float) -> int:
+        """Return the tokens of the largest recent request of any workspace."""
+        return max(
+            (each.demand.largest_recent(now) for each in self.holdings.values()),
+            default=0,
+        )
+
+    def _statement_due(self, now: float, passes_bounds: bool) -> bool:
+        """Return whether a statement is due, whatever its rows say."""
+        return (
+            not self._stated_in_era
+            or self._witness_due
+            or (passes_bounds and not self._bounds_passed)
+            or now - self._sent_at > IDLE_STATEMENT_SECONDS
+            or any(crash not in self._stated_crashes for crash in self.crashes)
+            or any(limit.runner not in self._stated_runners for limit in self.limits)
+        )
+
+    def _bounds_to_pass_on(self, now: float) -> dict[str, dict[str, int] | None]:
+        """Return the bounds of hosts that have not stated in this era.
+
+        Hosts that the store still lists get some time to state again.
+        """
+        table = self.statements
+        waited = now - self._era_began_at >= PASS_ON_SECONDS
+        return {
+            host: bounds
+            for host, bounds in table.bounds_by_host.items()
+            if host != self.host
+            and (host not in table.listed_hosts or (waited and bounds is not None))
+        }
+
     def statement_sent(self, statement: Statement) -> None:
         """Record that a statement is about to be sent; call this before sending.
 
         Lower limits apply at once, higher ones after the statement is confirmed and
         read back.
         """
+        self._sent_at = statement.sent
+        self._witness_due = False
+        self._bounds_passed = bool(statement.bounds_by_host)
         self._stated_crashes = statement.crashes
         self._stated_runners = frozenset(each.runner for each in statement.limits)
         for workspace, row in statement.rows_by_workspace.items():
@@ -257,22 +436,39 @@
     def statement_stored(self, statement: Statement, end: int) -> None:
         """Record that the store has confirmed a statement, with its end offset."""
         self._stored_end_offset = end
+        self._stated_in_era = True
+        self._confirmed_at = statement.sent
         for workspace in statement.rows_by_workspace:
             self.holding(workspace).statement_stored()
+        if self._announcement is None:
+            self._announcement = Announcement(end, statement.rows_by_workspace)
 
-    def apply_read(self, offset: int) -> bool:
+    def apply_read(self, offset: int, now: float) -> bool:
         """Update the grants after a read of all records before an offset.
 
-        Returns False without an update if the read ends before this host's newest
-        confirmed statement.
+        Returns False without an update if this host's newest statement is not
+        confirmed in this era, or if the read ends before it.
         """
-        if offset < self._stored_end_offset:
+        self._read_to = offset
+        if not self._stated_in_era or offset < self._stored_end_offset:
             return False
+        self._apply_announcement(now)
         for workspace, holding in self.holdings.items():
             others = self.statements.totals_excluding(self.host, workspace)
             holding.update_grant(self.prepaid(workspace), others)
         return True
 
+    def _apply_announcement(self, now: float) -> None:
+        """Raise the allowances that all active hosts have read."""
+        announced = self._announcement
+        if announced is None:
+            return
+        if not self.statements.read_by_active_hosts(self.host, announced.end):
+            return
+        self._announcement = None
+        for workspace, row in announced.rows_by_workspace.items():
+            self.holding(workspace).use_allowance(row.allowance, now)
+
     def all_tokens_returned(self) -> bool:
         """Return whether all rows are confirmed and no limit exceeds the spending."""
         return all(
@@ -291,6 +487,15 @@
         return holding.plan(now, prepaid, others, self.policy)
 
 
+def _raises_allowance(former: Statement | None, newest: Statement) -> bool:
+    """Return whether a statement names a larger allowance than the former one."""
+    known = {} if former is None else former.rows_by_workspace
+    for workspace, row in newest.rows_by_workspace.items():
+        if row.allowance > known.get(workspace, NO_TOKENS).allowance:
+            return True
+    return False
+
+
 def _row_due(row: Row, holding: Holding, now: float, refresh_seconds: float) -> bool:
     """Return whether a row must be sent.
 
--- a/godwitrudder/version/cursor.py
+++ b/godwitrudder/version/cursor.py
@@ -24,8 +24,9 @@
 
     def enter_era(self, era: int) -> bool:
         """Note the era of an answer; return whether the offset became void."""
-        rose = self.offset is not None and era != self.era
+        if era <= self.era:
+            return False
+        rose = self.offset is not None
         self.era = era
-        if rose:
-            self.offset = None
+        self.offset = None
         return rose
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -13,8 +13,22 @@
 never exceeds the prepaid amount.  Proof: let hosts i and j take their bounds from
 reads at offsets a < b.  The read at b counts the newest limit of i.  What i may spend
 is never above that limit, because i lowers its own bound before it states a lower
-limit.  This holds under any loss, delay, reordering or repetition.  Only the newest
-records matter, so a history that the store has dropped changes nothing.
+limit.  This holds under any loss, delay, reordering or repetition, for as long as the
+store forgets nothing that it has confirmed: within one era.  Only the newest records
+matter, so a history that the store has dropped changes nothing.
+
+The store may come back from an older copy; then its era rises.  What each host may
+spend stays valid, as the sum does not grow, but an older limit now stands for some
+hosts.  So a statement names its era, and a host raises its own bound only by reads of
+the new era that include its own statement of that era.  Hosts that have not stated
+again count with a bound.  Each host raises its limits no faster than a token bucket
+allows: by at most ``allowance * (1 + t / ALLOWANCE_SECONDS)`` in t seconds.  Whoever
+remembers a statement of a host, and an upper bound on its age, thereby bounds all later
+ones, also those that were lost before anyone read them.  A larger allowance counts only
+once all hosts that were active lately have stated that they read it.  A host that has
+stated nothing lately, or is stopping, trusts no memory.  Without a bound no host may
+raise its own.  Hosts pass bounds on in their statements, to hosts that started since.
+  ``docs/design/restored-store.md`` has the complete proof.
 
 Cap and rate tell the next process on the same host what the previous one cannot have
 spent: all that was not yet spendable when the next process started.  While the store
@@ -57,6 +71,11 @@
         Tokens of requests that wait for this statement to be stored.
     rate : float
         Tokens a second by which the spendable amount rises from the cap.
+    allowance : int
+        Tokens by which the host may raise its limit at once, and again in
+        ``ALLOWANCE_SECONDS``.
+    allowance_in_force : int
+        The part of it that all active hosts are known to have read.
     """
 
     limit: int
@@ -65,6 +84,8 @@
     waiting_tokens: int = 0
     expected: float = 0.0
     rate: float = 0.0
+    allowance: int = 0
+    allowance_in_force: int = 0
 
     def spendable_at(self, age: float) -> int:
         """Return the cumulative tokens spendable at an age in seconds."""
@@ -80,6 +101,18 @@
             return None
         return (tokens - self.cap) / self.rate
 
+    def max_later_limit(self, age: float) -> int:
+        """Return the highest limit that the host can have stated by this age."""
+        return self.limit + math.ceil(self.allowance * (1 + age / ALLOWANCE_SECONDS))
+
+
+class RememberedRows(msgspec.Struct, frozen=True, array_like=True):
+    """What a host remembers of another one's newest statement; see ``Statement``."""
+
+    sent: float
+    booted: float
+    rows_by_workspace: dict[str, Row]
+
 
 class RunnerCrash(msgspec.Struct, frozen=True, array_like=True):
     """The end of a runner, and the prompt parts that may have caused it.
@@ -132,6 +165,20 @@
         What hosts that restarted or missed a report must know.
     limits : tuple of NamedLimit
         Likewise.
+    era : int
+        The store's era in which the host made it.
+    read_to : int
+        Offset before which the host has read all records of that era.
+    fence : int
+        Highest epoch that the host has used as a producer.
+    bounds_by_host : dict
+        For hosts that have stated nothing in that era as far as is known: upper bounds
+        of what each may spend, by workspace; None if unknown.
+    remembered_by_host : dict
+        The statements from which these bounds follow.  The next process on the same
+        machine knows how old such a statement was when the former process ended.
+    stopping : bool
+        Whether the process is stopping; others then don't wait for it to read anything.
     """
 
     epoch: int
@@ -142,8 +189,18 @@
     key: bytes = b""
     crashes: tuple[RunnerCrash, ...] = ()
     limits: tuple[NamedLimit, ...] = ()
-
-
+    era: int = 0
+    read_to: int = 0
+    fence: int = 0
+    bounds_by_host: dict[str, dict[str, int] | None] = {}
+    remembered_by_host: dict[str, RememberedRows] = {}
+    stopping: bool = False
+
+
+ALLOWANCE_SECONDS: Final = 5.0
+"""Time in which a host may raise its limit by its allowance once more."""
+EPOCHS_PER_ERA: Final = 2**20
+"""More incarnations than a host has in one era of the store."""
 UNBOUNDED_TOKENS: Final = 2**53
 """More tokens than any budget has."""
 ACTIVE_SECONDS: Final = 15.0
@@ -153,7 +210,16 @@
 """Two boots of a machine are further apart than any correction of its wall clock."""
 
 
-def same_boot(statement: Statement, now: float, booted: float) -> bool:
+def first_epoch(era: int, former: Statement | None) -> int:
+    """Return an epoch above those of all former incarnations that are known.
+
+    It is also above those of older eras, whose records the store may have lost.
+    """
+    highest = 0 if former is None else max(former.epoch, former.fence)
+    return max(highest + 1, era * EPOCHS_PER_ERA)
+
+
+def same_boot(statement: Statement | RememberedRows, now: float, booted: float) -> bool:
     """Whether the machine has not rebooted since it sent the statement."""
     near = abs(booted - statement.booted) <= BOOT_SLACK_SECONDS
     return near and now >= statement.sent
@@ -187,6 +253,13 @@
 
     Attributes
     ----------
+    era : int
+        The store's era in which the statements were read.
+    bounds_by_host : dict
+        Hosts without a statement of this era: upper bounds of what each may spend, by
+        workspace; None if unknown.
+    listed_hosts : set of str
+        Hosts of which the store has a statement in this era, of whichever era it is.
     unreadable_hosts : set of str
         Hosts whose newest statement can't be decoded, so their limits are unknown.
     read_at_by_host : dict
@@ -199,6 +272,9 @@
     """
 
     statements_by_host: dict[str, Statement] = field(default_factory=dict)
+    era: int = 0
+    bounds_by_host: dict[str, dict[str, int] | None] = field(default_factory=dict)
+    listed_hosts: set[str] = field(default_factory=set)
     unreadable_hosts: set[str] = field(default_factory=set)
     read_at_by_host: dict[str, float] = field(default_factory=dict)
     stored_after_by_host: dict[str, float] = field(default_factory=dict)
@@ -206,6 +282,49 @@
     _full_read_began_at: float | None = None
     _read_began_at: float = 0.0
 
+    def begin_era(self, era: int, at: float, trusted: bool) -> None:
+        """Note that the store has come back from an older copy.
+
+        Parameters
+        ----------
+        at : float
+            Time of its first answer, in seconds of the reader's clock.
+        trusted : bool
+            Whether the reader was active until then, so that no host can have raised
+            its allowance without it.
+        """
+        bounds: dict[str, dict[str, int] | None] = {}
+        known = self.bounds_by_host.keys() | self.statements_by_host.keys()
+        for host in known | self.unreadable_hosts:
+            bounds[host] = self._bounds(host, at) if trusted else None
+        self.era = era
+        self.bounds_by_host = bounds
+        self.listed_hosts = set()
+        self.unreadable_hosts = set()
+        self._full_read_began_at = None
+
+    def _bounds(self, host: str, at: float) -> dict[str, int] | None:
+        """Return bounds of what a host may spend, from what is remembered of it."""
+        statement = self.statements_by_host.get(host)
+        since = self.sent_after_by_host.get(host)
+        if statement is None or since is None or host in self.unreadable_hosts:
+            return None
+        return {
+            workspace: row.max_later_limit(at - since)
+            for workspace, row in statement.rows_by_workspace.items()
+        }
+
+    def remembered(self, host: str) -> RememberedRows:
+        """Return what is remembered of a host's newest statement."""
+        statement = self.statements_by_host[host]
+        return RememberedRows(
+            statement.sent, statement.booted, statement.rows_by_workspace
+        )
+
+    def has_stated(self, host: str) -> bool:
+        """Whether the newest statement of a host is of this era."""
+        return host in self.statements_by_host and host not in self.bounds_by_host
+
     def begin_read(self, at: float, newest_only: bool = False) -> None:
         """Note that a read begins: of all new records, or only of the newest ones.
 
@@ -284,20 +403,68 @@
             self.unreadable_hosts.add(host)
             return statement
         self.unreadable_hosts.discard(host)
+        self.listed_hosts.add(host)
+        if statement.era < self.era:
+            self._put_former(host, statement, at)
+            return None
         self._bound_times(host, statement)
+        self.bounds_by_host.pop(host, None)
         self.statements_by_host[host] = statement
         self.read_at_by_host[host] = at
+        for other, bounds in statement.bounds_by_host.items():
+            self._put_bounds(other, bounds)
         return None
 
+    def _put_former(self, host: str, statement: Statement, at: float) -> None:
+        """Store a statement of an older era, unless a newer one is remembered."""
+        if host in self.statements_by_host:
+            return
+        self.statements_by_host[host] = statement
+        self.read_at_by_host[host] = at
+        self.bounds_by_host.setdefault(host, None)
+
+    def _put_bounds(self, host: str, bounds: dict[str, int] | None) -> None:
+        """Store bounds that another host has passed on."""
+        if self.has_stated(host):
+            return
+        known = self.bounds_by_host.setdefault(host, None)
+        if known is None or bounds is None:
+            self.bounds_by_host[host] = bounds if known is None else known
+            return
+        # A workspace that is missing has no bound above zero.
+        self.bounds_by_host[host] = {
+            workspace: min(known[workspace], bounds[workspace])
+            for workspace in known.keys() & bounds.keys()
+        }
+
+    def read_by_active_hosts(self, host: str, offset: int) -> bool:
+        """Whether all other active hosts have read the records before an offset.
+
+        Those that are stopping don't count.
+        """
+        since = max(self.read_at_by_host.values(), default=0.0) - ACTIVE_SECONDS
+        return all(
+            self.has_stated(name) and statement.read_to >= offset
+            for name, statement in self.statements_by_host.items()
+            if name != host
+            and not statement.stopping
+            and self.read_at_by_host[name] >= since
+        )
+
     def totals_excluding(self, host: str, workspace: str) -> Totals:
         """Return the sums over all hosts but one; demand only of active hosts."""
         since = max(self.read_at_by_host.values(), default=0.0) - ACTIVE_SECONDS
         limit, cap, demand, waiting, hosts, expected = 0, 0, 0.0, 0, 0, 0.0
+        for name, bounds in self.bounds_by_host.items():
+            if name != host:
+                bound = UNBOUNDED_TOKENS if bounds is None else bounds.get(workspace, 0)
+                limit += bound
         for name, statement in self.statements_by_host.items():
             row = statement.rows_by_workspace.get(workspace)
             if row is None or name == host:
                 continue
-            limit += row.limit
+            if name not in self.bounds_by_host:
+                limit += row.limit
             cap += row.cap
             if self.read_at_by_host[name] >= since:
                 demand += row.demand
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -8,9 +8,9 @@
 from godwitrudder import codec
 from godwitrudder.connection.loans import Ask, Loan
 from godwitrudder.request.holding import Policy
-from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.request.host_holdings import PASS_ON_SECONDS, HostHoldings
 from godwitrudder.request.lending import Lending
-from godwitrudder.version.statements import Statement
+from godwitrudder.version.statements import Statement, first_epoch
 
 WORKSPACE = "w"
 
@@ -39,16 +39,38 @@
         End offset of each append that took effect, by host, epoch and sequence.
     delayed : list of Append
         Appends that reach the store later.
+    era : int
+        Number of times that the store came back from an older copy.
+    copies : list of StoreModel
+        State of the store before each append, oldest first.
     """
 
     records: list[tuple[str, bytes]] = field(default_factory=list)
     epochs: dict[str, int] = field(default_factory=dict)
     ends: dict[tuple[str, int, int], int] = field(default_factory=dict)
     delayed: list[Append] = field(default_factory=list)
+    era: int = 0
+    copies: list[StoreModel] = field(default_factory=list)
 
     def fence(self, host: str, epoch: int) -> None:
+        self._copy()
         self.epochs[host] = max(epoch, self.epochs.get(host, 0))
 
+    def _copy(self) -> None:
+        self.copies.append(
+            StoreModel(list(self.records), dict(self.epochs), dict(self.ends))
+        )
+
+    def restore(self, lost: int) -> None:
+        """Come back from the copy made before the last ``lost`` changes."""
+        self.era += 1
+        if not lost or not self.copies:
+            return
+        copied = self.copies[max(0, len(self.copies) - lost)]
+        del self.copies[max(0, len(self.copies) - lost) :]
+        self.records = list(copied.records)
+        self.epochs, self.ends = dict(copied.epochs), dict(copied.ends)
+
     def append(self, append: Append) -> int | None:
         """Return the end offset; None if fenced or out of sequence.
 
@@ -58,9 +80,11 @@
             return None
         key = (append.host, append.epoch, append.sequence)
         if key not in self.ends:
-            expected = [k for k in self.ends if k[:2] == key[:2]]
-            if append.sequence != len(expected) + 1:
+            expected = [k[2] for k in self.ends if k[:2] == key[:2]]
+            if expected and append.sequence != max(expected) + 1:
                 return None
+            self._copy()
+            self.epochs[append.host] = append.epoch
             self.records.append((append.host, append.data))
             self.ends[key] = len(self.records)
         return self.ends[key]
@@ -132,31 +156,79 @@
         self.loans: list[LoanInFlight] = []
         for host in self.booted_by_host:
             self.start(host)
+        for _ in range(2):
+            self.state_all()
+
+    def state_all(self) -> None:
+        """Have each host state, and all read that, until allowances are in force."""
+        for host in self.processes:
+            self.send_statement(host, "answered")
+        for host in self.processes:
+            self.read(host)
 
     def clock(self, host: str) -> float:
         """Return the host's clock in seconds; a reboot changes its offset."""
         return self.now + self.skew_by_host[host]
 
-    def start(self, host: str) -> None:
-        """Start a process: fence the former one, read the store, recover tokens."""
+    def start(self, host: str, peers_answer: bool = True) -> None:
+        """Start a process: fence the former one, read the store, recover tokens.
+
+        Parameters
+        ----------
+        peers_answer : bool
+            Whether the other hosts state, if this one needs a bound from them.
+        """
         holdings = self.holdings_type(host, Policy())
         holdings.configure({WORKSPACE: self.prepaid})
+        holdings.statements.era = self.store.era
         former = self.store.newest().get(host)
-        epoch = 1
+        epoch = first_epoch(self.store.era, None)
         if former is not None:
             statement = codec.decode(former, Statement)
             assert isinstance(statement, Statement)
-            epoch = statement.epoch + (0 if self.reuses_epoch else 1)
+            epoch = first_epoch(self.store.era, statement)
+            if self.reuses_epoch:
+                epoch = statement.epoch
         epoch = max(epoch, self.store.epochs.get(host, 0) + (not self.reuses_epoch))
+        holdings.fence = epoch
         self.store.fence(host, epoch)
         process = Process(holdings, epoch, self.lending_type(holdings, Random(0)))
         self.processes[host] = process
         self.read_newest(host)
+        if holdings.needs_bound and peers_answer:
+            self.pass_bounds_on(host)
         now, booted = self.clock(host), self.booted_by_host[host]
         at_risk = holdings.former_statement_at_risk(now, booted)
         age = None if at_risk is None else self.age(host, at_risk)
         holdings.recover(now, booted, age)
 
+    def pass_bounds_on(self, host: str) -> None:
+        """Have the other hosts notice the new era and pass bounds on to a host."""
+        others = [name for name in self.processes if name != host]
+        for name in others:
+            self.read(name)
+        self.now += PASS_ON_SECONDS
+        for name in others:
+            self.send_statement(name, "answered")
+            self.send_statement(name, "answered")
+        self.read(host)
+
+    def enter_era(self, host: str) -> None:
+        """Notice that the store has come back from an older copy."""
+        process = self.processes[host]
+        holdings = process.host_holdings
+        holdings.begin_era(self.store.era, self.clock(host))
+        process.pending = None
+        self.fence(host)
+        self.read_newest(host)
+
+    def fence(self, host: str) -> None:
+        """Fence the process's own appends of the former era."""
+        holdings = self.processes[host].host_holdings
+        lowest = max(self.store.epochs.get(host, 0), holdings.fence) + 1
+        holdings.fence = max(lowest, first_epoch(self.store.era, None))
+        self.store.fence(host, holdings.fence)
+
     def age(self, host: str, statement: Statement) -> float | None:
         """Return the lowest upper bound that a peer has on a statement's age."""
         ages = [
@@ -245,7 +317,8 @@
             process.sequence += 1
             process.host_holdings.statement_sent(statement)
             data = codec.encode(statement)
-            append = Append(host, process.epoch, process.sequence, data)
+            fence = process.host_holdings.fence
+            append = Append(host, fence, process.sequence, data)
             process.pending = (statement, append)
         statement, append = process.pending
         if outcome == "lost":
@@ -254,7 +327,11 @@
             self.store.delayed.append(append)
             return
         end = self.store.append(append)
-        if outcome == "answered" and end is not None:
+        if outcome != "answered":
+            return
+        if self.store.era > process.host_holdings.statements.era:
+            self.enter_era(host)
+        elif end is not None:
             process.host_holdings.statement_stored(statement, end)
             process.pending = None
 
@@ -265,6 +342,8 @@
     def read(self, host: str, lag: float = 0.0) -> None:
         """Read the new records, as stored at half of the ``lag`` in seconds."""
         process = self.processes[host]
+        if self.store.era > process.host_holdings.statements.era:
+            self.enter_era(host)
         process.host_holdings.statements.begin_read(self.clock(host))
         self.now += lag / 2
         records = self.store.records[process.offset :]
@@ -273,14 +352,17 @@
             process.host_holdings.apply_statement(name, data, self.clock(host))
         process.host_holdings.statements.end_read()
         process.offset += len(records)
-        process.host_holdings.apply_read(process.offset)
+        process.host_holdings.apply_read(process.offset, self.clock(host))
 
     def read_newest(self, host: str) -> None:
         """Read only the newest records, as after the store forgot older ones."""
         process = self.processes[host]
+        if self.store.era > process.host_holdings.statements.era:
+            self.enter_era(host)
+            return
         process.host_holdings.statements.begin_read(self.clock(host), newest_only=True)
         for name, data in self.store.newest().items():
             process.host_holdings.apply_statement(name, data, self.clock(host))
         process.host_holdings.statements.end_read()
         process.offset = len(self.store.records)
-        process.host_holdings.apply_read(process.offset)
+        process.host_holdings.apply_read(process.offset, self.clock(host))
--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
@@ -17,6 +18,7 @@
     run_state_machine_as_test,
 )
 
+from godwitrudder import codec
 from godwitrudder.connection.loans import Ask, Loan
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.host_holdings import HostHoldings
@@ -180,6 +182,11 @@
         self.fleet.read(peer)
         self.restart(host, True, 900)
         self.spend_all(host)
+        for _ in range(2):
+            self.fleet.state_all()
+        for each in (host, peer):
+            self.cycle(each, 900)
+            self.spend_all(each)
 
     @rule(host=HOSTS, reboot=st.booleans(), tokens=st.integers(1, 900))
     def restart(self, host: str, reboot: bool, tokens: int) -> None:
@@ -206,6 +213,90 @@
         assert self.fleet.spent_tokens <= self.fleet.prepaid
 
 
+class RestoredLedger(Ledger):
+    """State machine whose store also comes back from an older copy."""
+
+    hosts = 2
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.fleet = self.fleet_type(self.hosts, PREPAID)
+
+    @rule(lost=st.sampled_from([0, 1, 2, 3, 5, 8, 20]))
+    def restore(self, lost: int) -> None:
+        """Lose the last changes of the store."""
+        self.fleet.store.restore(lost)
+
+    @rule(host=HOSTS, peer=HOSTS, lost=st.sampled_from([1, 2, 3, 5]))
+    def restore_spent(self, host: str, peer: str, lost: int) -> None:
+        """A host spends what it got from a statement that is lost; another wants more.
+
+        The other one states and reads in the new era.
+        """
+        self.cycle(host, 300)
+        self.spend_all(host)
+        self.fleet.store.restore(lost)
+        self.cycle(peer, 900)
+        self.cycle(peer, 900)
+        self.spend_all(peer)
+
+    @rule(host=HOSTS, peer=HOSTS, seconds=st.sampled_from([0.1, 2.0, 9.0]))
+    def restore_unread(self, host: str, peer: str, seconds: float) -> None:
+        """A host raises its limit several times before a restore; no host reads it."""
+        self.fleet.state_all()
+        for _ in range(3):
+            self.fleet.now += seconds
+            self.cycle(host, 300)
+            self.spend_all(host)
+        self.fleet.store.restore(20)
+        for _ in range(3):
+            self.cycle(peer, 900)
+            self.spend_all(peer)
+
+    @rule(host=HOSTS, lost=st.sampled_from([1, 2, 5]), answer=st.booleans())
+    def restore_dead(self, host: str, lost: int, answer: bool) -> None:
+        """A host dies with the statements that the store loses."""
+        self.cycle(host, 400)
+        self.spend_all(host)
+        self.fleet.stop(host, False)
+        self.fleet.store.restore(lost)
+        self.fleet.start(host, answer)
+        for _ in range(2):
+            self.fleet.state_all()
+            self.fleet.now += 1.0
+            self.spend_all(host)
+
+    @rule(host=HOSTS, peer=HOSTS)
+    def old_append_arrives(self, host: str, peer: str) -> None:
+        """An append of the former era arrives after the host has stated again."""
+        fleet = self.fleet
+        fleet.state_all()
+        fleet.send_statement(host, "late")
+        fleet.store.restore(1)
+        self.cycle(host, 300)
+        self.spend_all(host)
+        while fleet.store.delayed:
+            fleet.deliver_late_append()
+        for _ in range(2):
+            self.cycle(peer, 900)
+            self.spend_all(peer)
+
+    @rule(host=HOSTS, peer=HOSTS)
+    def allowance_unread(self, host: str, peer: str) -> None:
+        """A host announces a higher allowance, which its peer has not read."""
+        fleet = self.fleet
+        fleet.state_all()
+        self.top_up(host, 400)
+        self.top_up(peer, 0)
+        for _ in range(3):
+            self.cycle(host, 900)
+            self.spend_all(host)
+        fleet.store.restore(20)
+        for _ in range(2):
+            self.cycle(peer, 900)
+            self.spend_all(peer)
+
+
 class NoReadBack(HostHoldings):
     """Grants the stated limit as soon as the statement is stored, without a read."""
 
@@ -316,10 +407,104 @@
         return True
 
 
+class ForgetsTheEra(HostHoldings):
+    """Believes what the older copy says."""
+
+    def begin_era(self, era: int, now: float) -> None:
+        super().begin_era(era, now)
+        table = self.statements
+        table.bounds_by_host.clear()
+        table.statements_by_host.clear()
+
+    def apply_statement(
+        self, host: str, data: bytes | None, now: float
+    ) -> codec.Malformed | None:
+        problem = super().apply_statement(host, data, now)
+        self.statements.bounds_by_host.clear()
+        return problem
+
+
+class BelievesTheCopy(Fleet):
+    holdings_type = ForgetsTheEra
+
+
+class RaisesAtWill(HostHoldings):
+    """Raises its limits by more than the allowance that it states."""
+
+    def statement(self, now: float, booted: float, epoch: int) -> Statement | None:
+        statement = super().statement(now, booted, epoch)
+        if statement is None:
+            return None
+        rows = {
+            workspace: msgspec.structs.replace(row, allowance=10)
+            for workspace, row in statement.rows_by_workspace.items()
+        }
+        return msgspec.structs.replace(statement, rows_by_workspace=rows)
+
+
+class ExceedsItsAllowance(Fleet):
+    holdings_type = RaisesAtWill
+
+
+class RaisesAllowanceAtOnce(HostHoldings):
+    """Uses an allowance that the other hosts have not read."""
+
+    def statement_sent(self, statement: Statement) -> None:
+        super().statement_sent(statement)
+        for workspace, row in statement.rows_by_workspace.items():
+            self.holding(workspace).allowance.resize(row.allowance, statement.sent)
+
+
+class UsesAnUnreadAllowance(Fleet):
+    holdings_type = RaisesAllowanceAtOnce
+
+
+class SuccessorBelievesTheCopy(Fleet):
+    """A successor takes over from its statement in the older copy."""
+
+    def start(self, host: str, peers_answer: bool = True) -> None:
+        super().start(host, peers_answer)
+        holdings = self.processes[host].host_holdings
+        if holdings.former_is_lost:
+            holdings.first_start = True
+            holdings.statements.bounds_by_host.pop(host, None)
+            holdings.recover(self.clock(host), self.booted_by_host[host])
+
+
+class LeavesOldAppendsAlone(Fleet):
+    """A process states in the new era without fencing its old appends."""
+
+    def fence(self, host: str) -> None:
+        holdings = self.processes[host].host_holdings
+        self.store.fence(host, holdings.fence)
+
+
 def test_nothing_spends_past_the_budget() -> None:
     run_state_machine_as_test(Ledger, settings=SETTINGS)
 
 
+def test_nothing_spends_past_the_budget_though_the_store_is_restored() -> None:
+    run_state_machine_as_test(RestoredLedger, settings=SETTINGS)
+
+
+@pytest.mark.parametrize(
+    "fleet",
+    [
+        BelievesTheCopy,
+        ExceedsItsAllowance,
+        UsesAnUnreadAllowance,
+        SuccessorBelievesTheCopy,
+        LeavesOldAppendsAlone,
+    ],
+)
+def test_the_machine_finds_a_planted_fault_of_restores(fleet: type[Fleet]) -> None:
+    class Faulty(RestoredLedger):
+        fleet_type = fleet
+
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(Faulty, settings=FAULT_SEARCH_SETTINGS)
+
+
 @pytest.mark.parametrize(
     "fleet",
     [
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -339,7 +339,7 @@
         Random(1),
     )
     reservations.opened.set()
-    reservations.answered_at = reservations.now() - 5.0
+    reservations.exchange.answered_at = reservations.now() - 5.0
     holding = reservations.host_holdings.holding("w")
     holding.granted = 1000
     holding.stated, holding.stated_at = Row(1000, 0, rate=rate), reservations.now()
