Raise grants freely to limits that all active hosts have confirmed

Cause: one token bucket bounded both what a host can raise in daily work and what a host that died with lost statements is counted with. Large enough for the first it is far too large for the second; small enough it slowed daily work. Change: a host tells its higher limits by datagram while the statement is on its way, and the others confirm it; grants rise freely to limits that all active hosts confirmed or stated to have read. The bucket is only for times in which one of them doesn't answer, so it is small. The model learns the datagrams, finds a host that confirms and forgets, and appends that are resent with the number that the store expects.

--- a/godwitrudder/connection/loans.py
+++ b/godwitrudder/connection/loans.py
@@ -121,7 +121,30 @@
     seconds: float | None
 
 
-Message = Ask | Loan | Receipt | AgeAsk | Age | Report
+class LimitNotice(msgspec.Struct, frozen=True, array_like=True, tag="notice"):
+    """Higher limits of a statement that is on its way to the store.
+
+    Attributes
+    ----------
+    host, epoch, era, sent : str, int, int, float
+        Identify the statement.
+    """
+
+    host: str
+    epoch: int
+    era: int
+    sent: float
+    limits: dict[str, Tokens]
+
+
+class LimitNoticed(msgspec.Struct, frozen=True, array_like=True, tag="noticed"):
+    """Confirms a ``LimitNotice``: the host that answers remembers its limits."""
+
+    host: str
+    sent: float
+
+
+Message = Ask | Loan | Receipt | AgeAsk | Age | LimitNotice | LimitNoticed | Report
 
 
 def seal(message: Message, key: bytes) -> bytes:
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -20,9 +20,12 @@
 from godwitrudder import codec
 from godwitrudder.connection.loans import (
     DATAGRAM_BYTES,
+    SEAL_BYTES,
     Age,
     AgeAsk,
     Ask,
+    LimitNotice,
+    LimitNoticed,
     Loan,
     Message,
     Receipt,
@@ -308,6 +311,13 @@
                 self._unacknowledged_by_number.pop(message.number, None)
             case AgeAsk():
                 self._handle_age_ask(message, address)
+            case LimitNotice():
+                self._handle_notice(message)
+            case LimitNoticed():
+                self._host_holdings.record_noticed(
+                    message.host, message.sent, self._clock()
+                )
+                self._on_borrowed()
             case Age() if (
                 address in self._age_key_by_address and message.seconds is not None
             ):
@@ -316,12 +326,33 @@
                 for handle in self.report_handlers:
                     handle(message)
 
-    def broadcast(self, report: Report) -> None:
+    def broadcast(self, report: Report | LimitNotice) -> None:
         """Send a report to all other hosts that have stated an address."""
         for host in list(self._host_holdings.statements.statements_by_host):
             if host != self._host_holdings.host:
                 self._send(host, report)
 
+    def notice_limits(self, statement: Statement) -> None:
+        """Tell all other hosts the higher limits of a statement.
+
+        They then need not read it before this host may use them.
+        """
+        limits = self._host_holdings.limits_to_notice(statement)
+        own = self._host_holdings.host
+        notice = LimitNotice(
+            own, statement.epoch, statement.era, statement.sent, limits
+        )
+        if limits and len(codec.encode(notice)) + SEAL_BYTES <= DATAGRAM_BYTES:
+            self.broadcast(notice)
+
+    def _handle_notice(self, notice: LimitNotice) -> None:
+        noticed = self._host_holdings.statements.notice(
+            notice.host, notice.epoch, notice.era, notice.sent, notice.limits
+        )
+        if noticed:
+            own = self._host_holdings.host
+            self._send(notice.host, LimitNoticed(own, notice.sent))
+
     def send_report(self, host: str, report: Report) -> None:
         """Send a report to one host."""
         self._send(host, report)
--- a/godwitrudder/process/statement_exchange.py
+++ b/godwitrudder/process/statement_exchange.py
@@ -116,6 +116,8 @@
             return
         self._host_holdings.statement_sent(statement)
         self._sequence += 1
+        if self._lending is not None:
+            self._lending.notice_limits(statement)
         end = self._append_until_stored(statement)
         if end is not None:
             self.answered_at = self.now()
--- a/godwitrudder/request/allowance.py
+++ b/godwitrudder/request/allowance.py
@@ -1,7 +1,8 @@
-"""Allowance: how fast a host may raise the limit of a holding.
+"""Allowance: how fast a grant may rise above the limit that other hosts know.
 
-A token bucket.  Whoever knows one statement of the host and its age can therefore bound
-all later ones, also those that the store has lost; see ``version.statements``.
+A token bucket.  Whoever knows one statement of a host and its age can therefore bound
+all later grants, also those whose statements the store has lost; see
+``version.statements``.
 """
 
 from __future__ import annotations
@@ -36,12 +37,12 @@
         self.tokens, self._level, self._at = tokens, 0.0, now
 
     def available(self, now: float) -> int:
-        """Return the tokens by which the limit may be raised now."""
+        """Return the tokens by which the grant may rise now."""
         self._fill(now)
         return int(self._level)
 
     def take(self, tokens: int, now: float) -> None:
-        """Record that the limit was raised."""
+        """Record that the grant has risen."""
         self._fill(now)
         self._level -= tokens
 
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -17,7 +17,7 @@
 import msgspec
 
 from godwitrudder.request.allowance import Allowance
-from godwitrudder.version.statements import Row, Totals
+from godwitrudder.version.statements import UNBOUNDED_TOKENS, Row, Totals
 
 DEMAND_SECONDS: Final = 12.0
 """Time constant of the mean demand; longer than an outage of 7 to 9 s."""
@@ -59,9 +59,11 @@
 caller."""
 MIN_CONFIDENCE: Final = 0.1
 """Lower bound of the confidence by which a holding's bound is divided."""
-DEMAND_ALLOWED_SECONDS: Final = 10.0
-"""Seconds of demand by which a host may raise its limit at once, besides the largest
-request; at least by its equal part of the prepaid amount."""
+DEMAND_ALLOWED_SECONDS: Final = 3.0
+"""Seconds of demand by which a grant may rise at once, besides the largest request,
+while a host that counts as active does not answer."""
+ALLOWANCE_SHARE: Final = 0.15
+"""The least of it, relative to a host's equal part of the prepaid amount."""
 ALLOWANCE_SLACK: Final = 1.2
 """Factor by which a new allowance exceeds the one wanted, so that few are needed."""
 DEVIATIONS: Final = 1.5
@@ -177,10 +179,10 @@
         Time at which each was sent.
     waiting_tokens : int
         Tokens of the requests that wait for this holding.
-    newest_limit : int
-        Limit of the last row sent, by this process or by its predecessor.
+    known_limit : int
+        Limit that all active hosts are known to remember.
     allowance : Allowance
-        Bounds how fast rows raise that limit.
+        Bounds how fast the grant rises above that limit.
     announced_allowance : int
         Size that rows state for it; it is in force once other hosts have read that.
     """
@@ -193,7 +195,7 @@
     pending_at: float = 0.0
     waiting_tokens: int = 0
     demand: Demand = field(default_factory=Demand)
-    newest_limit: int = 0
+    known_limit: int = UNBOUNDED_TOKENS
     allowance: Allowance = field(default_factory=Allowance)
     announced_allowance: int = 0
 
@@ -276,19 +278,15 @@
             limit, cap, round(demand, 1), self.waiting_tokens, expected, round(rate, 1)
         )
 
-    def within_allowance(self, row: Row, now: float) -> Row:
-        """Return a row with the limit lowered to what the allowance permits."""
-        highest = self.newest_limit + self.allowance.available(now)
-        limit = max(self.spent, min(row.limit, highest))
+    def with_allowance(self, row: Row) -> Row:
+        """Return a row that names the allowance."""
         return msgspec.structs.replace(
             row,
-            limit=limit,
-            cap=min(row.cap, limit),
             allowance=self.announced_allowance,
             allowance_in_force=self.allowance.tokens,
         )
 
-    def announce_allowance(self, part: float, largest: int, now: float) -> None:
+    def announce_allowance(self, part: float, now: float) -> None:
         """Choose the allowance to state.
 
         A lower one is in force at once, a higher one when others have read it.
@@ -297,11 +295,12 @@
         ----------
         part : float
             The host's equal part of the prepaid amount, in tokens.
-        largest : int
-            Tokens of the largest recent request of any workspace.
         """
         demand = self.demand.per_second(now)
-        wanted = max(part, demand * DEMAND_ALLOWED_SECONDS + largest)
+        wanted = max(
+            part * ALLOWANCE_SHARE,
+            demand * DEMAND_ALLOWED_SECONDS + self.demand.largest_recent(now),
+        )
         if not wanted <= self.announced_allowance <= wanted * ALLOWANCE_SLACK**2:
             self.announced_allowance = math.ceil(wanted * ALLOWANCE_SLACK)
         self.use_allowance(self.allowance.tokens, now)
@@ -373,13 +372,11 @@
         self.pending = row
         self.pending_at = now
         self.granted = min(self.granted, row.limit)
-        self.allowance.take(max(0, row.limit - self.newest_limit), now)
-        self.newest_limit = row.limit
+        self.known_limit = min(self.known_limit, row.limit)
 
-    def take_over(self, spent: int, limit: int, allowance: int, now: float) -> None:
-        """Continue a former incarnation, which can't have spent or stated more."""
-        self.spent = self.granted = spent
-        self.newest_limit = limit
+    def take_over(self, spent: int, allowance: int, now: float) -> None:
+        """Continue a former incarnation, which can't have spent more."""
+        self.spent = self.granted = self.known_limit = spent
         self.announced_allowance = allowance
         self.allowance.take_over(allowance, now)
 
@@ -390,7 +387,7 @@
             self.stated_at = self.pending_at
             self.pending = None
 
-    def update_grant(self, prepaid: int, others: Totals) -> None:
+    def update_grant(self, prepaid: int, others: Totals, now: float = 0.0) -> None:
         """Update the grant after a read that includes the confirmed row."""
         if self.stated is None:
             return
@@ -398,7 +395,10 @@
         if self.pending is not None:
             limit = min(limit, self.pending.limit)
         allowed = min(limit, prepaid - others.limit)
-        self.granted = min(limit, max(self.granted, allowed))
+        known = max(self.granted, min(allowed, self.known_limit))
+        unknown = min(max(0, allowed - known), self.allowance.available(now))
+        self.allowance.take(unknown, now)
+        self.granted = min(limit, known + unknown)
 
     def _granted_limit(self) -> int:
         return self.granted
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -36,6 +36,8 @@
 """Smallest change that is worth a new statement, relative to the tokens held."""
 IDLE_STATEMENT_SECONDS: Final = ACTIVE_SECONDS / 3
 """Longest time between statements; a host that states nothing counts as inactive."""
+NO_OFFSET: Final = 2**62
+"""Above all offsets: of a statement that the store has not confirmed."""
 NO_TOKENS: Final = Row(0, 0)
 PASS_ON_SECONDS: Final = 1.0
 """Time in which hosts that are alive state again in a new era.  After it their peers
@@ -83,16 +85,24 @@
 
 @dataclass(frozen=True, slots=True)
 class Announcement:
-    """Allowances that a stored statement names.
+    """What a stored statement names, until all active hosts have read it.
 
     Attributes
     ----------
     end : int
         Offset after the statement.
+    limits : dict
+        Lowest limit by workspace that was stated since.
     """
 
     end: int
     rows_by_workspace: dict[str, Row]
+    limits: dict[str, int]
+
+    def lower(self, workspace: str, limit: int) -> None:
+        """Note that a later statement has a lower limit."""
+        if limit < self.limits.get(workspace, 0):
+            self.limits[workspace] = limit
 
 
 class HostHoldings:
@@ -153,6 +163,9 @@
         self._witness_due = False
         self._announcement: Announcement | None = None
         self._remembered: RememberedRows | None = None
+        self._newest: Statement | None = None
+        self._newest_end = NO_OFFSET
+        self._noticed_by: set[str] = set()
 
     def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
         """Set the prepaid amounts in force; None means no limit."""
@@ -162,7 +175,7 @@
         """Return the holding of a workspace, creating an empty one if needed."""
         holding = self.holdings.get(workspace)
         if holding is None:
-            holding = Holding()
+            holding = Holding(known_limit=0)
             holding.demand.began = self._first_request_at
             self.holdings[workspace] = holding
         return holding
@@ -279,14 +292,13 @@
         if self.former_is_lost:
             bounds = self._former_bounds(min(now, started), booted)
             for workspace, tokens in bounds.items():
-                self.holding(workspace).take_over(tokens, tokens, 0, now)
+                self.holding(workspace).take_over(tokens, 0, now)
             return RecoveryResult(held, sum(bounds.values()), former, lost=True)
         stranded = 0
         for workspace, row in rows.items():
             assert former is not None
             spent = max_spent(row, former, now, booted, age)
-            allowance = row.allowance_in_force
-            self.holding(workspace).take_over(spent, row.limit, allowance, now)
+            self.holding(workspace).take_over(spent, row.allowance_in_force, now)
             stranded += spent - row.cap
         return RecoveryResult(held, stranded, former)
 
@@ -312,7 +324,7 @@
             return bounds
         rows = known.rows_by_workspace
         return {
-            name: min(bound, rows[name].max_later_limit(ended - known.sent))
+            name: min(bound, rows[name].max_later_grant(ended - known.sent))
             for name, bound in bounds.items()
             if name in rows
         }
@@ -354,17 +366,13 @@
         }
         due = self._statement_due(now, bool(bounds_by_host))
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
-        alone = table.read_by_active_hosts(self.host, UNBOUNDED_TOKENS)
-        largest = self._largest_request(now)
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
                 continue
             holding = self.holding(workspace)
             prepaid = self.prepaid(workspace)
-            holding.announce_allowance(prepaid / max(1, table.hosts), largest, now)
-            if alone:
-                holding.use_allowance(holding.announced_allowance, now)
-            row = holding.within_allowance(self._row(workspace, holding, now), now)
+            holding.announce_allowance(prepaid / max(1, table.hosts), now)
+            row = holding.with_allowance(self._row(workspace, holding, now))
             rows[workspace] = row
             due = due or _row_due(row, holding, now, refresh_seconds)
         if not due:
@@ -386,13 +394,6 @@
             self.stopping,
         )
 
-    def _largest_request(self, now: float) -> int:
-        """Return the tokens of the largest recent request of any workspace."""
-        return max(
-            (each.demand.largest_recent(now) for each in self.holdings.values()),
-            default=0,
-        )
-
     def _statement_due(self, now: float, passes_bounds: bool) -> bool:
         """Return whether a statement is due, whatever its rows say."""
         return (
@@ -429,19 +430,27 @@
         self._bounds_passed = bool(statement.bounds_by_host)
         self._stated_crashes = statement.crashes
         self._stated_runners = frozenset(each.runner for each in statement.limits)
+        announced = self._announcement
+        self._noticed_by = set()
+        self._newest = statement
+        self._newest_end = NO_OFFSET
         for workspace, row in statement.rows_by_workspace.items():
             holding = self.holding(workspace)
             holding.statement_sent(row, statement.sent)
+            if announced is not None:
+                announced.lower(workspace, row.limit)
 
     def statement_stored(self, statement: Statement, end: int) -> None:
         """Record that the store has confirmed a statement, with its end offset."""
-        self._stored_end_offset = end
+        self._stored_end_offset = self._newest_end = end
         self._stated_in_era = True
         self._confirmed_at = statement.sent
         for workspace in statement.rows_by_workspace:
             self.holding(workspace).statement_stored()
         if self._announcement is None:
-            self._announcement = Announcement(end, statement.rows_by_workspace)
+            rows = statement.rows_by_workspace
+            limits = {workspace: row.limit for workspace, row in rows.items()}
+            self._announcement = Announcement(end, rows, limits)
 
     def apply_read(self, offset: int, now: float) -> bool:
         """Update the grants after a read of all records before an offset.
@@ -453,13 +462,17 @@
         if not self._stated_in_era or offset < self._stored_end_offset:
             return False
         self._apply_announcement(now)
+        self._apply_noticed()
+        self._update_grants(now)
+        return True
+
+    def _update_grants(self, now: float) -> None:
         for workspace, holding in self.holdings.items():
             others = self.statements.totals_excluding(self.host, workspace)
-            holding.update_grant(self.prepaid(workspace), others)
-        return True
+            holding.update_grant(self.prepaid(workspace), others, now)
 
     def _apply_announcement(self, now: float) -> None:
-        """Raise the allowances that all active hosts have read."""
+        """Put in force what all active hosts have read: allowances and limits."""
         announced = self._announcement
         if announced is None:
             return
@@ -467,7 +480,41 @@
             return
         self._announcement = None
         for workspace, row in announced.rows_by_workspace.items():
-            self.holding(workspace).use_allowance(row.allowance, now)
+            holding = self.holding(workspace)
+            holding.use_allowance(row.allowance, now)
+            limit = announced.limits[workspace]
+            holding.known_limit = max(holding.known_limit, limit)
+
+    def _apply_noticed(self) -> None:
+        """Note the newest limits as known if all active hosts have confirmed them."""
+        newest, table = self._newest, self.statements
+        if newest is None or newest.era != table.era:
+            return
+        if not table.read_by_active_hosts(
+            self.host, self._newest_end, self._noticed_by
+        ):
+            return
+        for workspace, row in newest.rows_by_workspace.items():
+            holding = self.holding(workspace)
+            holding.known_limit = max(holding.known_limit, row.limit)
+
+    def limits_to_notice(self, statement: Statement) -> dict[str, int]:
+        """Return the limits of a statement that other hosts are not known to know."""
+        return {
+            workspace: row.limit
+            for workspace, row in statement.rows_by_workspace.items()
+            if row.limit > self.holding(workspace).known_limit
+        }
+
+    def record_noticed(self, host: str, sent: float, now: float) -> None:
+        """Note that a host has confirmed the limits of the newest statement."""
+        newest = self._newest
+        if newest is None or newest.sent != sent:
+            return
+        self._noticed_by.add(host)
+        if self._stated_in_era and self._read_to >= self._stored_end_offset:
+            self._apply_noticed()
+            self._update_grants(now)
 
     def all_tokens_returned(self) -> bool:
         """Return whether all rows are confirmed and no limit exceeds the spending."""
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -21,14 +21,14 @@
 spend stays valid, as the sum does not grow, but an older limit now stands for some
 hosts.  So a statement names its era, and a host raises its own bound only by reads of
 the new era that include its own statement of that era.  Hosts that have not stated
-again count with a bound.  Each host raises its limits no faster than a token bucket
-allows: by at most ``allowance * (1 + t / ALLOWANCE_SECONDS)`` in t seconds.  Whoever
-remembers a statement of a host, and an upper bound on its age, thereby bounds all later
-ones, also those that were lost before anyone read them.  A larger allowance counts only
-once all hosts that were active lately have stated that they read it.  A host that has
-stated nothing lately, or is stopping, trusts no memory.  Without a bound no host may
-raise its own.  Hosts pass bounds on in their statements, to hosts that started since.
-  ``docs/design/restored-store.md`` has the complete proof.
+again count with a bound.  Grants rise freely up to limits that all active hosts are
+known to remember; above them no faster than a token bucket allows: by at most
+``allowance * (1 + t / ALLOWANCE_SECONDS)`` in t seconds.  Whoever remembers a limit of
+a host, and an upper bound on its age, thereby bounds all that the host may spend, also
+by statements that were lost before anyone read them.  A host that has stated nothing
+lately, or is stopping, trusts no memory.  Without a bound no host may raise its own.
+Hosts pass bounds on in their statements, to hosts that started since.
+``docs/design/restored-store.md`` has the complete proof.
 
 Cap and rate tell the next process on the same host what the previous one cannot have
 spent: all that was not yet spendable when the next process started.  While the store
@@ -50,6 +50,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Collection
 from dataclasses import dataclass, field
 from typing import Final
 
@@ -72,8 +73,8 @@
     rate : float
         Tokens a second by which the spendable amount rises from the cap.
     allowance : int
-        Tokens by which the host may raise its limit at once, and again in
-        ``ALLOWANCE_SECONDS``.
+        Tokens by which the host's grant may rise at once above a limit that others
+        know, and again in ``ALLOWANCE_SECONDS``.
     allowance_in_force : int
         The part of it that all active hosts are known to have read.
     """
@@ -101,8 +102,8 @@
             return None
         return (tokens - self.cap) / self.rate
 
-    def max_later_limit(self, age: float) -> int:
-        """Return the highest limit that the host can have stated by this age."""
+    def max_later_grant(self, age: float) -> int:
+        """Return the most that the host can have been granted by this age."""
         return self.limit + math.ceil(self.allowance * (1 + age / ALLOWANCE_SECONDS))
 
 
@@ -197,8 +198,8 @@
     stopping: bool = False
 
 
-ALLOWANCE_SECONDS: Final = 5.0
-"""Time in which a host may raise its limit by its allowance once more."""
+ALLOWANCE_SECONDS: Final = 3.0
+"""Time in which a grant may rise by the allowance once more."""
 EPOCHS_PER_ERA: Final = 2**20
 """More incarnations than a host has in one era of the store."""
 UNBOUNDED_TOKENS: Final = 2**53
@@ -247,6 +248,14 @@
     return row.spendable_at(now - statement.sent)
 
 
+@dataclass(frozen=True, slots=True)
+class NoticedLimits:
+    """Limits by workspace that a host has told directly, and when it sent them."""
+
+    sent: float
+    limits: dict[str, int]
+
+
 @dataclass(slots=True)
 class StatementTable:
     """The newest statement of every host.
@@ -269,6 +278,8 @@
         Lower bound on the time at which each host's newest statement was stored.
     sent_after_by_host : dict
         Lower bound on the time at which it was sent.
+    noticed_by_host : dict
+        Limits that a host has told directly, of a newer statement than the one read.
     """
 
     statements_by_host: dict[str, Statement] = field(default_factory=dict)
@@ -279,6 +290,7 @@
     read_at_by_host: dict[str, float] = field(default_factory=dict)
     stored_after_by_host: dict[str, float] = field(default_factory=dict)
     sent_after_by_host: dict[str, float] = field(default_factory=dict)
+    noticed_by_host: dict[str, NoticedLimits] = field(default_factory=dict)
     _full_read_began_at: float | None = None
     _read_began_at: float = 0.0
 
@@ -309,17 +321,51 @@
         since = self.sent_after_by_host.get(host)
         if statement is None or since is None or host in self.unreadable_hosts:
             return None
+        rows = self.remembered(host).rows_by_workspace
         return {
-            workspace: row.max_later_limit(at - since)
-            for workspace, row in statement.rows_by_workspace.items()
+            workspace: row.max_later_grant(at - since)
+            for workspace, row in rows.items()
         }
 
     def remembered(self, host: str) -> RememberedRows:
         """Return what is remembered of a host's newest statement."""
         statement = self.statements_by_host[host]
-        return RememberedRows(
-            statement.sent, statement.booted, statement.rows_by_workspace
-        )
+        rows = dict(statement.rows_by_workspace)
+        noticed = self.noticed_by_host.get(host)
+        for workspace, limit in ({} if noticed is None else noticed.limits).items():
+            row = rows.get(workspace, Row(0, 0))
+            rows[workspace] = msgspec.structs.replace(row, limit=max(row.limit, limit))
+        return RememberedRows(statement.sent, statement.booted, rows)
+
+    def notice(
+        self, host: str, epoch: int, era: int, sent: float, limits: dict[str, int]
+    ) -> bool:
+        """Remember limits that a host is about to state.
+
+        Returns False if they can't be: the host is unknown, or in another era.
+        """
+        statement = self.statements_by_host.get(host)
+        if era != self.era or statement is None or statement.epoch != epoch:
+            return False
+        if not self.has_stated(host):
+            return False
+        if sent <= statement.sent:
+            return True
+        known = self.noticed_by_host.get(host)
+        merged = dict(limits)
+        for workspace, limit in ({} if known is None else known.limits).items():
+            merged[workspace] = max(limit, merged.get(workspace, 0))
+        newest = sent if known is None else max(sent, known.sent)
+        self.noticed_by_host[host] = NoticedLimits(newest, merged)
+        return True
+
+    def _forget_noticed(self, host: str, statement: Statement) -> None:
+        """Drop what a host has told directly once its statement is as new."""
+        known = self.noticed_by_host.get(host)
+        former = self.statements_by_host.get(host)
+        replaced = former is not None and former.epoch != statement.epoch
+        if known is not None and (replaced or statement.sent >= known.sent):
+            del self.noticed_by_host[host]
 
     def has_stated(self, host: str) -> bool:
         """Whether the newest statement of a host is of this era."""
@@ -408,6 +454,7 @@
             self._put_former(host, statement, at)
             return None
         self._bound_times(host, statement)
+        self._forget_noticed(host, statement)
         self.bounds_by_host.pop(host, None)
         self.statements_by_host[host] = statement
         self.read_at_by_host[host] = at
@@ -437,14 +484,22 @@
             for workspace in known.keys() & bounds.keys()
         }
 
-    def read_by_active_hosts(self, host: str, offset: int) -> bool:
+    def read_by_active_hosts(
+        self, host: str, offset: int, noticed_by: Collection[str] = ()
+    ) -> bool:
         """Whether all other active hosts have read the records before an offset.
 
         Those that are stopping don't count.
+
+        Parameters
+        ----------
+        noticed_by : collection of str
+            Hosts that know the same otherwise.
         """
         since = max(self.read_at_by_host.values(), default=0.0) - ACTIVE_SECONDS
         return all(
-            self.has_stated(name) and statement.read_to >= offset
+            self.has_stated(name)
+            and (statement.read_to >= offset or name in noticed_by)
             for name, statement in self.statements_by_host.items()
             if name != host
             and not statement.stopping
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -80,8 +80,8 @@
             return None
         key = (append.host, append.epoch, append.sequence)
         if key not in self.ends:
-            expected = [k[2] for k in self.ends if k[:2] == key[:2]]
-            if expected and append.sequence != max(expected) + 1:
+            expected = self.expected_sequence(append)
+            if expected is not None and append.sequence != expected:
                 return None
             self._copy()
             self.epochs[append.host] = append.epoch
@@ -89,6 +89,11 @@
             self.ends[key] = len(self.records)
         return self.ends[key]
 
+    def expected_sequence(self, append: Append) -> int | None:
+        """Return the number of the producer's next append; None for any."""
+        known = [key[2] for key in self.ends if key[:2] == (append.host, append.epoch)]
+        return max(known) + 1 if known else None
+
     def newest(self) -> dict[str, bytes]:
         return dict(self.records)
 
@@ -152,6 +157,7 @@
         self.booted_by_host = {f"h{i}": 1000.0 * i for i in range(hosts)}
         self.skew_by_host = {host: 0.0 for host in self.booted_by_host}
         self.spent_tokens = 0
+        self.notices_arrive = True
         self.processes: dict[str, Process] = {}
         self.loans: list[LoanInFlight] = []
         for host in self.booted_by_host:
@@ -320,6 +326,8 @@
             fence = process.host_holdings.fence
             append = Append(host, fence, process.sequence, data)
             process.pending = (statement, append)
+            if self.notices_arrive:
+                self.notice_limits(host, statement)
         statement, append = process.pending
         if outcome == "lost":
             return
@@ -334,6 +342,20 @@
         elif end is not None:
             process.host_holdings.statement_stored(statement, end)
             process.pending = None
+        elif append.epoch == self.store.epochs.get(host, 0):
+            expected = self.store.expected_sequence(append)
+            assert expected is not None
+            process.sequence = append.sequence = expected
+
+    def notice_limits(self, host: str, statement: Statement) -> None:
+        """Tell the other hosts the statement's higher limits; they confirm them."""
+        holdings = self.processes[host].host_holdings
+        limits = holdings.limits_to_notice(statement)
+        for name, process in self.processes.items():
+            if name != host and process.host_holdings.statements.notice(
+                host, statement.epoch, statement.era, statement.sent, limits
+            ):
+                holdings.record_noticed(name, statement.sent, self.clock(host))
 
     def deliver_late_append(self) -> None:
         if self.store.delayed:
--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -222,6 +222,11 @@
         super().__init__()
         self.fleet = self.fleet_type(self.hosts, PREPAID)
 
+    @rule(arrive=st.booleans())
+    def notices(self, arrive: bool) -> None:
+        """Whether hosts hear of each other's limits directly from now on."""
+        self.fleet.notices_arrive = arrive
+
     @rule(lost=st.sampled_from([0, 1, 2, 3, 5, 8, 20]))
     def restore(self, lost: int) -> None:
         """Lose the last changes of the store."""
@@ -271,9 +276,13 @@
         """An append of the former era arrives after the host has stated again."""
         fleet = self.fleet
         fleet.state_all()
-        fleet.send_statement(host, "late")
+        for outcome, tokens in (("answered", 20), ("late", 40)):
+            self._set_waiting_tokens(host, tokens)
+            fleet.send_statement(host, outcome)
         fleet.store.restore(1)
-        self.cycle(host, 300)
+        for _ in range(2):
+            fleet.state_all()
+            self.cycle(host, 300)
         self.spend_all(host)
         while fleet.store.delayed:
             fleet.deliver_late_append()
@@ -459,6 +468,25 @@
     holdings_type = RaisesAllowanceAtOnce
 
 
+class ForgetfulTable(StatementTable):
+    """Confirms limits that a host has told directly, and forgets them."""
+
+    def notice(
+        self, host: str, epoch: int, era: int, sent: float, limits: dict[str, int]
+    ) -> bool:
+        return super().notice(host, epoch, era, sent, {})
+
+
+class ForgetfulHoldings(HostHoldings):
+    def __init__(self, host: str, policy: Policy) -> None:
+        super().__init__(host, policy)
+        self.statements = ForgetfulTable()
+
+
+class ForgetsNotices(Fleet):
+    holdings_type = ForgetfulHoldings
+
+
 class SuccessorBelievesTheCopy(Fleet):
     """A successor takes over from its statement in the older copy."""
 
@@ -493,6 +521,7 @@
         BelievesTheCopy,
         ExceedsItsAllowance,
         UsesAnUnreadAllowance,
+        ForgetsNotices,
         SuccessorBelievesTheCopy,
         LeavesOldAppendsAlone,
     ],
