--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,8 @@
 The range has values below and above the 1.2 s after which a host counts its store as
 silent.
 """
+STORE_AWAY_RANGE_SECONDS: Final = (0.1, 1.5)
+"""Shortest and longest time for which a store is away before it is restored."""
 LIMIT_RANGE_SECONDS: Final = (4.0, 8.0)
 """Shortest and longest time for which a runner names a limit, or requests have a poison
 part: hosts have 3 s to adapt."""
@@ -66,9 +68,11 @@
             self._reset,
             self._lose_answers,
             self._store_down,
+            self._restore,
             self._forget,
             self._topup,
             self._reload,
+            self._restore_series,
             self._stop_series,
             self._change_series,
             self._crash_runner,
@@ -161,6 +165,29 @@
         self._wait_for_duration()
         self._deployment.store.faults.set({"down": False})
 
+    def _restore(self) -> None:
+        """Bring the store back from a copy that is some time old.
+
+        Operator and runners write again what the copy lacks.
+        """
+        store = self._deployment.store
+        copied = store.copy_topics()
+        self._wait_for_duration()
+        store.faults.set({"down": True})
+        gevent.sleep(self._random.uniform(*STORE_AWAY_RANGE_SECONDS))
+        store.restore(copied)
+        self._deployment.configure()
+        for runner in self._deployment.runners:
+            self._deployment.list_runner(runner)
+        store.faults.set({"down": False})
+
+    def _restore_series(self) -> None:
+        """Restore the store while hosts are killed or cut off, and once more."""
+        for fault in (self._kill, self._cut, self._restore, self._kill):
+            self._tasks.append(gevent.spawn(fault))
+            gevent.sleep(self._random.uniform(0.0, SERIES_PAUSE_SECONDS))
+        self._restore()
+
     def _forget(self) -> None:
         for topic in (names.LEDGER_TOPIC, names.OPERATOR_TOPIC, names.RUNNERS_TOPIC):
             self._deployment.store.topics[topic].truncate()
