Remember limits told directly although they bear the time of the statement read

Two statements of one host bore the same time; the limits of the second, told by datagram, were taken for those of the first and dropped, but confirmed. Change: only limits older than the statement that was read are dropped.

--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -349,7 +349,7 @@
             return False
         if not self.has_stated(host):
             return False
-        if sent <= statement.sent:
+        if sent < statement.sent:
             return True
         known = self.noticed_by_host.get(host)
         merged = dict(limits)
@@ -360,11 +360,11 @@
         return True
 
     def _forget_noticed(self, host: str, statement: Statement) -> None:
-        """Drop what a host has told directly once its statement is as new."""
+        """Drop what a host has told directly once its statement is newer."""
         known = self.noticed_by_host.get(host)
         former = self.statements_by_host.get(host)
         replaced = former is not None and former.epoch != statement.epoch
-        if known is not None and (replaced or statement.sent >= known.sent):
+        if known is not None and (replaced or statement.sent > known.sent):
             del self.noticed_by_host[host]
 
     def has_stated(self, host: str) -> bool:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -264,3 +264,11 @@
     former = Statement(EPOCHS_PER_ERA + 9, 0.0, 0.0, {}, fence=EPOCHS_PER_ERA + 12)
     assert first_epoch(1, former) == EPOCHS_PER_ERA + 13
     assert first_epoch(2, former) == 2 * EPOCHS_PER_ERA
+
+
+def test_limits_told_directly_count_though_sent_at_the_time_of_the_one_read() -> None:
+    """The model found it: both were sent in the same instant."""
+    table = table_with_history()
+    assert table.notice("h1", 1, 0, 11.9, {"w": 900})
+    table.begin_era(1, 10.0, True)
+    assert table.totals_excluding("h0", "w").limit == 1000
