--- a/godwitrudder/ctl/store.py
+++ b/godwitrudder/ctl/store.py
@@ -19,7 +19,7 @@
 from godwitrudder.platform.store import KeyedRecord, Page, Store
 from godwitrudder.validation import Problem, parse_address
 from godwitrudder.version.catalogue import Catalogue, ListedRunner
-from godwitrudder.version.statements import StatementTable
+from godwitrudder.version.statement_table import StatementTable
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -17,7 +17,8 @@
 import msgspec
 
 from godwitrudder.request.allowance import Allowance
-from godwitrudder.version.statements import UNBOUNDED_TOKENS, Row, Totals
+from godwitrudder.version.statement_table import Totals
+from godwitrudder.version.statements import UNBOUNDED_TOKENS, Row
 
 DEMAND_SECONDS: Final = 12.0
 """Time constant of the mean demand; longer than an outage of 7 to 9 s."""
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -9,7 +9,6 @@
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Final
 
 from godwitrudder import codec
@@ -19,6 +18,14 @@
     Policy,
     interval_seconds,
 )
+from godwitrudder.request.holding_records import (
+    Announcement,
+    BudgetRemainder,
+    RecoveryResult,
+    raises_allowance,
+    row_due,
+)
+from godwitrudder.version.statement_table import StatementTable
 from godwitrudder.version.statements import (
     ACTIVE_SECONDS,
     UNBOUNDED_TOKENS,
@@ -27,84 +34,19 @@
     Row,
     RunnerCrash,
     Statement,
-    StatementTable,
     max_spent,
     same_boot,
 )
 
-MIN_RELATIVE_CHANGE: Final = 0.02
-"""Smallest change that is worth a new statement, relative to the tokens held."""
 IDLE_STATEMENT_SECONDS: Final = ACTIVE_SECONDS / 3
 """Longest time between statements; a host that states nothing counts as inactive."""
 NO_OFFSET: Final = 2**62
 """Above all offsets: of a statement that the store has not confirmed."""
-NO_TOKENS: Final = Row(0, 0)
 PASS_ON_SECONDS: Final = 1.0
 """Time in which hosts that are alive state again in a new era.  After it their peers
 pass on the bounds of those that have not."""
 
 
-@dataclass(frozen=True, slots=True)
-class BudgetRemainder:
-    """What is left of a workspace's prepaid tokens, as far as this host knows.
-
-    Attributes
-    ----------
-    tokens : int
-        Prepaid tokens less the caps of the other hosts and the tokens spent here. Other
-        hosts may spend up to their limits.
-    held_elsewhere : int
-        Sum of limit minus cap over the other hosts.
-    """
-
-    tokens: int
-    held_elsewhere: int
-
-
-@dataclass(frozen=True, slots=True)
-class RecoveryResult:
-    """What a host takes over from its former incarnation.
-
-    Attributes
-    ----------
-    held : int
-        Sum of limit minus cap in the former incarnation's last statement.
-    stranded : int
-        Tokens of these that it may have spent; they count as spent.
-    former : Statement or None
-        The former incarnation's last statement; None if there is none.
-    lost : bool
-        Whether its last statement is unknown, so that a bound counts as spent.
-    """
-
-    held: int
-    stranded: int
-    former: Statement | None
-    lost: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Announcement:
-    """What a stored statement names, until all active hosts have read it.
-
-    Attributes
-    ----------
-    end : int
-        Offset after the statement.
-    limits : dict
-        Lowest limit by workspace that was stated since.
-    """
-
-    end: int
-    rows_by_workspace: dict[str, Row]
-    limits: dict[str, int]
-
-    def lower(self, workspace: str, limit: int) -> None:
-        """Note that a later statement has a lower limit."""
-        if limit < self.limits.get(workspace, 0):
-            self.limits[workspace] = limit
-
-
 class HostHoldings:
     """The holdings of one host by workspace.
 
@@ -196,7 +138,7 @@
         problem = self.statements.put(host, data, now)
         newest = self.statements.statements_by_host.get(host)
         if host != self.host and newest is not None:
-            self._witness_due = self._witness_due or _raises_allowance(former, newest)
+            self._witness_due = self._witness_due or raises_allowance(former, newest)
             if self.statements.has_stated(host):
                 self._remember(newest.remembered_by_host.get(self.host))
         return problem
@@ -374,7 +316,7 @@
             holding.announce_allowance(prepaid / max(1, table.hosts), now)
             row = holding.with_allowance(self._row(workspace, holding, now))
             rows[workspace] = row
-            due = due or _row_due(row, holding, now, refresh_seconds)
+            due = due or row_due(row, holding, now, refresh_seconds)
         if not due:
             return None
         return Statement(
@@ -532,28 +474,3 @@
         others = self.statements.totals_excluding(self.host, workspace)
         prepaid = self.prepaid(workspace)
         return holding.plan(now, prepaid, others, self.policy)
-
-
-def _raises_allowance(former: Statement | None, newest: Statement) -> bool:
-    """Return whether a statement names a larger allowance than the former one."""
-    known = {} if former is None else former.rows_by_workspace
-    for workspace, row in newest.rows_by_workspace.items():
-        if row.allowance > known.get(workspace, NO_TOKENS).allowance:
-            return True
-    return False
-
-
-def _row_due(row: Row, holding: Holding, now: float, refresh_seconds: float) -> bool:
-    """Return whether a row must be sent.
-
-    That is so if no row is confirmed yet, if requests wait, if tokens are held and the
-    confirmed row is older than ``refresh_seconds``, or if limit or cap change by more
-    than ``MIN_RELATIVE_CHANGE`` of the tokens held.
-    """
-    stated = holding.stated
-    if stated is None or holding.waiting_tokens:
-        return True
-    if now - holding.stated_at > refresh_seconds and row.limit > holding.spent:
-        return True
-    slack = MIN_RELATIVE_CHANGE * max(0, stated.limit - holding.spent)
-    return abs(row.limit - stated.limit) > slack or abs(row.cap - stated.cap) > slack
--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -34,7 +34,8 @@
 )
 from godwitrudder.request.event_stream import EventReader
 from godwitrudder.validation import Problem, parse, parse_address
-from godwitrudder.version.statements import Statement, StatementTable
+from godwitrudder.version.statement_table import StatementTable
+from godwitrudder.version.statements import Statement
 from tests.entry_setup import EntrySetup, configuration, good, run_entry, status_of
 
 FUZZ = settings(max_examples=150, deadline=None, derandomize=True, database=None)
--- a/tests/test_holding.py
+++ b/tests/test_holding.py
@@ -14,14 +14,8 @@
     Policy,
     interval_seconds,
 )
-from godwitrudder.version.statements import (
-    UNBOUNDED_TOKENS,
-    Row,
-    Statement,
-    StatementTable,
-    Totals,
-    max_spent,
-)
+from godwitrudder.version.statement_table import StatementTable, Totals
+from godwitrudder.version.statements import UNBOUNDED_TOKENS, Row, Statement, max_spent
 
 POLICY = Policy()
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -15,6 +15,7 @@
 from godwitrudder.platform import names
 from godwitrudder.request.holding import MIN_INTERVAL_SECONDS, Policy
 from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.version.statement_table import StatementTable
 from godwitrudder.version.statements import (
     ALLOWANCE_SECONDS,
     EPOCHS_PER_ERA,
@@ -22,7 +23,6 @@
     RememberedRows,
     Row,
     Statement,
-    StatementTable,
     first_epoch,
 )
 from tests.entry_setup import (
