Review case: two crashes after a restart refuse a prompt part for a minute

Cause: what was answered before is known in memory only, so after a restart two crashes blame the part that all prompts share, and the blame ends all attempts that could clear it. Change: a script that shows it; no code is changed.

--- /dev/null
+++ b/review/standins/new_prompt.py
@@ -0,0 +1,211 @@
+"""All entries are killed and two model runners crash; is service back in time?
+
+Six entries and eight model runners.  All prompts begin with the same part, as those of
+one assistant do.  All entry processes are killed and started again one second later
+(the final fault); just after, one model runner crashes, and another one a moment later.
+The check is the rule RECOVER: of the requests sent later than ``recover_s`` after the
+machines are back, less than a quarter is served, though a quarter or more was before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import random
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+from fleet import (
+    BOUNDS,
+    LIMITS,
+    STABLE_SECONDS,
+    Fleet,
+    Record,
+    exchange,
+    free_network,
+    request_id,
+)
+from platform_store import Store
+from runners import Runner, Service
+
+ENTRIES = 6
+RUNNERS = 8
+REQUESTS_PER_SECOND = 30
+FIRST_EVENT_SECONDS = 0.8
+TIME_LIMIT_MS = 12_000
+BEFORE_SECONDS = 12.0
+DOWN_SECONDS = 1.0
+CRASH_AFTER_SECONDS = 0.2
+NEXT_CRASH_AFTER_SECONDS = 0.3
+RUNNER_DOWN_SECONDS = 2.0
+MEASURED_SECONDS = 30.0
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+KILL = TROUBLE and os.environ.get("KILL", "1") != "0"
+CRASH = TROUBLE and os.environ.get("CRASH", "1") != "0"
+
+
+def configuration() -> dict[str, object]:
+    """Return the operator's configuration."""
+    engine = {
+        "slots": 64,
+        "kv_capacity_tokens": 475_519,
+        "stride": 6,
+        "models": [{"name": "m"}],
+    }
+    route = {
+        "name": "ask",
+        "host": "front.example",
+        "path_prefix": "/ask/",
+        "kind": "streaming",
+        "timeout_ms": TIME_LIMIT_MS,
+        "target_latency_ms": 1000,
+        "priority": 0,
+        "service": "model",
+        "max_attempts": 1,
+        "public": False,
+        "sticky": True,
+        "resumable": False,
+        "gap_aim_ms": 500,
+    }
+    return {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": "model", "max_conns": 360, "engine": engine}],
+        "limits": LIMITS,
+        "tenants": [
+            {"name": "guild", "api_keys": ["k1"], "priority": 1, "prepaid": 10**10}
+        ],
+    }
+
+
+class Case:
+    """The consumers, and what they saw."""
+
+    def __init__(self, fleet: Fleet, record: Record) -> None:
+        self.fleet = fleet
+        self.record = record
+        self.seen: list[tuple[float, int]] = []
+
+    async def ask(self) -> None:
+        """Send one request."""
+        entry = random.choice(self.fleet.entries)
+        identity = request_id()
+        parts = ["5c1e07a2", f"{random.getrandbits(32):08x}", identity[:8]]
+        headers = {
+            "Authorization": "Bearer k1",
+            "X-Godwitrudder-Request-Id": identity,
+            "X-Godwitrudder-Deadline-Ms": str(TIME_LIMIT_MS),
+            "X-Godwitrudder-Model": "m",
+            "X-Godwitrudder-Token-Count": "6000,60",
+            "X-Godwitrudder-Prefix-Hash": ",".join(f"{part}:2000" for part in parts),
+        }
+        sent = time.monotonic()
+        self.record(f"sent {identity} to {entry.name}")
+        answer = await exchange(
+            entry.ip, 8227, "POST", "/ask/2f", headers, b"q" * 200, TIME_LIMIT_MS / 1000
+        )
+        status = answer.status if answer.complete else 0
+        self.record(f"got  {identity} {status} {answer.why} {answer.seconds:.3f} s")
+        self.seen.append((sent, status))
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Send requests at a rate until told to stop, then wait for the last ones."""
+        tasks: set[asyncio.Task[None]] = set()
+        while not stop.is_set():
+            task = asyncio.create_task(self.ask())
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(random.expovariate(REQUESTS_PER_SECOND))
+        await asyncio.gather(*tasks)
+
+    def served(self, since: float, until: float) -> tuple[int, int]:
+        """Return how many requests of a time were served, and how many were sent."""
+        statuses = [status for sent, status in self.seen if since <= sent < until]
+        return sum(status == 200 for status in statuses), len(statuses)
+
+
+async def trouble(fleet: Fleet, runners: list[Runner], record: Record) -> None:
+    """Kill all entries, start them again, and crash two runners one after the other."""
+    if KILL:
+        record("all entries are killed")
+        for entry in fleet.entries:
+            entry.kill()
+        await asyncio.sleep(DOWN_SECONDS)
+        known = {name for runner in runners for name in runner.runs}
+        for entry in fleet.entries:
+            entry.start()
+        record("all entries are started")
+        ends = time.monotonic() + 10.0
+        while time.monotonic() < ends:
+            if any(runner.runs.keys() - known for runner in runners):
+                break
+            await asyncio.sleep(0.01)
+    if CRASH:
+        await asyncio.sleep(CRASH_AFTER_SECONDS)
+        loop = asyncio.get_running_loop()
+        busy = sorted(runners, key=lambda runner: -runner.running)
+        loop.create_task(busy[0].crash(RUNNER_DOWN_SECONDS))
+        await asyncio.sleep(NEXT_CRASH_AFTER_SECONDS)
+        busy = sorted(busy[1:], key=lambda runner: -runner.running)
+        loop.create_task(busy[0].crash(RUNNER_DOWN_SECONDS))
+
+
+async def play(folder: Path, temporary: Path) -> int:
+    """Play the case; return the exit status."""
+    record = Record(folder / "record.txt")
+    net, store = free_network(), Store()
+    await store.start(f"{net}.1")
+    store.put("keyed.op", "config", configuration())
+    model = Service("model", 64, FIRST_EVENT_SECONDS, 10, 0.02)
+    zones = ("caxias", "gramado", "bento")
+    runners = [
+        Runner(model, store, f"{net}.{100 + number}", zones[number % 3], record)
+        for number in range(RUNNERS)
+    ]
+    for runner in runners:
+        await runner.start()
+    with Fleet(ENTRIES, store, net, temporary) as fleet:
+        if not await fleet.wait_ready(15.0):
+            print("the entries did not become ready")
+            return 2
+        await asyncio.sleep(STABLE_SECONDS)
+        case, stop = Case(fleet, record), asyncio.Event()
+        began = time.monotonic()
+        consumers = asyncio.create_task(case.run(stop))
+        await asyncio.sleep(BEFORE_SECONDS)
+        fault = time.monotonic()
+        await trouble(fleet, runners, record)
+        if not await fleet.wait_ready(15.0):
+            record("the entries did not become ready again")
+        back = time.monotonic()
+        record("the machines are back")
+        measured = back + BOUNDS["recover_s"]
+        await asyncio.sleep(BOUNDS["recover_s"] + MEASURED_SECONDS)
+        stop.set()
+        await consumers
+        logs = "".join(path.read_text() for path in temporary.glob("*.log"))
+    before = case.served(began, fault - 2.0)
+    after = case.served(measured, measured + MEASURED_SECONDS)
+    broken = 4 * before[0] >= before[1] and 4 * after[0] < after[1]
+    for text in (
+        f"served before the fault: {before[0]} of {before[1]}",
+        f"served later than recover_s after the machines were back: "
+        f"{after[0]} of {after[1]}",
+        f"lines 'part_blamed' in the logs: {logs.count('part_blamed')}",
+        f"RECOVER {'broken' if broken else 'held'}",
+    ):
+        record(text)
+        print(text)
+    return 1 if broken else 0
+
+
+def main() -> int:
+    """Play the case in the folder that is given."""
+    with tempfile.TemporaryDirectory() as temporary:
+        return asyncio.run(play(Path(sys.argv[1]).resolve(), Path(temporary)))
+
+
+if __name__ == "__main__":
+    sys.exit(main())
