--- a/review/standins/crash_evidence.py
+++ b/review/standins/crash_evidence.py
@@ -13,11 +13,19 @@
 import os
 import random
 import sys
-import tempfile
 import time
 from pathlib import Path
 
-from fleet import LIMITS, STABLE_SECONDS, Fleet, Record, exchange, free_network, request_id
+from fleet import (
+    LIMITS,
+    STABLE_SECONDS,
+    Fleet,
+    Record,
+    exchange,
+    free_network,
+    request_id,
+    run_case,
+)
 from platform_store import Store
 from runners import Runner, Service
 
@@ -135,7 +143,9 @@
         sent = time.monotonic()
         self.record(f"sent {identity} {path} to {entry.name}")
         until = timeout_ms / 1000 + LATE_SECONDS
-        answer = await exchange(entry.ip, 8227, method, path, headers, b"q" * 200, until)
+        answer = await exchange(
+            entry.ip, 8227, method, path, headers, b"q" * 200, until
+        )
         what = str(answer.status) if answer.complete else f"none ({answer.why})"
         self.record(f"got  {identity} {what} after {answer.seconds:.3f} s")
         self.counts[f"{path} {what}"] = self.counts.get(f"{path} {what}", 0) + 1
@@ -228,11 +238,5 @@
         )
 
 
-def main() -> int:
-    """Play the case in the folder that is given."""
-    with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(play(Path(sys.argv[1]).resolve(), Path(temporary)))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play))
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -11,8 +11,12 @@
 import signal
 import socket
 import subprocess
+import sys
+import tempfile
 import time
 import tomllib
+import traceback
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from types import TracebackType
@@ -90,9 +94,9 @@
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
-        self._write(zone, store)
+        self._zone, self._store = zone, store
 
-    def _write(self, zone: str, store: str) -> None:
+    def _write_settings(self, first_start: bool) -> None:
         zones = ("caxias", "gramado", "bento")
         self._settings.write_text(
             json.dumps(
@@ -102,7 +106,7 @@
                     "machine_class": "front",
                     "serves": ["front"],
                     "ip": self.ip,
-                    "zone": zone,
+                    "zone": self._zone,
                     "region": "sul",
                     "zones": {each: "sul" for each in zones},
                     "listen": {
@@ -111,7 +115,7 @@
                     },
                     "internal_ports": INTERNAL,
                     "seeds": [],
-                    "bootstrap": True,
+                    "bootstrap": first_start,
                     "limits": {
                         "cpu_share": 0.537,
                         "cores": 2,
@@ -126,7 +130,7 @@
                     "heartbeat_ms": 1200,
                     "bounds": BOUNDS,
                     "platform": {
-                        "address": store,
+                        "address": self._store,
                         "form": "log",
                         "writes_per_s": 600,
                         "reads_per_s": 2000,
@@ -144,9 +148,14 @@
 
     def start(self) -> None:
         """Start a process with the command and the environment of the deploy file."""
-        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["entry"]
+        self._write_settings(first_start=not self.started)
+        role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"][
+            "entry"
+        ]
         path = f"{ROOT / 'target/deps'}{os.pathsep}{ROOT}"
-        kept = {name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ}
+        kept = {
+            name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
+        }
         environment = {**kept, "LANG": "C.UTF-8", "PYTHONPATH": path, **role["env"]}
         environment["GODWITRUDDER_SETTINGS"] = str(self._settings)
         with self._log.open("ab") as output:
@@ -261,7 +270,10 @@
     async def talk() -> None:
         nonlocal writer
         reader, writer = await asyncio.open_connection(ip, port)
-        lines = [f"{method} {path} HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        lines = [
+            f"{method} {path} HTTP/1.1",
+            *(f"{k}: {v}" for k, v in headers.items()),
+        ]
         if "Host" not in headers:
             lines.append("Host: front.example")
         lines.append(f"Content-Length: {len(body)}")
@@ -297,6 +309,21 @@
     return answer
 
 
+def run_case(play: Callable[[Path, Path], Awaitable[int]]) -> int:
+    """Play a case in the folder that the command names; return the exit status.
+
+    An error of the case itself is status 2.
+    """
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    try:
+        with tempfile.TemporaryDirectory() as temporary:
+            folder = Path(sys.argv[1]).resolve()
+            return asyncio.run(play(folder, Path(temporary)))  # type: ignore[arg-type]
+    except Exception:
+        traceback.print_exc()
+        return 2
+
+
 def request_id() -> str:
     """Return a new request id."""
     return secrets.token_hex(8)
--- a/review/standins/new_prompt.py
+++ b/review/standins/new_prompt.py
@@ -13,7 +13,6 @@
 import os
 import random
 import sys
-import tempfile
 import time
 from pathlib import Path
 
@@ -26,6 +25,7 @@
     exchange,
     free_network,
     request_id,
+    run_case,
 )
 from platform_store import Store
 from runners import Runner, Service
@@ -201,11 +201,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    """Play the case in the folder that is given."""
-    with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(play(Path(sys.argv[1]).resolve(), Path(temporary)))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play))
--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -1,9 +1,14 @@
-"""Stand-in of the platform's store: one log partition a topic, as PROTOCOL.md says."""
+"""Stand-in of the platform's store: one log partition a topic, as PROTOCOL.md says.
+
+It may be away and come back from a copy that is some seconds old, as the news page
+"In a drill the store may be away for a moment" has it.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import json
 import struct
 import urllib.parse
@@ -48,7 +53,15 @@
 
 
 class Store:
-    """The store; ``refused`` counts appends that were too large, by producer."""
+    """The store; ``refused`` counts appends that were too large, by producer.
+
+    Attributes
+    ----------
+    era : int
+        Named by the header ``Store-Era`` of all answers.
+    away : bool
+        Whether all calls are refused with 503.
+    """
 
     def __init__(self) -> None:
         self.topics: dict[str, Topic] = {}
@@ -56,6 +69,29 @@
         self.appended: dict[str, int] = {}
         self.largest = 0
         self.port = 0
+        self.era = 1
+        self.away = False
+
+    def copy(self) -> dict[str, Topic]:
+        """Return a copy of all topics."""
+        return {
+            name: Topic(
+                list(topic.records),
+                dict(topic.newest),
+                copy.deepcopy(topic.producers),
+            )
+            for name, topic in self.topics.items()
+        }
+
+    def restore(self, topics: dict[str, Topic]) -> None:
+        """Come back from a copy; the operator and the runners write theirs again."""
+        former, self.topics = self.topics, topics
+        for name in ("keyed.op", "keyed.servers"):
+            for key, (_, value) in former.get(name, Topic()).newest.items():
+                self.topic(name).add(bytes([len(key)]) + key.encode() + value)
+        self.era += 1
+        for topic in former.values():
+            topic.changed.set()
 
     def topic(self, name: str) -> Topic:
         """Return a topic; it is created on first use."""
@@ -86,9 +122,12 @@
                 body = await reader.readexactly(length) if length else b""
                 path, _, query = target.partition("?")
                 asked = dict(urllib.parse.parse_qsl(query))
-                status, kind, data = await self._answer(method, path, asked, body)
+                status, kind, data = 503, "application/json", b"{}"
+                if not self.away:
+                    status, kind, data = await self._answer(method, path, asked, body)
                 writer.write(
                     f"HTTP/1.1 {status} X\r\nContent-Type: {kind}\r\n"
+                    f"Store-Era: {self.era}\r\n"
                     f"Content-Length: {len(data)}\r\n\r\n".encode() + data
                 )
                 await writer.drain()
@@ -112,6 +151,9 @@
                     await asyncio.wait_for(topic.changed.wait(), min(wait, 30.0))
                 except TimeoutError:
                     pass
+                topic = self.topic(asked["topic"])
+            if offset > len(topic.records):
+                return 410, "application/json", b'{"first": 0}'
             most = int(asked.get("max_kb", "1024")) * 1024
             page = struct.pack(">QQ", len(topic.records), 0)
             for record in topic.records[offset:]:
--- a/review/standins/raised_limit.py
+++ b/review/standins/raised_limit.py
@@ -13,11 +13,19 @@
 import asyncio
 import os
 import sys
-import tempfile
 import time
 from pathlib import Path
 
-from fleet import BOUNDS, LIMITS, STABLE_SECONDS, Fleet, Record, free_network, request_id
+from fleet import (
+    BOUNDS,
+    LIMITS,
+    STABLE_SECONDS,
+    Fleet,
+    Record,
+    free_network,
+    request_id,
+    run_case,
+)
 from platform_store import Store
 from runners import Runner, Service
 
@@ -156,10 +164,12 @@
             each.close()
         await asyncio.sleep(0.1)
     statuses = [status for each in consumers for status in each.statuses]
-    denied = sum(300 <= status < 500 and status not in (408, 421, 429) for status in statuses)
+    promises = (408, 421, 429)
+    denied = sum(300 <= each < 500 and each not in promises for each in statuses)
     broken = denied > 5 + len(statuses) / 500
+    counts = {each: statuses.count(each) for each in sorted(set(statuses))}
     for text in (
-        f"statuses: { {each: statuses.count(each) for each in sorted(set(statuses))} }",
+        f"statuses: {counts}",
         f"denied by the system: {denied} of {len(statuses)} requests",
         f"DENIED {'broken' if broken else 'held'}",
     ):
@@ -168,11 +178,5 @@
     return 1 if broken else 0
 
 
-def main() -> int:
-    """Play the case in the folder that is given."""
-    with tempfile.TemporaryDirectory() as temporary:
-        return asyncio.run(play(Path(sys.argv[1]).resolve(), Path(temporary)))
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(play))
