--- a/review/standins/raised_limit.py
+++ b/review/standins/raised_limit.py
@@ -2,10 +2,10 @@
 
 Six entries and three runners of a plain service.  Twelve consumers keep a connection
 each and use it every second.  A new configuration raises ``max_body_bytes`` from 1 MiB
-to 4 MiB.  More than ``config_ms`` later each consumer sends bodies just above 1 MiB on the
-connection that it has.  The check is the rule DENIED: more than 5 + one in 500 of all
-requests are ended with a 4xx of the system's own though every configuration that may
-be in force allows them, by machines in touch.
+to 4 MiB.  More than ``config_ms`` later each consumer sends bodies just above 1 MiB on
+the connection that it has.  The check is the rule DENIED: more than 5 + one in 500 of
+all requests are ended with a 4xx of the system's own though every configuration that
+may be in force allows them, by machines in touch.
 """
 
 from __future__ import annotations
