--- a/review/standins/crash_evidence.py
+++ b/review/standins/crash_evidence.py
@@ -144,7 +144,7 @@
         self.record(f"sent {identity} {path} to {entry.name}")
         until = timeout_ms / 1000 + LATE_SECONDS
         answer = await exchange(
-            entry.ip, 8227, method, path, headers, b"q" * 200, until
+            entry.ip, entry.port, method, path, headers, b"q" * 200, until
         )
         what = str(answer.status) if answer.complete else f"none ({answer.why})"
         self.record(f"got  {identity} {what} after {answer.seconds:.3f} s")
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -25,8 +25,6 @@
 from platform_store import RECORD_BYTES, Store
 
 ROOT = Path(__file__).resolve().parents[2]
-FRONT, READY, METRICS = 8227, 8220, 9464
-INTERNAL = [7340, 7355]
 STABLE_SECONDS = 3.0
 BOUNDS: dict[str, Any] = {
     "seed_lag_s": 3,
@@ -59,17 +57,15 @@
 
 
 def free_network() -> str:
-    """Return the first three numbers of a loopback network that nobody uses."""
-    for _ in range(100):
-        net = f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
-        try:
-            for number, port in ((10, FRONT), (11, READY), (12, METRICS)):
-                with socket.socket() as probe:
-                    probe.bind((f"{net}.{number}", port))
-            return net
-        except OSError:
-            continue
-    raise SystemExit(2)
+    """Return the first three numbers of a loopback network, drawn at random."""
+    return f"127.{random.randint(1, 250)}.{random.randint(0, 250)}"
+
+
+def free_port(ip: str, kind: socket.SocketKind) -> int:
+    """Return a port that the system gives and that is free again."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ip, 0))
+        return int(probe.getsockname()[1])
 
 
 class Record:
@@ -95,6 +91,10 @@
         self._log = folder / f"{name}.log"
         self._process: subprocess.Popen[bytes] | None = None
         self._zone, self._store = zone, store
+        self.port, self._ready, self._metrics = (
+            free_port(ip, socket.SOCK_STREAM) for _ in range(3)
+        )
+        self._peers = free_port(ip, socket.SOCK_DGRAM)
 
     def _write_settings(self, first_start: bool) -> None:
         zones = ("caxias", "gramado", "bento")
@@ -110,10 +110,10 @@
                     "region": "sul",
                     "zones": {each: "sul" for each in zones},
                     "listen": {
-                        "front": f"{self.ip}:{FRONT}",
-                        "ready": f"{self.ip}:{READY}",
+                        "front": f"{self.ip}:{self.port}",
+                        "ready": f"{self.ip}:{self._ready}",
                     },
-                    "internal_ports": INTERNAL,
+                    "internal_ports": [self._peers, self._peers],
                     "seeds": [],
                     "bootstrap": first_start,
                     "limits": {
@@ -157,6 +157,7 @@
             name: os.environ[name] for name in ("PATH", "HOME") if name in os.environ
         }
         environment = {**kept, "LANG": "C.UTF-8", "PYTHONPATH": path, **role["env"]}
+        environment["GODWITRUDDER_METRICS_PORT"] = str(self._metrics)
         environment["GODWITRUDDER_SETTINGS"] = str(self._settings)
         with self._log.open("ab") as output:
             self._process = subprocess.Popen(
@@ -193,7 +194,9 @@
     async def ready(self) -> bool:
         """Ask as the platform's balancer does."""
         try:
-            answer = await exchange(self.ip, READY, "GET", "/api/ready", {}, b"", 1.0)
+            answer = await exchange(
+                self.ip, self._ready, "GET", "/api/ready", {}, b"", 1.0
+            )
         except OSError:
             return False
         return answer.status == 200
--- a/review/standins/new_prompt.py
+++ b/review/standins/new_prompt.py
@@ -104,7 +104,13 @@
         sent = time.monotonic()
         self.record(f"sent {identity} to {entry.name}")
         answer = await exchange(
-            entry.ip, 8227, "POST", "/ask/2f", headers, b"q" * 200, TIME_LIMIT_MS / 1000
+            entry.ip,
+            entry.port,
+            "POST",
+            "/ask/2f",
+            headers,
+            b"q" * 200,
+            TIME_LIMIT_MS / 1000,
         )
         status = answer.status if answer.complete else 0
         self.record(f"got  {identity} {status} {answer.why} {answer.seconds:.3f} s")
--- a/review/standins/raised_limit.py
+++ b/review/standins/raised_limit.py
@@ -66,8 +66,8 @@
 class Consumer:
     """One consumer with a connection that it keeps until the entry closes it."""
 
-    def __init__(self, name: str, ip: str, record: Record) -> None:
-        self._name, self._ip, self._record = name, ip, record
+    def __init__(self, name: str, ip: str, port: int, record: Record) -> None:
+        self._name, self._ip, self._port, self._record = name, ip, port, record
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
         self.statuses: list[int] = []
 
@@ -75,7 +75,7 @@
         """Send one request and read its answer."""
         identity = request_id()
         if self._streams is None:
-            self._streams = await asyncio.open_connection(self._ip, 8227)
+            self._streams = await asyncio.open_connection(self._ip, self._port)
             self._record(f"{self._name} opens a connection")
         reader, writer = self._streams
         self._record(f"sent {identity} by {self._name}, body of {size} bytes")
@@ -144,9 +144,10 @@
             print("the entries did not become ready")
             return 2
         await asyncio.sleep(STABLE_SECONDS)
+        entries = [fleet.entries[number % ENTRIES] for number in range(CONSUMERS)]
         consumers = [
-            Consumer(f"c{number}", fleet.entries[number % ENTRIES].ip, record)
-            for number in range(CONSUMERS)
+            Consumer(f"c{number}", entry.ip, entry.port, record)
+            for number, entry in enumerate(entries)
         ]
         for _ in range(SMALL_REQUESTS):
             await asyncio.gather(*(each.send(SMALL_BODY) for each in consumers))
