--- a/review/standins/lost_budget.py
+++ b/review/standins/lost_budget.py
@@ -27,7 +27,7 @@
     request_id,
     run_case,
 )
-from platform_store import Store
+from platform_store import Store, Topic
 from runners import Runner, Service
 
 ENTRIES = 6
@@ -45,7 +45,7 @@
 RESTORE = TROUBLE and os.environ.get("RESTORE", "1") != "0"
 
 
-def configuration() -> dict[str, object]:
+def configuration(version: int) -> dict[str, object]:
     """Return the operator's configuration."""
     engine = {
         "slots": 64,
@@ -69,7 +69,7 @@
         "gap_aim_ms": 500,
     }
     return {
-        "version": 1,
+        "version": version,
         "routes": [route],
         "services": [{"name": "model", "max_conns": 360, "engine": engine}],
         "limits": LIMITS,
@@ -136,10 +136,10 @@
         return sum(status == 200 for status in statuses), len(statuses)
 
 
-async def trouble(fleet: Fleet, store: Store, record: Record) -> None:
+async def trouble(
+    fleet: Fleet, store: Store, copied: dict[str, Topic], record: Record
+) -> None:
     """Kill all entries while the store is away; it comes back from an older copy."""
-    copied = store.copy()
-    await asyncio.sleep(COPY_AGE_SECONDS)
     if RESTORE:
         record("the store is away")
         store.away = True
@@ -164,7 +164,7 @@
     record = Record(folder / "record.txt")
     net, store = free_network(), Store()
     await store.start(f"{net}.1")
-    store.put("keyed.op", "config", configuration())
+    store.put("keyed.op", "config", configuration(1))
     model = Service("model", 64, FIRST_EVENT_SECONDS, 10, 0.02)
     zones = ("caxias", "gramado", "bento")
     runners = [
@@ -182,9 +182,13 @@
         began = time.monotonic()
         consumers = asyncio.create_task(case.run(stop))
         await asyncio.sleep(BEFORE_SECONDS)
+        copied = store.copy()
+        await asyncio.sleep(COPY_AGE_SECONDS)
+        store.put("keyed.op", "config", configuration(2))
+        record("configuration 2 is acknowledged")
         fault = time.monotonic()
         if TROUBLE:
-            await trouble(fleet, store, record)
+            await trouble(fleet, store, copied, record)
         if not await fleet.wait_ready(15.0):
             record("the entries did not become ready again")
         back = time.monotonic()
--- a/review/standins/new_prompt.py
+++ b/review/standins/new_prompt.py
@@ -46,7 +46,7 @@
 CRASH = TROUBLE and os.environ.get("CRASH", "1") != "0"
 
 
-def configuration() -> dict[str, object]:
+def configuration(version: int) -> dict[str, object]:
     """Return the operator's configuration."""
     engine = {
         "slots": 64,
@@ -70,7 +70,7 @@
         "gap_aim_ms": 500,
     }
     return {
-        "version": 1,
+        "version": version,
         "routes": [route],
         "services": [{"name": "model", "max_conns": 360, "engine": engine}],
         "limits": LIMITS,
@@ -163,7 +163,7 @@
     record = Record(folder / "record.txt")
     net, store = free_network(), Store()
     await store.start(f"{net}.1")
-    store.put("keyed.op", "config", configuration())
+    store.put("keyed.op", "config", configuration(1))
     model = Service("model", 64, FIRST_EVENT_SECONDS, 10, 0.02)
     zones = ("caxias", "gramado", "bento")
     runners = [
@@ -181,6 +181,8 @@
         began = time.monotonic()
         consumers = asyncio.create_task(case.run(stop))
         await asyncio.sleep(BEFORE_SECONDS)
+        store.put("keyed.op", "config", configuration(2))
+        record("configuration 2 is acknowledged")
         fault = time.monotonic()
         await trouble(fleet, runners, record)
         if not await fleet.wait_ready(15.0):
