Bring the configuration up to date within the window after a silent outage

Callers saw 404 for routes that are there, and old routing, 3 s after the store was back.

Cause: a long poll that the silent store has lost ended after 2.0 s of wait and 1.0 s of timeout, and 0.4 s of pause followed: later than stable_window_ms of 3 s. The process knew by its other calls that the store answered again.

Change: the poll's wait follows from stable_window_ms; the store's client ends waiting reads once a call is answered after another was not; a call that timed out is repeated at once, and that read doesn't wait. Waiting reads of the daemons' log time out after 1 s, not 5. The stand-ins can lose requests.

--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -31,6 +31,7 @@
     """Time limits and retry parameters, with the platform's defaults."""
 
     drain_ms: float = 2000.0
+    stable_window_ms: float = 3000.0
     grace_s: float = 8.0
     config_ms: float = 2000.0
     retry_ratio: float = 0.2
@@ -78,6 +79,9 @@
         Length of the window in which requests and retries are counted.
     retry_slack : float
         Number of retries of all hosts in a window, in addition to the share.
+    recovery_seconds : float
+        Time after an outage of the store in which a newer configuration must be in
+        force.
     link_bytes_per_second : float
         Capacity of the machine's link in each direction; 0 if unknown.
     peers : Address or None
@@ -97,6 +101,7 @@
     retry_share: float
     retry_window_seconds: float
     retry_slack: float
+    recovery_seconds: float = 3.0
     link_bytes_per_second: float = 0.0
     peers: Address | None = None
     first_start: bool = False
@@ -132,6 +137,7 @@
         bounds.retry_ratio,
         bounds.retry_window_s,
         bounds.retry_slack,
+        bounds.stable_window_ms / 1000,
         model.limits.link_mbps * BYTES_PER_MEGABIT,
         _peer_address(model),
         model.bootstrap,
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -13,7 +13,9 @@
 import logging
 import re
 import struct
+import weakref
 from collections import Counter
+from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
@@ -208,8 +210,20 @@
 class BoundedPool(ConnectionPool):
     """Pool of connections that limit the size of answers."""
 
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self._sockets: weakref.WeakSet[BoundedSocket] = weakref.WeakSet()
+
     def _create_tcp_socket(self, family: int, kind: int, protocol: int) -> Any:
-        return BoundedSocket(family, kind, protocol)
+        created = BoundedSocket(family, kind, protocol)
+        self._sockets.add(created)
+        return created
+
+    def interrupt(self) -> None:
+        """Shut down all connections, which ends the reads that wait on them."""
+        for each in list(self._sockets):
+            with suppress(OSError):  # it is closed or not connected yet
+                each.shutdown(socket.SHUT_RDWR)
 
 
 class Store:
@@ -220,7 +234,8 @@
     connections : int
         Concurrent calls; waiting reads have as many connections of their own.
     timeout_seconds : float
-        Longest time for an answer, in addition to the wait of a read.
+        Longest time for an answer.  A waiting read has its wait and
+        ``TIMEOUT_SECONDS``.
 
     Attributes
     ----------
@@ -237,9 +252,9 @@
         self.calls: Counter[tuple[str, str]] = Counter()
         self._address = address
         self._connections = connections
-        self._timeout_seconds = timeout_seconds
         self._client = self._new_client(timeout_seconds)
         self._waiting_client: HTTPClient | None = None
+        self._silent = False
 
     def append(
         self, topic: str, record: bytes | None, producer: Producer | None = None
@@ -339,7 +354,7 @@
     def _client_for_waiting_reads(self, wait_seconds: float) -> HTTPClient:
         """Return the client of waiting reads; its timeout includes the first wait."""
         if self._waiting_client is None:
-            seconds = wait_seconds + self._timeout_seconds
+            seconds = wait_seconds + TIMEOUT_SECONDS
             self._waiting_client = self._new_client(seconds)
         return self._waiting_client
 
@@ -371,10 +386,21 @@
             answer = Answer(response.status_code, bytes(response.read()), era)
         except Exception as error:  # the client raises many unrelated types
             self.calls[path, "none"] += 1
+            self._silent = self._silent or client is not self._waiting_client
             return Unavailable(f"{type(error).__name__}: {error}")
         self.calls[path, str(answer.status)] += 1
+        if self._silent:
+            self._silent = False
+            self._end_waiting_reads()
         return answer
 
+    def _end_waiting_reads(self) -> None:
+        """End waiting reads without an answer, as a silent store may have lost them."""
+        if self._waiting_client is not None:
+            pool = self._waiting_client._connection_pool
+            assert isinstance(pool, BoundedPool)
+            pool.interrupt()
+
 
 def _encode_keyed(record: KeyedRecord) -> bytes:
     key = record.key.encode()
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -23,6 +23,7 @@
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import documents, engine_report, names
 from godwitrudder.platform.store import (
+    TIMEOUT_SECONDS,
     Forgotten,
     KeyedRecord,
     Page,
@@ -35,15 +36,18 @@
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 from godwitrudder.version.cursor import Cursor
 
-CONFIGURATION_POLL_SECONDS: Final = 2.0
+MIN_CONFIGURATION_POLL_SECONDS: Final = 0.5
+MAX_CONFIGURATION_POLL_SECONDS: Final = 2.0
 """Time that a long poll waits for a new version; bounds the detection of a dead
 connection."""
+CATCH_UP_SECONDS: Final = 0.5
+"""Time to repeat a lost read and to apply the configuration that it returns."""
 RUNNERS_POLL_SHARE: Final = 0.25
 """Interval between reads of the runners, as a share of the time in which a leaving
 runner must stop getting requests.  The rest of that time covers a lost read, its retry
 and a request in transit."""
 RETRY_INTERVAL_SECONDS: Final = 0.4
-"""Delay between calls to a store that does not answer."""
+"""Least time between the starts of calls to a store that does not answer."""
 STORE_SILENT_AFTER_SECONDS: Final = 1.0
 """Time between answers after which entries may have expired in the store."""
 RELIST_SECONDS: Final = 2.0
@@ -65,6 +69,9 @@
         Called with the id of a runner that was removed.
     leave_seconds : float
         Time after which a leaving runner gets no new requests.
+    recovery_seconds : float
+        Time after an outage of the store in which a newer configuration must be in
+        force.
     traffic : Traffic
         Byte counters.
 
@@ -88,9 +95,16 @@
         log: DecisionLog,
         on_runner_gone: Callable[[str], None],
         leave_seconds: float,
+        recovery_seconds: float,
         traffic: Traffic,
     ) -> None:
         self._store = store
+        # A read that the store lost just before the outage ended is repeated after
+        # its wait and its timeout.
+        left = recovery_seconds - TIMEOUT_SECONDS - CATCH_UP_SECONDS
+        self._configuration_poll_seconds = min(
+            MAX_CONFIGURATION_POLL_SECONDS, max(MIN_CONFIGURATION_POLL_SECONDS, left)
+        )
         self._runners_poll_seconds = leave_seconds * RUNNERS_POLL_SHARE
         self._log = log
         self._traffic = traffic
@@ -116,14 +130,16 @@
 
     def follow_configuration(self) -> None:
         """Poll the store for new configuration versions until the task is killed."""
-        cursor = Cursor()
+        cursor, wait = Cursor(), 0.0
         while True:
-            page = self._read_page(
-                names.OPERATOR_TOPIC, cursor, CONFIGURATION_POLL_SECONDS
-            )
+            began = time.monotonic()
+            page = self._read_page(names.OPERATOR_TOPIC, cursor, wait)
+            # A read that waits after an outage would not tell of a restore at once.
+            wait = 0.0 if page is None else self._configuration_poll_seconds
             if page is None:
                 cursor.offset = None if self.catalogue is None else cursor.offset
-                gevent.sleep(RETRY_INTERVAL_SECONDS)
+                elapsed = time.monotonic() - began
+                gevent.sleep(max(0.0, RETRY_INTERVAL_SECONDS - elapsed))
                 continue
             if cursor.enter_era(page.era):
                 self._log.note("store_restored", topic="configuration", era=page.era)
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -81,6 +81,7 @@
             log,
             self.pool.close_idle,
             settings.leave_seconds,
+            settings.recovery_seconds,
             self._traffic,
         )
         self.reservations = ReservationTask(
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -13,6 +13,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 # Interval at which a silent stand-in checks whether it may answer again.
 POLL_SECONDS: Final = 0.05
@@ -28,6 +29,9 @@
     silent : bool
         No request except ``/faults`` is answered, also on new connections; no
         connection is closed.
+    swallow : bool
+        Requests that arrive, and answers that are due, are lost; no connection is
+        closed.
     silent_open : bool
         An engine's responses that began before this switch was set send nothing more;
         later ones work.
@@ -45,6 +49,7 @@
 
     down: bool = False
     silent: bool = False
+    swallow: bool = False
     silent_open: bool = False
     slow: float = 1.0
     delay_seconds: float = 0.0
@@ -89,6 +94,11 @@
         for step in steps:
             gevent.spawn_later(step.at_seconds, self.set, {step.switch: step.value})
 
+    def wait_if_lost(self) -> None:
+        """Wait for ever if the message at hand is lost."""
+        if self.switches.swallow:
+            Event().wait()
+
     def wait_while_silent(self, opened: float | None = None) -> None:
         """Wait while the stand-in, or this connection to it, is silent.
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -103,11 +103,14 @@
         """Answer one request and apply the faults that are switched on."""
         if request.path == "/faults":
             return self._set_faults(request)
+        self.faults.wait_if_lost()
         self.faults.wait_while_silent()
         gevent.sleep(self.faults.switches.delay_seconds)
         if self.faults.switches.down:
             return json_response({"error": "down"}, 503)
-        return self.answer(request)
+        response = self.answer(request)
+        self.faults.wait_if_lost()
+        return response
 
     def _set_faults(self, request: Request) -> Response:
         try:
