Bound the evidence of runner crashes, and record each of it once

Callers of all routes got no answer, also of a plain service: each entry used a whole core after some crashes of runners under prompts of many parts, and went on so.

Cause: callers choose the parts of their prompts, and all parts of all prompts at a crashed runner were kept for 960 s, repeated in statements, recorded anew from each statement, and walked through for each request. A statement could outgrow the largest record; the store refused it, and it was repeated for ever.

Change: an index by part; only new parts of a statement are recorded; parts in the fewest crashes are forgotten first; a host states its own evidence up to its share of 128 kB; a statement that is still too large leaves out all but its rows, and bounds of other hosts go into several statements.

--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -22,9 +22,10 @@
 
 
 class StoreModel(msgspec.Struct):
-    """Address of the store."""
+    """Address of the store, and the size of a record that it accepts."""
 
     address: str
+    record_bytes: int = 262_144
 
 
 class BoundsModel(msgspec.Struct):
@@ -82,6 +83,8 @@
     recovery_seconds : float
         Time after an outage of the store in which a newer configuration must be in
         force.
+    record_bytes : int
+        Size of the largest record that the store accepts.
     link_bytes_per_second : float
         Capacity of the machine's link in each direction; 0 if unknown.
     peers : Address or None
@@ -102,6 +105,7 @@
     retry_window_seconds: float
     retry_slack: float
     recovery_seconds: float = 3.0
+    record_bytes: int = 262_144
     link_bytes_per_second: float = 0.0
     peers: Address | None = None
     first_start: bool = False
@@ -138,6 +142,7 @@
         bounds.retry_window_s,
         bounds.retry_slack,
         bounds.stable_window_ms / 1000,
+        model.platform.record_bytes,
         model.limits.link_mbps * BYTES_PER_MEGABIT,
         _peer_address(model),
         model.bootstrap,
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -94,6 +94,7 @@
             Random(),
             settings.first_start,
         )
+        self.reservations.host_holdings.record_bytes = settings.record_bytes
         random = Random()
         quarantine = FleetQuarantine(self.reservations, log, random.random())
         limits = FleetLimits(self.reservations, log)
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -36,6 +36,10 @@
 
 TRIAL_POLL_SECONDS: Final = 0.02
 """Interval between checks whether another request's trial has ended."""
+MAX_STATED_BYTES: Final = 131_072
+"""Evidence in the statements of all hosts together; each host reads all of them."""
+MIN_STATED_BYTES: Final = 1_024
+"""Evidence that any host may state."""
 MAX_TRIAL_WAIT_SECONDS: Final = 0.4
 """Longest wait for the outcome of another request's trial."""
 
@@ -60,7 +64,10 @@
         self._quarantine = Quarantine(delay_share)
         self._reservations = reservations
         self._log = log
+        self._read_by_host: dict[str, dict[tuple[str, float], RunnerCrash]] = {}
+        self._changed = False
         self.on_blamed: Callable[[set[str]], None] = lambda parts: None
+        reservations.before_statement.append(self._state)
         reservations.exchange.statement_handlers.append(self._handle_statement)
         if reservations.lending is not None:
             reservations.lending.report_handlers.append(self._handle_report)
@@ -104,7 +111,7 @@
         if cleared:
             self._log.note("part_cleared", parts=cleared)
             self._broadcast(AnswerReport(self._host, fitting_names(cleared), 0.0))
-            self._state()
+            self._changed = True
 
     def record_crash(self, runner: str, parts: Collection[str], age: float) -> None:
         """Record that a runner ended before it had begun to answer a request.
@@ -121,6 +128,7 @@
         if suspects:
             crash = Crash(runner, now, dict.fromkeys(suspects, now - age), own=True)
             self._record_crash(crash)
+            self._reservations.want_statement()
             self._broadcast(
                 CrashReport(self._host, runner, fitting_names(suspects), age)
             )
@@ -138,7 +146,7 @@
         if blamed:
             self._log.note("part_blamed", parts=sorted(blamed), runner=crash.runner)
             self.on_blamed(blamed)
-        self._state()
+        self._changed = True
 
     def _handle_report(self, report: Report) -> None:
         now = time.time()
@@ -149,7 +157,7 @@
                 self._answer_suspicion(report)
             case AnswerReport():
                 self._quarantine.record_answer(report.parts, now - report.age)
-                self._state()
+                self._changed = True
             case TrialReport():
                 self._quarantine.begin_trial(report.parts, now)
 
@@ -170,23 +178,35 @@
             lending.send_report(report.host, answer)
 
     def _handle_statement(self, host: str, statement: Statement) -> None:
-        for crash in statement.crashes:
-            self._record_crash(
-                Crash(
-                    crash.runner,
-                    crash.at,
-                    crash.sent_at_by_part,
-                    own=host == self._host,
-                    by_own_clock=False,
+        """Record what a statement says beyond the host's statement before it."""
+        known = self._read_by_host.get(host, {})
+        read = {(crash.runner, crash.at): crash for crash in statement.crashes}
+        self._read_by_host[host] = read
+        for key, crash in read.items():
+            parts = crash.sent_at_by_part
+            if key in known:
+                before = known[key].sent_at_by_part
+                parts = {
+                    part: sent_at
+                    for part, sent_at in parts.items()
+                    if before.get(part) != sent_at
+                }
+            if parts:
+                own = host == self._host
+                self._record_crash(
+                    Crash(crash.runner, crash.at, parts, own, by_own_clock=False)
                 )
-            )
 
     def _state(self) -> None:
-        self._reservations.state_crashes(
-            tuple(
-                RunnerCrash(crash.runner, crash.at, dict(crash.sent_at_by_part))
-                for crash in self._quarantine.own_crashes()
-            )
+        """State the evidence that this host has seen, as much as may be stated."""
+        if not self._changed:
+            return
+        self._changed = False
+        hosts = self._reservations.host_count()
+        max_bytes = max(MIN_STATED_BYTES, MAX_STATED_BYTES // hosts)
+        self._reservations.host_holdings.crashes = tuple(
+            RunnerCrash(crash.runner, crash.at, crash.sent_at_by_part)
+            for crash in self._quarantine.own_evidence(max_bytes)
         )
 
     def _broadcast(self, report: Report) -> None:
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -21,7 +21,7 @@
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
-from godwitrudder.version.statements import NamedLimit, RunnerCrash
+from godwitrudder.version.statements import NamedLimit
 
 STORE_SILENT_AFTER_SECONDS: Final = 1.2
 """Time without an answer after which the store is treated as unreachable."""
@@ -95,6 +95,8 @@
         Publishes and reads statements.
     opened : Event
         Set once former incarnations are fenced and the ledger was read.
+    before_statement : list of callable
+        Called before each statement, to set what it says beside the holdings.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
             store, self.host_holdings, self.lending, log, self._configure
         )
         self.opened = Event()
+        self.before_statement: list[Callable[[], None]] = []
 
     def now(self) -> float:
         """Return the seconds since boot, including time spent suspended."""
@@ -206,17 +209,17 @@
             self._statement_wanted.wait(self.host_holdings.interval_seconds)
             self._statement_wanted.clear()
             self._configure()
+            for prepare in self.before_statement:
+                prepare()
             self.exchange.publish()
             if not self.exchange.read():
                 self._statement_wanted.set()
             self._serve_waiters()
             gevent.sleep(STATEMENT_BATCH_SECONDS)
 
-    def state_crashes(self, crashes: tuple[RunnerCrash, ...]) -> None:
-        """State these crashes instead of the former ones; new ones soon."""
-        former, self.host_holdings.crashes = self.host_holdings.crashes, crashes
-        if any(crash not in former for crash in crashes):
-            self._statement_wanted.set()
+    def want_statement(self) -> None:
+        """Make a statement soon, if one is due."""
+        self._statement_wanted.set()
 
     def state_limits(self, limits: tuple[NamedLimit, ...]) -> None:
         """State these rate limits instead of the former ones; new ones soon."""
--- a/godwitrudder/process/statement_exchange.py
+++ b/godwitrudder/process/statement_exchange.py
@@ -12,9 +12,10 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Final
+from typing import Any, Final
 
 import gevent
+import msgspec
 
 from godwitrudder import codec
 from godwitrudder.platform import names
@@ -36,6 +37,13 @@
 
 RETRY_INTERVAL_SECONDS: Final = 0.4
 """Delay between calls to a store that does not answer; calls are priced."""
+OPTIONAL_FIELDS: Final[tuple[tuple[str, Any], ...]] = (
+    ("crashes", ()),
+    ("limits", ()),
+    ("remembered_by_host", {}),
+    ("bounds_by_host", {}),
+)
+"""Fields that a statement may lack, and their empty values."""
 BOUNDS_WAIT_INTERVALS: Final = 4
 """Statement intervals that a process whose former statements the store has lost waits
 for other hosts to pass on a bound: one in which they notice, and two to state it."""
@@ -114,11 +122,12 @@
         )
         if statement is None:
             return
+        statement, data = self._fitting(statement)
         self._host_holdings.statement_sent(statement)
         self._sequence += 1
         if self._lending is not None:
             self._lending.notice_limits(statement)
-        end = self._append_until_stored(statement)
+        end = self._append_until_stored(data)
         if end is not None:
             self.answered_at = self.now()
             self._host_holdings.statement_stored(statement, end)
@@ -204,13 +213,28 @@
         for handle in self.statement_handlers:
             handle(record.key, statement)
 
-    def _append_until_stored(self, statement: Statement) -> int | None:
+    def _fitting(self, statement: Statement) -> tuple[Statement, bytes]:
+        """Return a statement that the store accepts, and its encoding.
+
+        If it is too large, what does not concern the own budgets is left out.  Hosts
+        that miss a bound of another host count more for that host.
+        """
+        data = codec.encode(statement)
+        for field, empty in OPTIONAL_FIELDS:
+            if len(data) <= self._host_holdings.record_bytes:
+                break
+            self._log.note("statement_cut", field=field, bytes=len(data))
+            statement = msgspec.structs.replace(statement, **{field: empty})
+            data = codec.encode(statement)
+        return statement, data
+
+    def _append_until_stored(self, data: bytes) -> int | None:
         """Retry a statement until it is stored; return the offset after it.
 
         Returns None if the store came back from an older copy meanwhile.
         """
         holdings = self._host_holdings
-        record = KeyedRecord(holdings.host, codec.encode(statement))
+        record = KeyedRecord(holdings.host, data)
         while True:
             producer = Producer(holdings.host, holdings.fence, self._sequence)
             answer = self._store.append_keyed(names.LEDGER_TOPIC, record, producer)
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -40,6 +40,10 @@
 
 IDLE_STATEMENT_SECONDS: Final = ACTIVE_SECONDS / 3
 """Longest time between statements; a host that states nothing counts as inactive."""
+RECORD_BYTES: Final = 262_144
+"""Size of a statement that every store accepts."""
+PASSED_SHARE: Final = 0.5
+"""Share of a statement's size for bounds of other hosts."""
 NO_OFFSET: Final = 2**62
 """Above all offsets: of a statement that the store has not confirmed."""
 PASS_ON_SECONDS: Final = 1.0
@@ -75,6 +79,8 @@
         Highest epoch that this process has used as a producer.
     first_start : bool
         Whether the whole fleet starts for the first time.
+    record_bytes : int
+        Limit of the size of a statement.
     """
 
     def __init__(
@@ -96,12 +102,14 @@
         self._first_request_at: float | None = None
         self.fence = 0
         self.first_start = False
+        self.record_bytes = RECORD_BYTES
         self._read_to = 0
         self._sent_at = -math.inf
         self._confirmed_at = -math.inf
         self._era_began_at = -math.inf
         self._stated_in_era = False
         self._bounds_passed = False
+        self._passed_hosts: set[str] = set()
         self._witness_due = False
         self._announcement: Announcement | None = None
         self._remembered: RememberedRows | None = None
@@ -162,6 +170,7 @@
         self._era_began_at = now
         self._stated_in_era = False
         self._bounds_passed = False
+        self._passed_hosts = set()
         self._announcement = None
         self._remembered = None
 
@@ -300,13 +309,9 @@
         """Return the statement to send now, None if none is due."""
         rows: dict[str, Row] = {}
         table = self.statements
-        bounds_by_host = self._bounds_to_pass_on(now)
-        remembered_by_host = {
-            host: table.remembered(host)
-            for host, bounds in bounds_by_host.items()
-            if bounds is not None and host in table.statements_by_host
-        }
-        due = self._statement_due(now, bool(bounds_by_host))
+        all_bounds = self._bounds_to_pass_on(now)
+        due = self._statement_due(now, bool(all_bounds))
+        bounds_by_host, remembered_by_host = self._fitting(all_bounds)
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
@@ -361,6 +366,32 @@
             and (host not in table.listed_hosts or (waited and bounds is not None))
         }
 
+    def _fitting(
+        self, bounds_by_host: dict[str, dict[str, int] | None]
+    ) -> tuple[dict[str, dict[str, int] | None], dict[str, RememberedRows]]:
+        """Return the bounds that fit into a statement, and what they follow from.
+
+        The others are passed on in the next statements.
+        """
+        table = self.statements
+        if self._passed_hosts.issuperset(bounds_by_host):
+            self._passed_hosts.clear()
+        fitting: dict[str, dict[str, int] | None] = {}
+        remembered_by_host: dict[str, RememberedRows] = {}
+        left = self.record_bytes * PASSED_SHARE
+        for host in sorted(bounds_by_host, key=self._passed_hosts.__contains__):
+            bounds = bounds_by_host[host]
+            rows = None
+            if bounds is not None and host in table.statements_by_host:
+                rows = table.remembered(host)
+            left -= len(host) + len(codec.encode([bounds, rows]))
+            if left < 0 and fitting:
+                break
+            fitting[host] = bounds
+            if rows is not None:
+                remembered_by_host[host] = rows
+        return fitting, remembered_by_host
+
     def statement_sent(self, statement: Statement) -> None:
         """Record that a statement is about to be sent; call this before sending.
 
@@ -369,7 +400,11 @@
         """
         self._sent_at = statement.sent
         self._witness_due = False
-        self._bounds_passed = bool(statement.bounds_by_host)
+        self._passed_hosts.update(statement.bounds_by_host)
+        self._bounds_passed = bool(statement.bounds_by_host) and (
+            self._bounds_passed
+            or self._passed_hosts.issuperset(self._bounds_to_pass_on(statement.sent))
+        )
         self._stated_crashes = statement.crashes
         self._stated_runners = frozenset(each.runner for each in statement.limits)
         announced = self._announcement
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -12,15 +12,21 @@
 While two parts are equally suspect, a request that has only one of them is a trial too,
 since its outcome tells which is at fault.
 
+Callers choose the parts of their prompts, so the evidence is bounded: parts that appear
+in the fewest crashes are forgotten first.  A part in a single crash is never blamed, so
+only parts with several crashes are compared.
+
 Times are Unix seconds, as hosts exchange them and as they survive a restart.
 """
 
 from __future__ import annotations
 
+import bisect
+import itertools
 import math
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from collections.abc import Collection, Iterable, Iterator
+from dataclasses import dataclass, field, replace
 from typing import Final
 
 NEW_PART_CRASHES: Final = 2
@@ -44,7 +50,15 @@
 """Time after the last crash under a part at which all of them are forgotten."""
 MAX_CRASHES: Final = 64
 """Crashes kept; the oldest are forgotten first."""
+MAX_SUSPECT_PARTS: Final = 16_384
+"""Parts kept, counted once for each of their crashes."""
+KEPT_PART_SHARE: Final = 0.875
+"""Share of ``MAX_SUSPECT_PARTS`` that is left once there are more."""
 MAX_ANSWERED_PARTS: Final = 20_000
+PART_BYTES: Final = 12
+"""Size of a part in a statement, beside its name: a time and two lengths."""
+CRASH_BYTES: Final = 24
+"""Size of a crash in a statement, beside its runner and its parts."""
 TRIAL_SECONDS: Final = 3.0
 """Time after which a trial without an outcome no longer holds others back."""
 TRIAL_RETRY_SECONDS: Final = 0.3
@@ -66,6 +80,10 @@
         Whether this host, or a former process on its machine, has seen it.
     by_own_clock : bool
         Whether the times were taken on this host.
+    number : int
+        Identifies the crash among those that are remembered.
+    own_parts : set of str
+        Parts of prompts that this host had sent there.
     """
 
     runner: str
@@ -73,6 +91,8 @@
     sent_at_by_part: dict[str, float]
     own: bool = False
     by_own_clock: bool = True
+    number: int = 0
+    own_parts: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,13 +101,13 @@
 
     Attributes
     ----------
-    crashes : tuple of int
-        Indexes of the crashes that the part explains.
+    crashes : frozenset of int
+        Numbers of the crashes that the part explains.
     until : float
         Unix seconds at which the quarantine ends.
     """
 
-    crashes: tuple[int, ...]
+    crashes: frozenset[int]
     until: float
 
 
@@ -137,10 +157,16 @@
 
     delay_share: float = 0.0
     _crashes: list[Crash] = field(default_factory=list)
+    _crashes_by_part: dict[str, list[Crash]] = field(default_factory=dict)
+    _repeated_parts: dict[str, None] = field(default_factory=dict)
+    _parts: int = 0
+    _numbers: Iterator[int] = field(default_factory=itertools.count)
+    _forget_at: float = math.inf
     _answered_at: OrderedDict[str, float] = field(default_factory=OrderedDict)
     _crashed_runners_by_part: dict[str, dict[str, float]] = field(default_factory=dict)
     _trial_until_by_part: dict[str, float] = field(default_factory=dict)
     _blame_by_part: dict[str, Blame] = field(default_factory=dict)
+    _parts_by_crashes: dict[frozenset[int], set[str]] = field(default_factory=dict)
 
     def suspects(self, parts: Collection[str], now: float) -> tuple[str, ...]:
         """Return the parts that may have ended a runner that did not answer them."""
@@ -173,6 +199,41 @@
         """
         return [crash for crash in self._crashes if crash.own]
 
+    def own_evidence(self, max_bytes: int) -> list[Crash]:
+        """Return own crashes, with those own parts that appear in most crashes.
+
+        Parameters
+        ----------
+        max_bytes : int
+            Limit of the size that they have in a statement.
+        """
+        own = self.own_crashes()
+        by_weight = sorted(
+            (
+                (self._weight(part), crash, part)
+                for crash in own
+                for part in crash.own_parts
+            ),
+            key=lambda entry: (entry[0], entry[2]),
+            reverse=True,
+        )
+        chosen: dict[int, Crash] = {}
+        left = max_bytes
+        for _, crash, part in by_weight:
+            left -= len(part.encode()) + PART_BYTES
+            if crash.number not in chosen:
+                left -= len(crash.runner.encode()) + CRASH_BYTES
+            if left < 0:
+                break
+            kept = chosen.setdefault(crash.number, replace(crash, sent_at_by_part={}))
+            kept.sent_at_by_part[part] = crash.sent_at_by_part[part]
+        return [chosen[crash.number] for crash in own if crash.number in chosen]
+
+    def _weight(self, part: str) -> tuple[int, float]:
+        """Return how suspicious a part is: its crashes, then the time of the last."""
+        crashes = self._crashes_by_part[part]
+        return len(crashes), crashes[-1].at
+
     def record_crash(self, seen: Crash, now: float) -> set[str]:
         """Record that a runner ended; return the parts that are newly blamed."""
         at = min(seen.at, now)
@@ -186,19 +247,63 @@
             return set()
         crash = self._find_crash(seen, at, min(unanswered.values()))
         if crash is None:
-            crash = Crash(seen.runner, at, {}, by_own_clock=seen.by_own_clock)
+            crash = Crash(
+                seen.runner,
+                at,
+                {},
+                by_own_clock=seen.by_own_clock,
+                number=next(self._numbers),
+            )
             self._crashes.append(crash)
             self._crashes.sort(key=lambda crash: crash.at)
+            self._forget_at = min(self._forget_at, at + CRASH_MEMORY_SECONDS)
         crash.own = crash.own or seen.own
         for part, sent_at in unanswered.items():
-            known = crash.sent_at_by_part.get(part, sent_at)
-            crash.sent_at_by_part[part] = max(known, sent_at)
+            self._add_part(crash, part, sent_at)
             self._trial_until_by_part.pop(part, None)
+        if seen.own:
+            crash.own_parts.update(unanswered)
         before = self.blamed()
         self._forget(now)
-        self._update_blame()
+        self._limit_parts()
+        if any(part in self._repeated_parts for part in unanswered):
+            self._update_blame()
         return self.blamed() - before
 
+    def _add_part(self, crash: Crash, part: str, sent_at: float) -> None:
+        known = crash.sent_at_by_part.get(part)
+        if known is None:
+            known = sent_at
+            crashes = self._crashes_by_part.setdefault(part, [])
+            bisect.insort(crashes, crash, key=lambda crash: crash.at)
+            self._parts += 1
+            if len(crashes) == NEW_PART_CRASHES:
+                self._repeated_parts[part] = None
+        crash.sent_at_by_part[part] = max(known, sent_at)
+
+    def _remove_part(self, crash: Crash, part: str) -> None:
+        del crash.sent_at_by_part[part]
+        crash.own_parts.discard(part)
+        crashes = [each for each in self._crashes_by_part[part] if each is not crash]
+        self._parts -= 1
+        if len(crashes) < NEW_PART_CRASHES:
+            self._repeated_parts.pop(part, None)
+        if crashes:
+            self._crashes_by_part[part] = crashes
+        else:
+            del self._crashes_by_part[part]
+
+    def _limit_parts(self) -> None:
+        """Forget the parts that appear in the fewest crashes, the oldest ones first."""
+        if self._parts <= MAX_SUSPECT_PARTS:
+            return
+        for part in sorted(self._crashes_by_part, key=self._weight):
+            for crash in list(self._crashes_by_part[part]):
+                self._remove_part(crash, part)
+            if self._parts <= MAX_SUSPECT_PARTS * KEPT_PART_SHARE:
+                break
+        self._crashes = [each for each in self._crashes if each.sent_at_by_part]
+
     def _find_crash(self, seen: Crash, at: float, sent_at: float) -> Crash | None:
         """Return the crash that was seen, if it is known."""
         near = [
@@ -213,12 +318,14 @@
     def record_answer(self, parts: Iterable[str], at: float) -> list[str]:
         """Record a sound answer; return the parts that it clears of a suspicion."""
         cleared: list[str] = []
+        blame_changes = False
         for part in parts:
             at = max(at, self._answered_at.get(part, at))
             self._answered_at[part] = at
             self._answered_at.move_to_end(part)
             self._trial_until_by_part.pop(part, None)
             self._forget_crashed_runners(part, at)
+            blame_changes = blame_changes or part in self._repeated_parts
             if self._clear(part, at):
                 cleared.append(part)
         while len(self._answered_at) > MAX_ANSWERED_PARTS:
@@ -226,6 +333,7 @@
             self._crashed_runners_by_part.pop(forgotten, None)
         if cleared:
             self._crashes = [each for each in self._crashes if each.sent_at_by_part]
+        if blame_changes:
             self._update_blame()
         return cleared
 
@@ -246,12 +354,20 @@
 
     def seconds_held(self, parts: Collection[str], now: float) -> float:
         """Return the seconds until a request with these parts may be tried."""
+        until_by_crashes: dict[frozenset[int], float] = {}
+        for part in parts:
+            blame = self._blame_by_part.get(part)
+            if blame is not None:
+                until = max(self._until(part), until_by_crashes.get(blame.crashes, now))
+                until_by_crashes[blame.crashes] = until
+        if not until_by_crashes:
+            return 0.0
+        present = set(parts)
         held_until = max(
             (
-                self._until(part)
-                for part in parts
-                if part in self._blame_by_part
-                and not self._has_alternative(part, parts)
+                until
+                for crashes, until in until_by_crashes.items()
+                if not self._has_alternative(crashes, present)
             ),
             default=now,
         )
@@ -282,13 +398,11 @@
         delay = self.delay_share * QUARANTINE_SECONDS / 10
         return self._blame_by_part[part].until + delay
 
-    def _has_alternative(self, part: str, parts: Collection[str]) -> bool:
+    def _has_alternative(self, crashes: frozenset[int], present: set[str]) -> bool:
         """Whether a blamed part that is not in this request explains the crashes."""
-        crashes = set(self._blame_by_part[part].crashes)
         return any(
-            crashes <= set(blame.crashes)
-            for other, blame in self._blame_by_part.items()
-            if other not in parts
+            crashes <= explained and not parts <= present
+            for explained, parts in self._parts_by_crashes.items()
         )
 
     def _is_trial_pending(self, parts: Iterable[str], now: float) -> bool:
@@ -297,9 +411,7 @@
 
     def _is_suspect(self, part: str) -> bool:
         """Whether a part that was never answered was at a runner that ended."""
-        return part not in self._answered_at and any(
-            part in crash.sent_at_by_part for crash in self._crashes
-        )
+        return part not in self._answered_at and part in self._crashes_by_part
 
     def _forget_crashed_runners(self, part: str, until: float) -> None:
         """Forget the runners that crashed under a part until a sound answer on it."""
@@ -311,37 +423,52 @@
     def _clear(self, part: str, at: float) -> bool:
         """Take a part out of the crashes before ``at``; return if it was in one."""
         found = [
-            crash
-            for crash in self._crashes
-            if part in crash.sent_at_by_part and crash.at <= at
+            crash for crash in self._crashes_by_part.get(part, ()) if crash.at <= at
         ]
         for crash in found:
-            del crash.sent_at_by_part[part]
+            self._remove_part(crash, part)
         return bool(found)
 
     def _forget(self, now: float) -> None:
         """Forget the crashes none of whose parts was in a recent one."""
-        recent = {
-            part
-            for crash in self._crashes
-            if now - crash.at < CRASH_MEMORY_SECONDS
-            for part in crash.sent_at_by_part
-        }
+        if now < self._forget_at and len(self._crashes) <= MAX_CRASHES:
+            return
+        recent_crashes = [
+            crash for crash in self._crashes if now - crash.at < CRASH_MEMORY_SECONDS
+        ]
+        self._forget_at = min(
+            (crash.at + CRASH_MEMORY_SECONDS for crash in recent_crashes),
+            default=math.inf,
+        )
+        recent = {part for crash in recent_crashes for part in crash.sent_at_by_part}
         kept = [
             crash
             for crash in self._crashes[-MAX_CRASHES:]
             if not recent.isdisjoint(crash.sent_at_by_part)
         ]
         if len(kept) < len(self._crashes):
+            numbers = {crash.number for crash in kept}
+            for crash in self._crashes:
+                if crash.number not in numbers:
+                    for part in list(crash.sent_at_by_part):
+                        self._remove_part(crash, part)
             self._crashes = kept
             self._update_blame()
 
     def _update_blame(self) -> None:
         """Blame the parts that explain most crashes, until no crashes are left."""
         self._blame_by_part = {}
-        unexplained = set(range(len(self._crashes)))
+        self._parts_by_crashes = {}
+        crashes_by_part = {
+            part: self._crashes_by_part[part] for part in self._repeated_parts
+        }
+        explained: set[int] = set()
         while True:
-            crashes_by_part = self._crashes_by_part(unexplained)
+            crashes_by_part = {
+                part: left
+                for part, crashes in crashes_by_part.items()
+                if (left := [each for each in crashes if each.number not in explained])
+            }
             surplus_by_part = {
                 part: self._separate(part, crashes) - self._crashes_to_blame(part)
                 for part, crashes in crashes_by_part.items()
@@ -354,25 +481,19 @@
             for part, surplus in surplus_by_part.items():
                 if surplus == most:
                     crashes = crashes_by_part[part]
-                    until = self._crashes[crashes[-1]].at + seconds
-                    self._blame_by_part[part] = Blame(crashes, until)
-                    unexplained.difference_update(crashes)
-
-    def _crashes_by_part(self, indexes: set[int]) -> dict[str, tuple[int, ...]]:
-        found: dict[str, list[int]] = {}
-        for index in sorted(indexes):
-            for part in self._crashes[index].sent_at_by_part:
-                found.setdefault(part, []).append(index)
-        return {part: tuple(crashes) for part, crashes in found.items()}
-
-    def _separate(self, part: str, indexes: tuple[int, ...]) -> int:
+                    numbers = frozenset(crash.number for crash in crashes)
+                    until = crashes[-1].at + seconds
+                    self._blame_by_part[part] = Blame(numbers, until)
+                    self._parts_by_crashes.setdefault(numbers, set()).add(part)
+                    explained |= numbers
+
+    def _separate(self, part: str, crashes: list[Crash]) -> int:
         """Return the number of crashes that can't have one other cause in common.
 
         A crash is separate if the prompt was sent after the one before it.
         """
         count, last = 0, -math.inf
-        for index in indexes:
-            crash = self._crashes[index]
+        for crash in crashes:
             sent_after = crash.sent_at_by_part[part] > last
             if sent_after or crash.at - last > COMMON_CAUSE_SECONDS:
                 count += 1
