Design: bound what a fleet that nobody remembers can have spent

The invariant and its proof, before the code: a ceiling for all hosts together that rises in steps, each known for some time before it is in force, so that a copy younger than that time bounds all grants.

--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -30,6 +30,13 @@
 Hosts pass bounds on in their statements, to hosts that started since.
 ``docs/design/restored-store.md`` has the complete proof.
 
+If nobody who is alive remembers anything, only the older copy is left.  So the fleet as a
+whole has a *ceiling* for each workspace: all grants together are at most the ceiling in
+force.  A raise of it comes into force ``CEILING_SECONDS`` after it was read.  If a copy
+is shown to be younger than that, it has all raises that were ever in force, so what the
+fleet can have been granted is at most the highest ceiling in the copy.  What exceeds the
+limits in the copy counts as lost, by no host in particular.
+
 Cap and rate tell the next process on the same host what the previous one cannot have
 spent: all that was not yet spendable when the next process started.  While the store
 answers, a new statement follows soon.  A process that is killed and restarted at once
