Recover the budgets of a fleet that dies beside a restore of the store

All requests of a paid workspace got 402 from then on, with less than 0.1% of its budget spent.

Cause: what a host may have spent since the copy was bounded by other hosts' memory only. Where all memory is gone, the whole prepaid amount counted as spent, for good.

A process that starts alone in a restored ledger and can show that the copy is younger than that counts the highest ceiling in the copy as spent, and each host with its limit there. Invariant and proof: docs/design/restored-store.md, 9 to 11.

--- a/godwitrudder/process/statement_exchange.py
+++ b/godwitrudder/process/statement_exchange.py
@@ -44,6 +44,8 @@
     ("bounds_by_host", {}),
 )
 """Fields that a statement may lack, and their empty values."""
+BOUND_BY_COPY_SECONDS: Final = 5.0
+"""Further time in which another host may show the age of the older copy."""
 BOUNDS_WAIT_INTERVALS: Final = 4
 """Statement intervals that a process whose former statements the store has lost waits
 for other hosts to pass on a bound: one in which they notice, and two to state it."""
@@ -87,6 +89,9 @@
         self._epoch = 0
         self._sequence = 0
         self._cursor = Cursor()
+        self._newest_read_at = 0.0
+        self._newest_end = 0
+        self._raises: dict[str, int] = {}
         self.answered_at = 0.0
         self.statement_handlers: list[Callable[[str, Statement], None]] = []
 
@@ -122,6 +127,9 @@
         )
         if statement is None:
             return
+        if statement.raises_by_workspace != self._raises:
+            self._raises = statement.raises_by_workspace
+            self._log.note("ceilings_raised", tokens_by_workspace=self._raises)
         statement, data = self._fitting(statement)
         self._host_holdings.statement_sent(statement)
         self._sequence += 1
@@ -137,7 +145,7 @@
 
         Returns False if this host must state before its grants can be updated.
         """
-        self._host_holdings.statements.begin_read(self.now())
+        self._host_holdings.begin_read(self.now())
         assert self._cursor.offset is not None
         page = self._store.read_keyed(names.LEDGER_TOPIC, self._cursor.offset)
         if isinstance(page, Unavailable | Rejected):
@@ -187,7 +195,7 @@
     def _read_newest(self) -> None:
         """Read the newest statement of every host, retrying until the store answers."""
         while True:
-            self._host_holdings.statements.begin_read(self.now(), newest_only=True)
+            self._host_holdings.begin_read(self.now(), newest_only=True)
             page = self._store.newest(names.LEDGER_TOPIC)
             if isinstance(page, Unavailable | Rejected):
                 self._log.note("ledger_read", answer=str(page))
@@ -200,6 +208,8 @@
                 break
             self._host_holdings.begin_era(page.era, self.now())
             self._fence()
+        self._newest_read_at = self.now()
+        self._newest_end = page.next
         self._apply_page(page)
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -260,16 +270,35 @@
         """Wait until a host passes on a bound, if the store has lost statements.
 
         A host that finds only statements of former eras can't know that it never
-        stated anything.
+        stated anything.  If nobody passes a bound on, all hosts may have restarted;
+        then the first one that can show the age of the older copy bounds them all.
         """
         intervals = BOUNDS_WAIT_INTERVALS * self._host_holdings.interval_seconds
         deadline = self.now() + PASS_ON_SECONDS + intervals
-        while self._host_holdings.needs_bound and self.now() < deadline:
+        last_deadline = deadline + BOUND_BY_COPY_SECONDS
+        while self._host_holdings.needs_bound and self.now() < last_deadline:
             gevent.sleep(RETRY_INTERVAL_SECONDS)
             self.read()
+            if self.now() >= deadline or self._host_holdings.statements.loss_known:
+                self._bound_by_copy()
         while self._host_holdings.needs_bound and not self._configure():
             gevent.sleep(RETRY_INTERVAL_SECONDS)
 
+    def _bound_by_copy(self) -> None:
+        """Bound what the whole fleet had spent, if all hosts were restarted."""
+        holdings = self._host_holdings
+        if not holdings.needs_bound or not self._configure():
+            return
+        bounded = holdings.bound_by_ceilings(
+            self._newest_read_at, self._newest_end, self.boot_time()
+        )
+        lost = holdings.statements.lost
+        self._log.note(
+            "bound_by_copy",
+            bounded=bounded,
+            lost=None if lost is None else lost.tokens_by_workspace,
+        )
+
     def _take_over(self, started: float) -> None:
         """Take over from the former process, which had ended at ``started``."""
         now, booted = self.now(), self.boot_time()
--- a/godwitrudder/request/holding.py
+++ b/godwitrudder/request/holding.py
@@ -98,6 +98,11 @@
     return max(MIN_INTERVAL_SECONDS, hosts * APPEND_SECONDS / APPEND_SHARE)
 
 
+def _rounded(per_second: float) -> float:
+    """Return a figure that is short in a statement: whole, unless it is small."""
+    return round(per_second) if per_second >= 100 else round(per_second, 1)
+
+
 @dataclass(slots=True)
 class Demand:
     """Demand of one workspace: decaying sums of tokens and of their squares.
@@ -254,8 +259,15 @@
         prepaid: int,
         others: Totals,
         policy: Policy,
+        ceiling: int = UNBOUNDED_TOKENS,
     ) -> Row:
-        """Return the row to state next."""
+        """Return the row to state next.
+
+        Parameters
+        ----------
+        ceiling : int
+            Tokens that all hosts together may be granted now.
+        """
         demand = self.demand.per_second(now)
         ahead = max(
             self.tokens_ahead(now, prepaid, others, policy), self.waiting_tokens
@@ -266,25 +278,30 @@
             if ahead <= held <= ahead * SURPLUS_FACTOR:
                 limit = self.stated.limit
         limit = max(
-            self.spent, min(limit, max(prepaid - others.limit, self._granted_limit()))
+            self.spent,
+            min(
+                limit, max(min(prepaid, ceiling) - others.limit, self._granted_limit())
+            ),
         )
         if self.waiting_tokens:
             limit = max(limit, self.spent + self.waiting_tokens)
         large = float(self.demand.largest)
         open_now = max(demand * OPEN_SECONDS, float(self.waiting_tokens), large)
         cap = min(limit, self.spent + math.ceil(open_now))
-        expected = round(self.expected(now, others), 1)
+        expected = _rounded(self.expected(now, others))
         rate = max(demand * OPEN_RATE_FACTOR, (limit - cap) / OPEN_ALL_SECONDS)
         return Row(
-            limit, cap, round(demand, 1), self.waiting_tokens, expected, round(rate, 1)
+            limit, cap, _rounded(demand), self.waiting_tokens, expected, round(rate, 1)
         )
 
-    def with_allowance(self, row: Row) -> Row:
-        """Return a row that names the allowance."""
+    def with_bounds(self, row: Row, ceiling: int, raised: bool) -> Row:
+        """Return a row that names the allowance and the ceiling in force."""
         return msgspec.structs.replace(
             row,
             allowance=self.announced_allowance,
             allowance_in_force=self.allowance.tokens,
+            ceiling=ceiling,
+            raised=raised,
         )
 
     def announce_allowance(self, part: float, now: float) -> None:
@@ -388,14 +405,20 @@
             self.stated_at = self.pending_at
             self.pending = None
 
-    def update_grant(self, prepaid: int, others: Totals, now: float = 0.0) -> None:
-        """Update the grant after a read that includes the confirmed row."""
+    def update_grant(self, ceiling: int, others: Totals, now: float = 0.0) -> None:
+        """Update the grant after a read that includes the confirmed row.
+
+        Parameters
+        ----------
+        ceiling : int
+            Tokens that all hosts together may be granted now.
+        """
         if self.stated is None:
             return
         limit = self.stated.limit
         if self.pending is not None:
             limit = min(limit, self.pending.limit)
-        allowed = min(limit, prepaid - others.limit)
+        allowed = min(limit, ceiling - others.limit)
         known = max(self.granted, min(allowed, self.known_limit))
         unknown = min(max(0, allowed - known), self.allowance.available(now))
         self.allowance.take(unknown, now)
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -8,10 +8,17 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 from collections.abc import Mapping
 from typing import Final
 
 from godwitrudder import codec
+from godwitrudder.request.ceiling import (
+    CEILING_SECONDS,
+    CONFIDENT_SECONDS,
+    Ceilings,
+    floor,
+)
 from godwitrudder.request.holding import (
     REFRESH_INTERVALS,
     Holding,
@@ -29,6 +36,7 @@
 from godwitrudder.version.statements import (
     ACTIVE_SECONDS,
     UNBOUNDED_TOKENS,
+    LostTokens,
     NamedLimit,
     RememberedRows,
     Row,
@@ -44,6 +52,8 @@
 """Size of a statement that every store accepts."""
 PASSED_SHARE: Final = 0.5
 """Share of a statement's size for bounds of other hosts."""
+LATE_APPENDS: Final = 1
+"""Appends per host that reach the store after it was restored, though sent before."""
 NO_OFFSET: Final = 2**62
 """Above all offsets: of a statement that the store has not confirmed."""
 PASS_ON_SECONDS: Final = 1.0
@@ -75,6 +85,8 @@
         Crashes to state beside the holdings.
     limits : tuple of NamedLimit
         Rate limits to state beside them.
+    ceilings : Ceilings
+        What all hosts together may be granted.
     fence : int
         Highest epoch that this process has used as a producer.
     first_start : bool
@@ -116,6 +128,9 @@
         self._newest: Statement | None = None
         self._newest_end = NO_OFFSET
         self._noticed_by: set[str] = set()
+        self.ceilings = Ceilings()
+        self._stated_raises: dict[str, int] = {}
+        self._stored: deque[tuple[float, int]] = deque()
 
     def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
         """Set the prepaid amounts in force; None means no limit."""
@@ -130,6 +145,11 @@
             self.holdings[workspace] = holding
         return holding
 
+    def begin_read(self, now: float, newest_only: bool = False) -> None:
+        """Note that a read begins; see ``StatementTable.begin_read``."""
+        self.statements.begin_read(now, newest_only)
+        self.ceilings.begin_read(now)
+
     def record_demand(self, workspace: str, tokens: int, now: float) -> None:
         """Record the tokens that a request asks for."""
         if self._first_request_at is None:
@@ -145,6 +165,10 @@
         former = self.statements.statements_by_host.get(host)
         problem = self.statements.put(host, data, now)
         newest = self.statements.statements_by_host.get(host)
+        if newest is not None:
+            if newest.lost is not None:
+                self.ceilings.begin_loss(newest.lost.era)
+            self.ceilings.read(newest, now)
         if host != self.host and newest is not None:
             self._witness_due = self._witness_due or raises_allowance(former, newest)
             if self.statements.has_stated(host):
@@ -165,6 +189,9 @@
         active = now - self._confirmed_at < ACTIVE_SECONDS
         trusted = active and not self.stopping
         self.statements.begin_era(era, now, trusted)
+        self.ceilings.begin_era()
+        self._stated_raises = {}
+        self._stored.clear()
         self._stored_end_offset = 0
         self._read_to = 0
         self._era_began_at = now
@@ -253,6 +280,79 @@
             stranded += spent - row.cap
         return RecoveryResult(held, stranded, former)
 
+    def bound_by_ceilings(self, answered_at: float, end: int, booted: float) -> bool:
+        """Bound what the fleet had spent by the ceilings in an older copy.
+
+        Returns False if the copy can't be shown to be young enough, and if other hosts
+        have stated in this era without knowing what is lost.
+
+        Parameters
+        ----------
+        answered_at : float
+            Time at which the store first answered this process in this era, in seconds.
+        end : int
+            Offset after the last record then.
+        booted : float
+            See ``Statement.booted``.
+        """
+        table = self.statements
+        if table.unreadable_hosts:
+            return False
+        if not table.bounds_by_host.keys() <= table.statements_by_host.keys():
+            return False
+        if not table.loss_known:
+            if not self._copy_is_young(answered_at, end, booted):
+                return False
+            table.add_lost(LostTokens(table.era, self._lost_tokens()))
+            self.ceilings.begin_loss(table.era)
+        table.bound_by_copy()
+        return True
+
+    def _copy_is_young(self, answered_at: float, end: int, booted: float) -> bool:
+        """Whether the older copy has all raises that were ever in force."""
+        table = self.statements
+        former = table.statements_by_host.get(self.host)
+        if former is None or any(map(table.has_stated, table.statements_by_host)):
+            return False
+        statements = table.statements_by_host.values()
+        return (
+            all(each.era == table.era - 1 for each in statements)
+            and all(each.read_sent is not None for each in statements)
+            and same_boot(former, answered_at, booted)
+            and former.read_sent is not None
+            and former.read_sent >= 0
+            and former.read_to <= end
+            and answered_at - former.read_sent <= CEILING_SECONDS
+        )
+
+    def _lost_tokens(self) -> dict[str, int]:
+        """Return by how much the ceilings in the copy exceed the limits in it."""
+        lost: dict[str, int] = {}
+        statements = self.statements.statements_by_host.values()
+        workspaces = set(self._prepaid)
+        for statement in statements:
+            workspaces.update(statement.rows_by_workspace)
+        for workspace in workspaces:
+            if self._prepaid.get(workspace, 0) is None:
+                continue
+            rows = [
+                row
+                for statement in statements
+                if (row := statement.rows_by_workspace.get(workspace)) is not None
+            ]
+            raises = [
+                statement.raises_by_workspace.get(workspace, 0)
+                for statement in statements
+            ]
+            ceilings = [row.ceiling for row in rows if row.raised]
+            if not ceilings:
+                lost_before = self.statements.lost_tokens(workspace)
+                ceilings = [floor(self.prepaid(workspace), lost_before)]
+                ceilings += [row.ceiling for row in rows]
+            limits = sum(row.limit for row in rows)
+            lost[workspace] = max(0, max([*ceilings, *raises]) - limits)
+        return lost
+
     def _former_bounds(self, ended: float, booted: float) -> dict[str, int]:
         """Return the most that the former incarnation can have spent, by workspace.
 
@@ -300,6 +400,11 @@
         prepaid = self._prepaid.get(workspace, 0)
         return UNBOUNDED_TOKENS if prepaid is None else prepaid
 
+    def ceiling(self, workspace: str) -> int:
+        """Return the tokens that all hosts together may be granted now."""
+        lost = self.statements.lost_tokens(workspace)
+        return self.ceilings.in_force(workspace, self.prepaid(workspace), lost)
+
     @property
     def interval_seconds(self) -> float:
         """Return the seconds between statements while no request waits."""
@@ -319,9 +424,19 @@
             holding = self.holding(workspace)
             prepaid = self.prepaid(workspace)
             holding.announce_allowance(prepaid / max(1, table.hosts), now)
-            row = holding.with_allowance(self._row(workspace, holding, now))
+            raised = self.ceilings.raised(workspace)
+            ceiling = floor(prepaid, table.lost_tokens(workspace))
+            row = holding.with_bounds(
+                self._row(workspace, holding, now),
+                ceiling if raised is None else raised,
+                raised is not None,
+            )
             rows[workspace] = row
+            began = holding.demand.began
+            if began is not None and now - began >= CONFIDENT_SECONDS:
+                self._plan_ceiling(workspace, row)
             due = due or row_due(row, holding, now, refresh_seconds)
+        due = due or self.ceilings.own_raises != self._stated_raises
         if not due:
             return None
         return Statement(
@@ -339,8 +454,33 @@
             bounds_by_host,
             remembered_by_host,
             self.stopping,
+            dict(self.ceilings.own_raises),
+            self._read_sent(),
+            table.lost,
         )
 
+    def _plan_ceiling(self, workspace: str, row: Row) -> None:
+        """Raise the ceiling of a workspace before the spending reaches it.
+
+        Limits don't tell when: hosts without demand hold much, and hosts that start at
+        the same time state more than there is.
+        """
+        others = self.statements.totals_excluding(self.host, workspace)
+        self.ceilings.plan(
+            workspace,
+            others.cap + row.cap,
+            others.demand + row.demand,
+        )
+
+    def _read_sent(self) -> float:
+        """Return ``Statement.read_sent`` of the statement to send now."""
+        below = self._read_to - LATE_APPENDS * max(1, self.statements.hosts)
+        while len(self._stored) > 1 and self._stored[1][1] <= below:
+            self._stored.popleft()
+        if self._stored and self._stored[0][1] <= below:
+            return self._stored[0][0]
+        return -1.0
+
     def _statement_due(self, now: float, passes_bounds: bool) -> bool:
         """Return whether a statement is due, whatever its rows say."""
         return (
@@ -399,6 +539,7 @@
         read back.
         """
         self._sent_at = statement.sent
+        self._stated_raises = statement.raises_by_workspace
         self._witness_due = False
         self._passed_hosts.update(statement.bounds_by_host)
         self._bounds_passed = bool(statement.bounds_by_host) and (
@@ -422,6 +563,7 @@
         self._stored_end_offset = self._newest_end = end
         self._stated_in_era = True
         self._confirmed_at = statement.sent
+        self._stored.append((statement.sent, end))
         for workspace in statement.rows_by_workspace:
             self.holding(workspace).statement_stored()
         if self._announcement is None:
@@ -436,6 +578,7 @@
         confirmed in this era, or if the read ends before it.
         """
         self._read_to = offset
+        self.ceilings.end_read()
         if not self._stated_in_era or offset < self._stored_end_offset:
             return False
         self._apply_announcement(now)
@@ -446,7 +589,7 @@
     def _update_grants(self, now: float) -> None:
         for workspace, holding in self.holdings.items():
             others = self.statements.totals_excluding(self.host, workspace)
-            holding.update_grant(self.prepaid(workspace), others, now)
+            holding.update_grant(self.ceiling(workspace), others, now)
 
     def _apply_announcement(self, now: float) -> None:
         """Put in force what all active hosts have read: allowances and limits."""
@@ -508,4 +651,5 @@
             return Row(spent, spent, 0.0, holding.waiting_tokens)
         others = self.statements.totals_excluding(self.host, workspace)
         prepaid = self.prepaid(workspace)
-        return holding.plan(now, prepaid, others, self.policy)
+        ceiling = self.ceiling(workspace)
+        return holding.plan(now, prepaid, others, self.policy, ceiling)
--- a/godwitrudder/version/statement_table.py
+++ b/godwitrudder/version/statement_table.py
@@ -15,6 +15,7 @@
 from godwitrudder.version.statements import (
     ACTIVE_SECONDS,
     UNBOUNDED_TOKENS,
+    LostTokens,
     RememberedRows,
     Row,
     Statement,
@@ -53,6 +54,8 @@
         Lower bound on the time at which it was sent.
     noticed_by_host : dict
         Limits that a host has told directly, of a newer statement than the one read.
+    lost : LostTokens or None
+        Tokens that may be spent without a limit that stands for them.
     """
 
     statements_by_host: dict[str, Statement] = field(default_factory=dict)
@@ -64,6 +67,7 @@
     stored_after_by_host: dict[str, float] = field(default_factory=dict)
     sent_after_by_host: dict[str, float] = field(default_factory=dict)
     noticed_by_host: dict[str, NoticedLimits] = field(default_factory=dict)
+    lost: LostTokens | None = None
     _full_read_began_at: float | None = None
     _read_began_at: float = 0.0
 
@@ -223,6 +227,8 @@
             return statement
         self.unreadable_hosts.discard(host)
         self.listed_hosts.add(host)
+        if statement.lost is not None:
+            self.add_lost(statement.lost)
         if statement.era < self.era:
             self._put_former(host, statement, at)
             return None
@@ -257,6 +263,36 @@
             for workspace in known.keys() & bounds.keys()
         }
 
+    def add_lost(self, lost: LostTokens) -> None:
+        """Count tokens as lost; what was found out earlier is part of them or more."""
+        if self.lost is None:
+            self.lost = lost
+            return
+        tokens = dict(self.lost.tokens_by_workspace)
+        for workspace, more in lost.tokens_by_workspace.items():
+            tokens[workspace] = max(more, tokens.get(workspace, 0))
+        self.lost = LostTokens(max(lost.era, self.lost.era), tokens)
+
+    def lost_tokens(self, workspace: str) -> int:
+        """Return the tokens that count as spent without a host's limit."""
+        if self.lost is None:
+            return 0
+        return self.lost.tokens_by_workspace.get(workspace, 0)
+
+    @property
+    def loss_known(self) -> bool:
+        """Whether a host has found out what was lost when this era began."""
+        return self.lost is not None and self.lost.era == self.era
+
+    def bound_by_copy(self) -> None:
+        """Count each host that nobody has bounded with its limits in the older copy."""
+        for host, bounds in self.bounds_by_host.items():
+            if bounds is None:
+                rows = self.statements_by_host[host].rows_by_workspace
+                self.bounds_by_host[host] = {
+                    workspace: row.limit for workspace, row in rows.items()
+                }
+
     def read_by_active_hosts(
         self, host: str, offset: int, noticed_by: Collection[str] = ()
     ) -> bool:
@@ -299,6 +335,8 @@
                 waiting += row.waiting_tokens
                 hosts += 1
                 expected += row.expected
+        limit += self.lost_tokens(workspace)
+        cap += self.lost_tokens(workspace)
         if self.unreadable_hosts - {host}:
             limit, cap = UNBOUNDED_TOKENS, UNBOUNDED_TOKENS
         return Totals(limit, cap, demand, waiting, hosts, expected)
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -30,12 +30,12 @@
 Hosts pass bounds on in their statements, to hosts that started since.
 ``docs/design/restored-store.md`` has the complete proof.
 
-If nobody who is alive remembers anything, only the older copy is left.  So the fleet as a
-whole has a *ceiling* for each workspace: all grants together are at most the ceiling in
-force.  A raise of it comes into force ``CEILING_SECONDS`` after it was read.  If a copy
-is shown to be younger than that, it has all raises that were ever in force, so what the
-fleet can have been granted is at most the highest ceiling in the copy.  What exceeds the
-limits in the copy counts as lost, by no host in particular.
+If nobody who is alive remembers anything, only the older copy is left.  So the fleet
+as a whole has a *ceiling* for each workspace: all grants together are at most the
+ceiling in force.  A raise of it comes into force ``CEILING_SECONDS`` after it was read.
+If a copy is shown to be younger than that, it has all raises that were ever in force.
+The fleet can then have been granted no more than the highest ceiling in the copy.  What
+exceeds the limits in the copy counts as lost, by no host in particular.
 
 Cap and rate tell the next process on the same host what the previous one cannot have
 spent: all that was not yet spendable when the next process started.  While the store
@@ -80,6 +80,12 @@
         know, and again in ``ALLOWANCE_SECONDS``.
     allowance_in_force : int
         The part of it that all active hosts are known to have read.
+    ceiling : int
+        Cumulative tokens that all hosts together may be granted, as far as this host
+        knows, whatever is prepaid.
+    raised : bool
+        Whether a host has raised it to that; hosts that know of a raised ceiling don't
+        use the floor.
     """
 
     limit: int
@@ -90,6 +96,8 @@
     rate: float = 0.0
     allowance: int = 0
     allowance_in_force: int = 0
+    ceiling: int = 0
+    raised: bool = False
 
     def spendable_at(self, age: float) -> int:
         """Return the cumulative tokens spendable at an age in seconds."""
@@ -150,6 +158,19 @@
     at: float
 
 
+class LostTokens(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens that may be spent without a limit that stands for them.
+
+    Attributes
+    ----------
+    era : int
+        Era in which this was found out.
+    """
+
+    era: int
+    tokens_by_workspace: dict[str, int]
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """The record of one host.
 
@@ -183,6 +204,14 @@
         machine knows how old such a statement was when the former process ended.
     stopping : bool
         Whether the process is stopping; others then don't wait for it to read anything.
+    raises_by_workspace : dict
+        Higher ceilings that will be in force later.
+    read_sent : float or None
+        Send time of an earlier statement of this process that lies far enough below
+        ``read_to`` to be in each copy that has as many records; negative if unknown.
+        None from a process that keeps no ceilings.
+    lost : LostTokens or None
+        None if nothing is known to be lost.
     """
 
     epoch: int
@@ -199,6 +228,9 @@
     bounds_by_host: dict[str, dict[str, int] | None] = {}
     remembered_by_host: dict[str, RememberedRows] = {}
     stopping: bool = False
+    raises_by_workspace: dict[str, int] = {}
+    read_sent: float | None = None
+    lost: LostTokens | None = None
 
 
 ALLOWANCE_SECONDS: Final = 3.0
--- a/tests/ledger_faults.py
+++ b/tests/ledger_faults.py
@@ -6,6 +6,7 @@
 
 from godwitrudder import codec
 from godwitrudder.connection.loans import Ask, Loan
+from godwitrudder.request.ceiling import Ceilings
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import Lending
@@ -213,3 +214,42 @@
     def fence(self, host: str) -> None:
         holdings = self.processes[host].host_holdings
         self.store.fence(host, holdings.fence)
+
+
+class NothingIsLost(HostHoldings):
+    """Counts only the limits in the copy."""
+
+    def _lost_tokens(self) -> dict[str, int]:
+        return {}
+
+
+class CountsNothingAsLost(Fleet):
+    holdings_type = NothingIsLost
+
+
+class AnyCopyIsYoung(HostHoldings):
+    """Believes the ceilings of a copy of any age."""
+
+    def _copy_is_young(self, answered_at: float, end: int, booted: float) -> bool:
+        return True
+
+
+class BelievesAnOldCopy(Fleet):
+    holdings_type = AnyCopyIsYoung
+
+
+class ImpatientCeilings(Ceilings):
+    """Uses a raise as soon as it was read."""
+
+    def read(self, statement: Statement, now: float) -> None:
+        super().read(statement, now - 1000.0)
+
+
+class HoldingsWithImpatientCeilings(HostHoldings):
+    def __init__(self, host: str, policy: Policy) -> None:
+        super().__init__(host, policy)
+        self.ceilings = ImpatientCeilings()
+
+
+class UsesRaisesAtOnce(Fleet):
+    holdings_type = HoldingsWithImpatientCeilings
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -201,8 +201,11 @@
         process = Process(holdings, epoch, self.lending_type(holdings, Random(0)))
         self.processes[host] = process
         self.read_newest(host)
+        answered_at, end = self.clock(host), process.offset
         if holdings.needs_bound and peers_answer:
             self.pass_bounds_on(host)
+        if holdings.needs_bound:
+            holdings.bound_by_ceilings(answered_at, end, self.booted_by_host[host])
         now, booted = self.clock(host), self.booted_by_host[host]
         at_risk = holdings.former_statement_at_risk(now, booted)
         age = None if at_risk is None else self.age(host, at_risk)
@@ -366,7 +369,7 @@
         process = self.processes[host]
         if self.store.era > process.host_holdings.statements.era:
             self.enter_era(host)
-        process.host_holdings.statements.begin_read(self.clock(host))
+        process.host_holdings.begin_read(self.clock(host))
         self.now += lag / 2
         records = self.store.records[process.offset :]
         self.now += lag / 2
@@ -382,7 +385,7 @@
         if self.store.era > process.host_holdings.statements.era:
             self.enter_era(host)
             return
-        process.host_holdings.statements.begin_read(self.clock(host), newest_only=True)
+        process.host_holdings.begin_read(self.clock(host), newest_only=True)
         for name, data in self.store.newest().items():
             process.host_holdings.apply_statement(name, data, self.clock(host))
         process.host_holdings.statements.end_read()
--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -17,11 +17,14 @@
     run_state_machine_as_test,
 )
 
+from godwitrudder.request import ceiling
 from godwitrudder.request.lending import lendable
 from tests.ledger_faults import (
     AgeIsTooLow,
+    BelievesAnOldCopy,
     BelievesTheCopy,
     CountsLoanByBoth,
+    CountsNothingAsLost,
     ExceedsItsAllowance,
     FleetWithoutReadBack,
     ForgetsNotices,
@@ -34,6 +37,7 @@
     SuccessorIgnoresLoan,
     TakesLoanBack,
     UsesAnUnreadAllowance,
+    UsesRaisesAtOnce,
 )
 from tests.ledger_model import WORKSPACE, Fleet
 
@@ -63,6 +67,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.fleet = self.fleet_type(2, PREPAID)
+        self.highest_ceiling = 0
 
     @rule(seconds=st.sampled_from([0.1, 0.6, 1.6, 9.0]))
     def advance(self, seconds: float) -> None:
@@ -223,6 +228,16 @@
     def within_prepaid(self) -> None:
         assert self.fleet.spent_tokens <= self.fleet.prepaid
 
+    @invariant()
+    def within_ceilings(self) -> None:
+        """Grants never exceed the highest ceiling that was ever in force."""
+        in_force = [
+            process.host_holdings.ceiling(WORKSPACE)
+            for process in self.fleet.processes.values()
+        ]
+        self.highest_ceiling = max([self.highest_ceiling, *in_force])
+        assert self.fleet.spent_tokens <= self.highest_ceiling
+
 
 class RestoredLedger(Ledger):
     """State machine whose store also comes back from an older copy."""
@@ -282,6 +297,45 @@
             self.fleet.now += 1.0
             self.spend_all(host)
 
+    @rule(
+        lost=st.sampled_from([0, 1, 2, 4, 8, 20]),
+        again=st.sampled_from([0, 0, 3]),
+        seconds=st.sampled_from([0.1, 2.0, 9.0]),
+        tokens=st.sampled_from([100, 300]),
+    )
+    def restore_without_memory(
+        self, lost: int, again: int, seconds: float, tokens: int
+    ) -> None:
+        """All hosts spend what they have and die before the store is restored."""
+        fleet = self.fleet
+        for _ in range(4):
+            for host in sorted(fleet.booted_by_host):
+                self.cycle(host, 20)
+        for host in sorted(fleet.booted_by_host):
+            self.cycle(host, tokens)
+            self.spend_all(host)
+        for host in list(fleet.processes):
+            fleet.stop(host, False)
+        fleet.now += seconds
+        for records in (lost, again):
+            if records:
+                fleet.store.restore(records)
+        for host in sorted(fleet.booted_by_host):
+            fleet.start(host)
+        for _ in range(2):
+            fleet.state_all()
+            for host in sorted(fleet.booted_by_host):
+                self.cycle(host, 900)
+                self.spend_all(host)
+
+    @rule(seconds=st.sampled_from([1.0, 5.0, 10.0]), tokens=st.integers(5, 100))
+    def spend_steadily(self, seconds: float, tokens: int) -> None:
+        """Spend for some statement intervals, so that ceilings are raised."""
+        for _ in range(6):
+            self.fleet.now += seconds
+            for host in sorted(self.fleet.booted_by_host):
+                self.cycle(host, tokens)
+
     @rule(host=HOSTS, peer=HOSTS)
     def old_append_arrives(self, host: str, peer: str) -> None:
         """An append of the former era arrives after the host has stated again."""
@@ -325,6 +379,70 @@
     run_state_machine_as_test(RestoredLedger, settings=SETTINGS)
 
 
+@pytest.fixture
+def _low_ceilings(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Ceilings that the spending of the machines reaches."""
+    monkeypatch.setattr(ceiling, "FLOOR_TOKENS", 600)
+    monkeypatch.setattr(ceiling, "RAISE_BELOW_SECONDS", 5.0)
+    monkeypatch.setattr(ceiling, "RAISE_TO_SECONDS", 10.0)
+
+
+@pytest.mark.usefixtures("_low_ceilings")
+def test_nothing_spends_past_the_ceilings_though_the_store_is_restored() -> None:
+    run_state_machine_as_test(RestoredLedger, settings=SETTINGS)
+
+
+def play_death_of_the_fleet(
+    fleet: type[Fleet], seconds: float, tokens: int, lost: int
+) -> None:
+    """Play a fleet that spends steadily and dies beside a restore; check it."""
+
+    class Scripted(RestoredLedger):
+        fleet_type = fleet
+
+    machine = Scripted()
+    machine.within_ceilings()
+    machine.advance(9.0)
+    for _ in range(2):
+        machine.spend_steadily(seconds, tokens)
+        machine.within_ceilings()
+    machine.restore_without_memory(lost, 0, 0.1, 300)
+    machine.within_ceilings()
+    machine.spend_steadily(seconds, 100)
+    machine.within_ceilings()
+    machine.within_prepaid()
+
+
+DEATHS = [
+    (seconds, tokens, lost)
+    for seconds in (1.0, 5.0, 10.0)
+    for tokens in (5, 20, 60)
+    for lost in (0, 2, 4, 8, 12, 20, 30)
+]
+
+
+@pytest.mark.usefixtures("_low_ceilings")
+@pytest.mark.parametrize(("seconds", "tokens", "lost"), DEATHS)
+def test_a_fleet_that_dies_beside_a_restore_spends_nothing_twice(
+    seconds: float, tokens: int, lost: int
+) -> None:
+    play_death_of_the_fleet(Fleet, seconds, tokens, lost)
+
+
+@pytest.mark.usefixtures("_low_ceilings")
+@pytest.mark.parametrize(
+    "fleet", [BelievesAnOldCopy, CountsNothingAsLost, UsesRaisesAtOnce]
+)
+def test_a_planted_fault_of_ceilings_is_found(fleet: type[Fleet]) -> None:
+    found = 0
+    for death in DEATHS:
+        try:
+            play_death_of_the_fleet(fleet, *death)
+        except AssertionError:
+            found += 1
+    assert found
+
+
 @pytest.mark.parametrize(
     "fleet",
     [
