Limit the bytes and the time of all answers that daemons read

A faulty runner that sends without end filled the memory of the daemon that had called it, and no other greenlet ran meanwhile, so other callers got no answer.

Cause: a timeout of each read ends nothing while data arrives, and the HTTP client keeps what it reads. Only the store's client had sockets with a limit.

Change: a pool whose sockets limit bytes and seconds of an answer and yield before each read, for runners, host list, weight store, load reports and the store. Streams count anew with each chunk. Handshakes of peers have a deadline; links yield before each read.

--- a/godwitrudder/connection/link.py
+++ b/godwitrudder/connection/link.py
@@ -163,8 +163,9 @@
                 result.set_exception(ConnectionError("link closed"))
 
     def _read_once(self) -> bool:
+        gevent.sleep(0)  # bytes without end never block ``recv``
         data = self._sock.recv(READ_BYTES)
-        if not data:
+        if not data or not self.open:
             return False
         self._handlers.on_peer_alive(self._host)
         self._protocol.receive_data(data)
--- a/godwitrudder/connection/peer.py
+++ b/godwitrudder/connection/peer.py
@@ -39,7 +39,7 @@
 
 __all__ = ["Handlers", "Link", "PeerLinks", "PeerServer", "Unreachable"]
 
-# Timeout of connecting, of each read of the handshake, and of a probe.
+# Timeout of connecting, of the handshake, and of a probe.
 CONNECT_SECONDS: Final = 1.0
 HEARTBEAT_SECONDS: Final = 1.0
 # A link is closed after more than this many heartbeats without another frame.
@@ -93,7 +93,8 @@
         sock.settimeout(CONNECT_SECONDS)
         protocol = ServerProtocol(max_size=MAX_FRAME_BYTES)
         try:
-            host = self._handshake(sock, protocol)
+            with gevent.Timeout(CONNECT_SECONDS, TimeoutError()):
+                host = self._handshake(sock, protocol)
         except OSError:
             host = None
         if host is not None:
@@ -110,12 +111,13 @@
     def _handshake(self, sock: socket.socket, protocol: ServerProtocol) -> str | None:
         """Return the host of the peer, None if it was refused or closed."""
         while True:
+            gevent.sleep(0)  # bytes without end never block ``recv``
             data = sock.recv(READ_BYTES)
             protocol.receive_data(data)
             for event in protocol.events_received():
                 if isinstance(event, Request):
                     return self._accept(sock, protocol, event)
-            if not data:
+            if not data or protocol.handshake_exc is not None:
                 return None
 
     def _accept(
@@ -267,7 +269,8 @@
     def _connect(self, host: str, address: Address) -> Link:
         sock = socket.create_connection((address.ip, address.port), CONNECT_SECONDS)
         try:
-            protocol = self._handshake(sock, address)
+            with gevent.Timeout(CONNECT_SECONDS, TimeoutError()):
+                protocol = self._handshake(sock, address)
         except OSError:
             sock.close()
             raise
@@ -284,11 +287,14 @@
         for data in protocol.data_to_send():
             sock.sendall(data)
         while True:
+            gevent.sleep(0)
             data = sock.recv(READ_BYTES)
             protocol.receive_data(data)
             for event in protocol.events_received():
                 if isinstance(event, Response):
                     return _check_handshake(protocol)
+            if protocol.handshake_exc is not None:
+                return _check_handshake(protocol)
             if not data:
                 raise ConnectionError("peer closed the connection during the handshake")
 
--- a/godwitrudder/connection/probe.py
+++ b/godwitrudder/connection/probe.py
@@ -6,13 +6,15 @@
 from typing import Final, TypeVar
 
 import msgspec
-from geventhttpclient import HTTPClient
 
 from godwitrudder import codec
+from godwitrudder.connection.bounded_pool import bounded_client
 from godwitrudder.validation import Address
 
 # Timeout of connecting, and of waiting for the next bytes.
 TIMEOUT_SECONDS: Final = 1.0
+# Cache events of some minutes.
+MAX_ANSWER_BYTES: Final = 4_194_304
 
 T = TypeVar("T")
 
@@ -91,12 +93,7 @@
 
 
 def _get(address: Address, path: str, model: type[T]) -> tuple[T, int] | PollFailed:
-    client = HTTPClient(
-        address.ip,
-        address.port,
-        connection_timeout=TIMEOUT_SECONDS,
-        network_timeout=TIMEOUT_SECONDS,
-    )
+    client = bounded_client(address, MAX_ANSWER_BYTES, TIMEOUT_SECONDS)
     try:
         response = client.get(path)
         data = bytes(response.read())
--- a/godwitrudder/connection/runner.py
+++ b/godwitrudder/connection/runner.py
@@ -17,13 +17,17 @@
 
 import gevent
 from geventhttpclient import HTTPClient
-from geventhttpclient.connectionpool import ConnectionPool
 
 from godwitrudder.clock import Clock
+from godwitrudder.connection.bounded_pool import BoundedPool, bounded_client
 from godwitrudder.request.answer import Chunk, Prompt, Usage
 from godwitrudder.validation import Address
 
 CONNECTIONS_PER_RUNNER: Final = 1024
+# Largest response of a plain service.
+MAX_REPLY_BYTES: Final = 4_194_304
+# Most bytes of an attempt without a chunk.
+MAX_EVENT_BYTES: Final = 262_144
 # Number of runners whose connections are kept.
 MAX_CLIENTS: Final = 1024
 # Status with which an engine rejects a new attempt because it is leaving.
@@ -90,7 +94,7 @@
     """No connection could be opened, so nothing was sent."""
 
 
-class RunnerConnectionPool(ConnectionPool):
+class RunnerConnectionPool(BoundedPool):
     """Connections to one runner; distinguishes failed connects from failed sends."""
 
     def get_socket(self) -> Any:
@@ -186,8 +190,12 @@
         headers: dict[str, str],
     ) -> Reply | Broken:
         """Call a plain service once, on a separate connection."""
-        client = self._new_client(
-            address, SingleConnectionPool, 1, self.timeouts.service
+        client = bounded_client(
+            address,
+            MAX_REPLY_BYTES,
+            self.timeouts.service,
+            SingleConnectionPool,
+            connect_seconds=self.timeouts.connect,
         )
         try:
             response = client.request(method, path, body=body, headers=headers)
@@ -272,9 +280,14 @@
         client = self._clients_by_address.get(address)
         if client is None:
             self._evict_oldest_client()
-            limit = CONNECTIONS_PER_RUNNER
-            client = self._new_client(
-                address, RunnerConnectionPool, limit, self.timeouts.progress
+            client = bounded_client(
+                address,
+                MAX_EVENT_BYTES,
+                self.timeouts.progress,
+                RunnerConnectionPool,
+                size=CONNECTIONS_PER_RUNNER,
+                connect_seconds=self.timeouts.connect,
+                max_seconds=self.timeouts.stall,
             )
             self._clients_by_address[address] = client
         return client
@@ -285,25 +298,6 @@
             oldest = next(iter(self._clients_by_address))
             self._clients_by_address.pop(oldest).close()
 
-    def _new_client(
-        self,
-        address: Address,
-        kind: type[RunnerConnectionPool],
-        size: int,
-        seconds: float,
-    ) -> HTTPClient:
-        client = HTTPClient(address.ip, address.port)
-        client._connection_pool = kind(
-            address.ip,
-            address.port,
-            address.ip,
-            address.port,
-            size=size,
-            connection_timeout=self.timeouts.connect,
-            network_timeout=seconds,
-        )
-        return client
-
 
 def _encode_request(prompt: Prompt, start: int) -> bytes:
     fields = {
@@ -342,12 +336,19 @@
             return
         elif line.startswith(b"data: "):
             event = _parse_event(index, json.loads(line[6:]))
+            _note_progress(response)
             if isinstance(event, Chunk):
                 yield event
             else:
                 usage = event
 
 
+def _note_progress(response: Any) -> None:
+    """Let the limits of an answer count from here on, if there is more to come."""
+    if response._sock is not None:
+        response._sock.restart()
+
+
 def _parse_event(index: int, data: dict[str, Any]) -> Chunk | Usage:
     if "usage" in data:
         usage = data["usage"]
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -13,21 +13,17 @@
 import logging
 import re
 import struct
-import weakref
 from collections import Counter
-from contextlib import suppress
 from dataclasses import dataclass
 from typing import Any, Final
 from urllib.parse import urlencode
 
-import gevent
 import msgspec
-from gevent import socket
 from geventhttpclient import HTTPClient
-from geventhttpclient.connectionpool import ConnectionPool
 
 from godwitrudder import codec
 from godwitrudder.codec import Count, Whole
+from godwitrudder.connection.bounded_pool import BoundedPool, bounded_client
 from godwitrudder.platform import names
 from godwitrudder.validation import Address
 
@@ -40,6 +36,8 @@
 MAX_ANSWER_BYTES: Final = 4_194_304
 """Size limit of an answer; a read returns up to 1,024 KB, a list of the newest records
 1 MB with values in base64."""
+TRANSFER_SECONDS: Final = 10.0
+"""Time for the largest answer on a link of 5 Mbit/s, with a margin."""
 BLOCK_BYTES: Final = 65_536
 """Bytes per read from a connection."""
 # End and first retained offset of the topic, before the records of a read.
@@ -187,45 +185,6 @@
     end: Whole = 0
 
 
-class BoundedSocket(socket.socket):  # type: ignore[misc]
-    """A connection that limits the size of each answer, including its headers."""
-
-    received_bytes = 0
-
-    def sendall(self, *args: Any) -> Any:
-        """Send a request and reset the byte count of its answer."""
-        self.received_bytes = 0
-        return super().sendall(*args)
-
-    def recv(self, *args: Any) -> Any:
-        """Receive after a yield, as an endless answer never blocks ``recv``."""
-        gevent.sleep(0)
-        data = super().recv(*args)
-        self.received_bytes += len(data)
-        if self.received_bytes > MAX_ANSWER_BYTES:
-            raise OSError(f"the answer is larger than {MAX_ANSWER_BYTES} bytes")
-        return data
-
-
-class BoundedPool(ConnectionPool):
-    """Pool of connections that limit the size of answers."""
-
-    def __init__(self, *args: Any, **options: Any) -> None:
-        super().__init__(*args, **options)
-        self._sockets: weakref.WeakSet[BoundedSocket] = weakref.WeakSet()
-
-    def _create_tcp_socket(self, family: int, kind: int, protocol: int) -> Any:
-        created = BoundedSocket(family, kind, protocol)
-        self._sockets.add(created)
-        return created
-
-    def interrupt(self) -> None:
-        """Shut down all connections, which ends the reads that wait on them."""
-        for each in list(self._sockets):
-            with suppress(OSError):  # it is closed or not connected yet
-                each.shutdown(socket.SHUT_RDWR)
-
-
 class Store:
     """Client of the store; each call has a timeout.
 
@@ -359,18 +318,15 @@
         return self._waiting_client
 
     def _new_client(self, network_seconds: float) -> HTTPClient:
-        ip, port = self._address.ip, self._address.port
-        client = HTTPClient(ip, port, block_size=BLOCK_BYTES)
-        client._connection_pool = BoundedPool(
-            ip,
-            port,
-            ip,
-            port,
+        return bounded_client(
+            self._address,
+            MAX_ANSWER_BYTES,
+            network_seconds,
             size=self._connections,
-            connection_timeout=CONNECT_SECONDS,
-            network_timeout=network_seconds,
+            connect_seconds=CONNECT_SECONDS,
+            max_seconds=network_seconds + TRANSFER_SECONDS,
+            block_size=BLOCK_BYTES,
         )
-        return client
 
     def _call(
         self,
--- a/godwitrudder/platform/weights.py
+++ b/godwitrudder/platform/weights.py
@@ -10,13 +10,15 @@
 from typing import Final
 
 import msgspec
-from geventhttpclient import HTTPClient
 
 from godwitrudder import codec
+from godwitrudder.connection.bounded_pool import bounded_client
 from godwitrudder.validation import Address
 
-# Timeout of connecting, and of waiting for the next bytes.
+# Timeout of connecting, and of an answer.
 TIMEOUT_SECONDS: Final = 3.0
+# Several times the answer at the size that the fleet is built towards.
+MAX_ANSWER_BYTES: Final = 4_194_304
 
 
 class WeightCatalogue(msgspec.Struct, frozen=True, kw_only=True):
@@ -50,12 +52,7 @@
     """The weight store over HTTP."""
 
     def __init__(self, address: Address) -> None:
-        self._client = HTTPClient(
-            address.ip,
-            address.port,
-            connection_timeout=TIMEOUT_SECONDS,
-            network_timeout=TIMEOUT_SECONDS,
-        )
+        self._client = bounded_client(address, MAX_ANSWER_BYTES, TIMEOUT_SECONDS)
 
     def catalogue(self) -> WeightCatalogue | codec.Malformed:
         """Return the catalogue, or the error if it could not be fetched."""
