Recover also if hosts had stated again before the fleet died

With the kill 0.1 s after the store's return, all requests of a paid workspace got 402.

Cause: some hosts had stated in the new era before they died, and beside such statements nothing could show the copy's age, as they lengthen the log.

Change: a statement names the log's end at its process's first read in its era; the least of these counts for the age. Ceilings that were raised without knowledge of a loss don't count beside it. request/older_copy.py has what follows from a copy.

--- a/godwitrudder/process/statement_exchange.py
+++ b/godwitrudder/process/statement_exchange.py
@@ -90,7 +90,6 @@
         self._sequence = 0
         self._cursor = Cursor()
         self._newest_read_at = 0.0
-        self._newest_end = 0
         self._raises: dict[str, int] = {}
         self.answered_at = 0.0
         self.statement_handlers: list[Callable[[str, Statement], None]] = []
@@ -209,7 +208,7 @@
             self._host_holdings.begin_era(page.era, self.now())
             self._fence()
         self._newest_read_at = self.now()
-        self._newest_end = page.next
+        self._host_holdings.note_era_end(page.next)
         self._apply_page(page)
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -289,9 +288,7 @@
         holdings = self._host_holdings
         if not holdings.needs_bound or not self._configure():
             return
-        bounded = holdings.bound_by_ceilings(
-            self._newest_read_at, self._newest_end, self.boot_time()
-        )
+        bounded = holdings.bound_by_ceilings(self._newest_read_at, self.boot_time())
         lost = holdings.statements.lost
         self._log.note(
             "bound_by_copy",
--- a/godwitrudder/request/ceiling.py
+++ b/godwitrudder/request/ceiling.py
@@ -77,7 +77,8 @@
 
     def read(self, statement: Statement, now: float) -> None:
         """Note the ceilings of a statement that was read."""
-        if statement.era < self._since_era:
+        lost = statement.lost
+        if self._since_era and (lost is None or lost.era < self._since_era):
             return
         known = self._in_force
         for workspace, row in statement.rows_by_workspace.items():
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -13,12 +13,7 @@
 from typing import Final
 
 from godwitrudder import codec
-from godwitrudder.request.ceiling import (
-    CEILING_SECONDS,
-    CONFIDENT_SECONDS,
-    Ceilings,
-    floor,
-)
+from godwitrudder.request.ceiling import CONFIDENT_SECONDS, Ceilings, floor
 from godwitrudder.request.holding import (
     REFRESH_INTERVALS,
     Holding,
@@ -32,6 +27,7 @@
     raises_allowance,
     row_due,
 )
+from godwitrudder.request.older_copy import is_young, lost_tokens
 from godwitrudder.version.statement_table import StatementTable
 from godwitrudder.version.statements import (
     ACTIVE_SECONDS,
@@ -87,6 +83,8 @@
         Rate limits to state beside them.
     ceilings : Ceilings
         What all hosts together may be granted.
+    era_end : int
+        See ``Statement.era_end``.
     fence : int
         Highest epoch that this process has used as a producer.
     first_start : bool
@@ -129,6 +127,8 @@
         self._newest_end = NO_OFFSET
         self._noticed_by: set[str] = set()
         self.ceilings = Ceilings()
+        self.era_end = 0
+        self._end_era: int | None = None
         self._stated_raises: dict[str, int] = {}
         self._stored: deque[tuple[float, int]] = deque()
 
@@ -150,6 +150,12 @@
         self.statements.begin_read(now, newest_only)
         self.ceilings.begin_read(now)
 
+    def note_era_end(self, end: int) -> None:
+        """Note the end of the records that were read; the first in an era counts."""
+        if self._end_era != self.statements.era:
+            self._end_era = self.statements.era
+            self.era_end = end
+
     def record_demand(self, workspace: str, tokens: int, now: float) -> None:
         """Record the tokens that a request asks for."""
         if self._first_request_at is None:
@@ -280,18 +286,15 @@
             stranded += spent - row.cap
         return RecoveryResult(held, stranded, former)
 
-    def bound_by_ceilings(self, answered_at: float, end: int, booted: float) -> bool:
+    def bound_by_ceilings(self, answered_at: float, booted: float) -> bool:
         """Bound what the fleet had spent by the ceilings in an older copy.
 
-        Returns False if the copy can't be shown to be young enough, and if other hosts
-        have stated in this era without knowing what is lost.
+        Returns False if the copy can't be shown to be young enough.
 
         Parameters
         ----------
         answered_at : float
             Time at which the store first answered this process in this era, in seconds.
-        end : int
-            Offset after the last record then.
         booted : float
             See ``Statement.booted``.
         """
@@ -301,57 +304,19 @@
         if not table.bounds_by_host.keys() <= table.statements_by_host.keys():
             return False
         if not table.loss_known:
-            if not self._copy_is_young(answered_at, end, booted):
+            if not self._copy_is_young(answered_at, booted):
                 return False
             table.add_lost(LostTokens(table.era, self._lost_tokens()))
             self.ceilings.begin_loss(table.era)
         table.bound_by_copy()
         return True
 
-    def _copy_is_young(self, answered_at: float, end: int, booted: float) -> bool:
-        """Whether the older copy has all raises that were ever in force."""
+    def _copy_is_young(self, answered_at: float, booted: float) -> bool:
         table = self.statements
-        former = table.statements_by_host.get(self.host)
-        if former is None or any(map(table.has_stated, table.statements_by_host)):
-            return False
-        statements = table.statements_by_host.values()
-        return (
-            all(each.era == table.era - 1 for each in statements)
-            and all(each.read_sent is not None for each in statements)
-            and same_boot(former, answered_at, booted)
-            and former.read_sent is not None
-            and former.read_sent >= 0
-            and former.read_to <= end
-            and answered_at - former.read_sent <= CEILING_SECONDS
-        )
+        return is_young(table, self.host, self.era_end, answered_at, booted)
 
     def _lost_tokens(self) -> dict[str, int]:
-        """Return by how much the ceilings in the copy exceed the limits in it."""
-        lost: dict[str, int] = {}
-        statements = self.statements.statements_by_host.values()
-        workspaces = set(self._prepaid)
-        for statement in statements:
-            workspaces.update(statement.rows_by_workspace)
-        for workspace in workspaces:
-            if self._prepaid.get(workspace, 0) is None:
-                continue
-            rows = [
-                row
-                for statement in statements
-                if (row := statement.rows_by_workspace.get(workspace)) is not None
-            ]
-            raises = [
-                statement.raises_by_workspace.get(workspace, 0)
-                for statement in statements
-            ]
-            ceilings = [row.ceiling for row in rows if row.raised]
-            if not ceilings:
-                lost_before = self.statements.lost_tokens(workspace)
-                ceilings = [floor(self.prepaid(workspace), lost_before)]
-                ceilings += [row.ceiling for row in rows]
-            limits = sum(row.limit for row in rows)
-            lost[workspace] = max(0, max([*ceilings, *raises]) - limits)
-        return lost
+        return lost_tokens(self.statements, self._prepaid)
 
     def _former_bounds(self, ended: float, booted: float) -> dict[str, int]:
         """Return the most that the former incarnation can have spent, by workspace.
@@ -457,6 +422,7 @@
             dict(self.ceilings.own_raises),
             self._read_sent(),
             table.lost,
+            self.era_end,
         )
 
     def _plan_ceiling(self, workspace: str, row: Row) -> None:
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -212,6 +212,8 @@
         None from a process that keeps no ceilings.
     lost : LostTokens or None
         None if nothing is known to be lost.
+    era_end : int
+        End of the records at the process's first read in that era.
     """
 
     epoch: int
@@ -231,6 +233,7 @@
     raises_by_workspace: dict[str, int] = {}
     read_sent: float | None = None
     lost: LostTokens | None = None
+    era_end: int = 0
 
 
 ALLOWANCE_SECONDS: Final = 3.0
--- a/tests/ledger_faults.py
+++ b/tests/ledger_faults.py
@@ -230,7 +230,7 @@
 class AnyCopyIsYoung(HostHoldings):
     """Believes the ceilings of a copy of any age."""
 
-    def _copy_is_young(self, answered_at: float, end: int, booted: float) -> bool:
+    def _copy_is_young(self, answered_at: float, booted: float) -> bool:
         return True
 
 
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -201,11 +201,11 @@
         process = Process(holdings, epoch, self.lending_type(holdings, Random(0)))
         self.processes[host] = process
         self.read_newest(host)
-        answered_at, end = self.clock(host), process.offset
+        answered_at = self.clock(host)
         if holdings.needs_bound and peers_answer:
             self.pass_bounds_on(host)
         if holdings.needs_bound:
-            holdings.bound_by_ceilings(answered_at, end, self.booted_by_host[host])
+            holdings.bound_by_ceilings(answered_at, self.booted_by_host[host])
         now, booted = self.clock(host), self.booted_by_host[host]
         at_risk = holdings.former_statement_at_risk(now, booted)
         age = None if at_risk is None else self.age(host, at_risk)
@@ -390,4 +390,5 @@
             process.host_holdings.apply_statement(name, data, self.clock(host))
         process.host_holdings.statements.end_read()
         process.offset = len(self.store.records)
+        process.host_holdings.note_era_end(process.offset)
         process.host_holdings.apply_read(process.offset, self.clock(host))
--- a/tests/test_fleet_without_memory.py
+++ b/tests/test_fleet_without_memory.py
@@ -37,6 +37,7 @@
     holdings.statements.era = 1
     for name, limit in LIMITS.items():
         put(holdings, name, copied(limit, ceiling, **more))
+    holdings.note_era_end(READ_TO)
     assert holdings.needs_bound
     return holdings
 
@@ -50,7 +51,7 @@
 def test_a_fleet_that_nobody_remembers_has_spent_no_more_than_its_ceiling() -> None:
     """RECOVER: every request got 402, with less than 0.1% of the budget spent."""
     holdings = started("h0")
-    assert holdings.bound_by_ceilings(110.0, READ_TO, 0.0)
+    assert holdings.bound_by_ceilings(110.0, 0.0)
     assert not holdings.needs_bound
     holdings.recover(111.0, 0.0)
     assert holdings.holding("w").spent == LIMITS["h0"]
@@ -61,7 +62,7 @@
     """BUDGET: what is found again must not have been spent."""
     raises = {"w": 60_000_000}
     holdings = started("h0", ceiling=50_000_000, raises_by_workspace=raises)
-    assert holdings.bound_by_ceilings(110.0, READ_TO, 0.0)
+    assert holdings.bound_by_ceilings(110.0, 0.0)
     assert counted(holdings) + LIMITS["h0"] == 60_000_000
 
 
@@ -89,7 +90,8 @@
 ) -> None:
     """BUDGET: the copy may lack a ceiling that was in force."""
     holdings = started("h0", **more)
-    assert not holdings.bound_by_ceilings(answered_at, end, booted)
+    holdings.era_end = end
+    assert not holdings.bound_by_ceilings(answered_at, booted)
     holdings.recover(111.0, booted)
     assert holdings.holding("w").spent == PREPAID
 
@@ -97,7 +99,7 @@
 def test_what_is_not_lost_is_granted_at_once() -> None:
     """RECOVER: a raise would have been in force only 20 s later."""
     holdings = started("h0")
-    assert holdings.bound_by_ceilings(110.0, READ_TO, 0.0)
+    assert holdings.bound_by_ceilings(110.0, 0.0)
     holdings.recover(111.0, 0.0)
     lost = counted(holdings) - sum(LIMITS.values())
     assert holdings.ceiling("w") == floor(PREPAID, lost) > counted(holdings)
@@ -108,7 +110,7 @@
 def test_a_host_takes_over_what_another_one_found_to_be_lost() -> None:
     """BUDGET: it has been granted tokens since, so the sum is no longer in the copy."""
     first, second = started("h0"), started("h1")
-    assert first.bound_by_ceilings(110.0, READ_TO, 0.0)
+    assert first.bound_by_ceilings(110.0, 0.0)
     first.recover(111.0, 0.0)
     statement = first.statement(111.0, 0.0, 2**20)
     assert statement is not None
@@ -117,16 +119,26 @@
         2**20, 111.0, 0.0, {"w": row}, era=1, lost=statement.lost, read_to=41
     )
     put(second, "h0", stated)
-    assert second.bound_by_ceilings(112.0, READ_TO - 1, 5.0)
+    assert second.bound_by_ceilings(112.0, 5.0)
     second.recover(113.0, 0.0)
     assert counted(second) == floor(PREPAID) + 4_000_000 - LIMITS["h0"]
 
 
-def test_a_host_does_not_bound_others_that_have_stated_without_a_loss() -> None:
-    """BUDGET: they may have got tokens in the new era, by what they remember."""
+@pytest.mark.parametrize(("era_end", "bounded"), [(READ_TO, True), (30, False)])
+def test_hosts_may_have_stated_again_before_they_died(
+    era_end: int, bounded: bool
+) -> None:
+    """RECOVER: the kill came just after the store was back, so one had stated again.
+
+    BUDGET: what it has appended makes the log no proof of the copy's age.
+    """
     holdings = started("h0")
-    put(holdings, "h1", copied(5_000_000, floor(PREPAID), era=1))
-    assert not holdings.bound_by_ceilings(110.0, READ_TO, 0.0)
+    again = copied(5_000_000, 70_000_000, era=1, era_end=era_end)
+    put(holdings, "h1", again)
+    assert holdings.bound_by_ceilings(110.0, 0.0) is bounded
+    if bounded:
+        assert counted(holdings) + LIMITS["h0"] == 70_000_000
+        assert holdings.ceiling("w") == floor(PREPAID, 64_000_000)
 
 
 def test_a_statement_names_an_earlier_one_below_those_that_may_come_late() -> None:
--- a/tests/test_ledger_machine.py
+++ b/tests/test_ledger_machine.py
@@ -302,11 +302,15 @@
         again=st.sampled_from([0, 0, 3]),
         seconds=st.sampled_from([0.1, 2.0, 9.0]),
         tokens=st.sampled_from([100, 300]),
+        stated=st.sampled_from([0, 0, 1, 2]),
     )
     def restore_without_memory(
-        self, lost: int, again: int, seconds: float, tokens: int
+        self, lost: int, again: int, seconds: float, tokens: int, stated: int = 0
     ) -> None:
-        """All hosts spend what they have and die before the store is restored."""
+        """All hosts spend what they have and die when the store is restored.
+
+        ``stated`` hosts have noticed the new era before, and gone on there.
+        """
         fleet = self.fleet
         for _ in range(4):
             for host in sorted(fleet.booted_by_host):
@@ -314,10 +318,17 @@
         for host in sorted(fleet.booted_by_host):
             self.cycle(host, tokens)
             self.spend_all(host)
+        survivors = sorted(fleet.processes)[:stated]
+        if survivors and lost:
+            fleet.store.restore(lost)
+            for _ in range(2):
+                for host in survivors:
+                    self.cycle(host, tokens)
+                    self.spend_all(host)
         for host in list(fleet.processes):
             fleet.stop(host, False)
         fleet.now += seconds
-        for records in (lost, again):
+        for records in (0 if survivors else lost, again):
             if records:
                 fleet.store.restore(records)
         for host in sorted(fleet.booted_by_host):
@@ -393,7 +404,7 @@
 
 
 def play_death_of_the_fleet(
-    fleet: type[Fleet], seconds: float, tokens: int, lost: int
+    fleet: type[Fleet], seconds: float, tokens: int, lost: int, stated: int
 ) -> None:
     """Play a fleet that spends steadily and dies beside a restore; check it."""
 
@@ -406,7 +417,7 @@
     for _ in range(2):
         machine.spend_steadily(seconds, tokens)
         machine.within_ceilings()
-    machine.restore_without_memory(lost, 0, 0.1, 300)
+    machine.restore_without_memory(lost, 0, 0.1, 300, stated)
     machine.within_ceilings()
     machine.spend_steadily(seconds, 100)
     machine.within_ceilings()
@@ -414,19 +425,20 @@
 
 
 DEATHS = [
-    (seconds, tokens, lost)
+    (seconds, tokens, lost, stated)
     for seconds in (1.0, 5.0, 10.0)
     for tokens in (5, 20, 60)
     for lost in (0, 2, 4, 8, 12, 20, 30)
+    for stated in (0, 1, 2)
 ]
 
 
 @pytest.mark.usefixtures("_low_ceilings")
-@pytest.mark.parametrize(("seconds", "tokens", "lost"), DEATHS)
+@pytest.mark.parametrize(("seconds", "tokens", "lost", "stated"), DEATHS)
 def test_a_fleet_that_dies_beside_a_restore_spends_nothing_twice(
-    seconds: float, tokens: int, lost: int
+    seconds: float, tokens: int, lost: int, stated: int
 ) -> None:
-    play_death_of_the_fleet(Fleet, seconds, tokens, lost)
+    play_death_of_the_fleet(Fleet, seconds, tokens, lost, stated)
 
 
 @pytest.mark.usefixtures("_low_ceilings")
