Let timers run while a large answer is read

Cause: a sleep of 0 is a callback, and the event loop runs up to 1,000 of these before its timers; 4 MB of interim answers are fewer reads than that.

Change: the socket sleeps for a millisecond after each 64 kB of an answer.

--- a/godwitrudder/connection/bounded_pool.py
+++ b/godwitrudder/connection/bounded_pool.py
@@ -12,7 +12,7 @@
 import time
 import weakref
 from contextlib import suppress
-from typing import Any
+from typing import Any, Final
 
 import gevent
 from gevent import socket
@@ -21,6 +21,10 @@
 
 from godwitrudder.validation import Address
 
+BYTES_PER_PAUSE: Final = 65_536
+"""Bytes of an answer after which the event loop runs its timers."""
+PAUSE_SECONDS: Final = 0.001
+
 
 class BoundedSocket(socket.socket):  # type: ignore[misc]
     """A connection that limits each answer, or each part of an answer.
@@ -36,11 +40,13 @@
     max_bytes = 0
     max_seconds = math.inf
     _received_bytes = 0
+    _pause_at = BYTES_PER_PAUSE
     _ends_at = math.inf
 
     def restart(self) -> None:
         """Begin to count anew: another part of the answer is complete."""
         self._received_bytes = 0
+        self._pause_at = BYTES_PER_PAUSE
         self._ends_at = time.monotonic() + self.max_seconds
 
     def sendall(self, *args: Any) -> Any:
@@ -50,7 +56,13 @@
 
     def recv(self, *args: Any) -> Any:
         """Receive after a yield, as an endless answer never blocks ``recv``."""
-        gevent.sleep(0)
+        if self._received_bytes < self._pause_at:
+            gevent.sleep(0)
+        else:
+            # The event loop runs up to 1,000 callbacks, of which a sleep of 0 is one,
+            # before it looks at its timers.
+            gevent.sleep(PAUSE_SECONDS)
+            self._pause_at = self._received_bytes + BYTES_PER_PAUSE
         left = self._ends_at - time.monotonic()
         if left <= 0:
             raise TimeoutError(f"no answer within {self.max_seconds} s")
