Split the holdings of a host and the quarantine of parts by job

Change: recovery, bounds that are passed on, limits that others know, stored statements, the size of a statement, evidence of crashes, answered parts and outages have modules of their own, without I/O. What a statement says for a copy of the store is one record, CeilingRecord, without a number that means unknown.

A statement's encoding changes in fields that this change has added.

--- a/godwitrudder/platform/log.py
+++ b/godwitrudder/platform/log.py
@@ -18,7 +18,7 @@
 from godwitrudder.platform.store import Appended, Forgotten, RawPage, Store
 from godwitrudder.validation import Address
 
-# Longest time for an answer, in addition to the wait of a read.
+# Longest time for an answer to a call that does not wait.
 TIMEOUT_SECONDS: Final = 5.0
 # Longest wait for a record of the tasks that follow a stream.
 POLL_SECONDS: Final = 2.0
--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -12,6 +12,8 @@
 
 BYTES_PER_MEGABIT: Final = 125_000.0
 """The settings state the link's rate in Mbit/s."""
+RECORD_BYTES: Final = 262_144
+"""Size of the largest record that a store accepts, where the settings don't say."""
 
 
 class ListenModel(msgspec.Struct):
@@ -25,7 +27,7 @@
     """Address of the store, and the size of a record that it accepts."""
 
     address: str
-    record_bytes: int = 262_144
+    record_bytes: int = RECORD_BYTES
 
 
 class BoundsModel(msgspec.Struct):
@@ -105,7 +107,7 @@
     retry_window_seconds: float
     retry_slack: float
     recovery_seconds: float = 3.0
-    record_bytes: int = 262_144
+    record_bytes: int = RECORD_BYTES
     link_bytes_per_second: float = 0.0
     peers: Address | None = None
     first_start: bool = False
--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -25,6 +25,7 @@
 from godwitrudder.codec import Count, Whole
 from godwitrudder.connection.bounded_pool import BoundedPool, bounded_client
 from godwitrudder.platform import names
+from godwitrudder.request.outage import Outage
 from godwitrudder.validation import Address
 
 TIMEOUT_SECONDS: Final = 1.0
@@ -213,7 +214,7 @@
         self._connections = connections
         self._client = self._new_client(timeout_seconds)
         self._waiting_client: HTTPClient | None = None
-        self._silent = False
+        self._outage = Outage()
 
     def append(
         self, topic: str, record: bytes | None, producer: Producer | None = None
@@ -342,16 +343,16 @@
             answer = Answer(response.status_code, bytes(response.read()), era)
         except Exception as error:  # the client raises many unrelated types
             self.calls[path, "none"] += 1
-            self._silent = self._silent or client is not self._waiting_client
+            if client is not self._waiting_client:
+                self._outage.note_unanswered()
             return Unavailable(f"{type(error).__name__}: {error}")
         self.calls[path, str(answer.status)] += 1
-        if self._silent:
-            self._silent = False
+        if self._outage.note_answered():
             self._end_waiting_reads()
         return answer
 
     def _end_waiting_reads(self) -> None:
-        """End waiting reads without an answer, as a silent store may have lost them."""
+        """End waiting reads without an answer; their callers repeat them."""
         if self._waiting_client is not None:
             pool = self._waiting_client._connection_pool
             assert isinstance(pool, BoundedPool)
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -32,16 +32,11 @@
     Unavailable,
 )
 from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.request.outage import longest_wait
 from godwitrudder.request.placement import Candidate, Directives
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 from godwitrudder.version.cursor import Cursor
 
-MIN_CONFIGURATION_POLL_SECONDS: Final = 0.5
-MAX_CONFIGURATION_POLL_SECONDS: Final = 2.0
-"""Time that a long poll waits for a new version; bounds the detection of a dead
-connection."""
-CATCH_UP_SECONDS: Final = 0.5
-"""Time to repeat a lost read and to apply the configuration that it returns."""
 RUNNERS_POLL_SHARE: Final = 0.25
 """Interval between reads of the runners, as a share of the time in which a leaving
 runner must stop getting requests.  The rest of that time covers a lost read, its retry
@@ -99,11 +94,8 @@
         traffic: Traffic,
     ) -> None:
         self._store = store
-        # A read that the store lost just before the outage ended is repeated after
-        # its wait and its timeout.
-        left = recovery_seconds - TIMEOUT_SECONDS - CATCH_UP_SECONDS
-        self._configuration_poll_seconds = min(
-            MAX_CONFIGURATION_POLL_SECONDS, max(MIN_CONFIGURATION_POLL_SECONDS, left)
+        self._configuration_poll_seconds = longest_wait(
+            recovery_seconds, TIMEOUT_SECONDS
         )
         self._runners_poll_seconds = leave_seconds * RUNNERS_POLL_SHARE
         self._log = log
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -337,7 +337,7 @@
 
         They then need not read it before this host may use them.
         """
-        limits = self._host_holdings.limits_to_notice(statement)
+        limits = self._host_holdings.known_limits.to_notice(statement)
         own = self._host_holdings.host
         notice = LimitNotice(
             own, statement.epoch, statement.era, statement.sent, limits
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -24,8 +24,8 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.reservations import ReservationTask
+from godwitrudder.request.crash_evidence import Crash, new_parts, stated_bytes
 from godwitrudder.request.quarantine import (
-    Crash,
     Quarantine,
     Quarantined,
     Trial,
@@ -36,10 +36,6 @@
 
 TRIAL_POLL_SECONDS: Final = 0.02
 """Interval between checks whether another request's trial has ended."""
-MAX_STATED_BYTES: Final = 131_072
-"""Evidence in the statements of all hosts together; each host reads all of them."""
-MIN_STATED_BYTES: Final = 1_024
-"""Evidence that any host may state."""
 MAX_TRIAL_WAIT_SECONDS: Final = 0.4
 """Longest wait for the outcome of another request's trial."""
 
@@ -65,9 +61,9 @@
         self._reservations = reservations
         self._log = log
         self._read_by_host: dict[str, dict[tuple[str, float], RunnerCrash]] = {}
-        self._changed = False
+        self._crashes_changed = False
         self.on_blamed: Callable[[set[str]], None] = lambda parts: None
-        reservations.before_statement.append(self._state)
+        reservations.before_statement.append(self._prepare_statement)
         reservations.exchange.statement_handlers.append(self._handle_statement)
         if reservations.lending is not None:
             reservations.lending.report_handlers.append(self._handle_report)
@@ -111,7 +107,7 @@
         if cleared:
             self._log.note("part_cleared", parts=cleared)
             self._broadcast(AnswerReport(self._host, fitting_names(cleared), 0.0))
-            self._changed = True
+            self._crashes_changed = True
 
     def record_crash(self, runner: str, parts: Collection[str], age: float) -> None:
         """Record that a runner ended before it had begun to answer a request.
@@ -146,7 +142,7 @@
         if blamed:
             self._log.note("part_blamed", parts=sorted(blamed), runner=crash.runner)
             self.on_blamed(blamed)
-        self._changed = True
+        self._crashes_changed = True
 
     def _handle_report(self, report: Report) -> None:
         now = time.time()
@@ -157,7 +153,7 @@
                 self._answer_suspicion(report)
             case AnswerReport():
                 self._quarantine.record_answer(report.parts, now - report.age)
-                self._changed = True
+                self._crashes_changed = True
             case TrialReport():
                 self._quarantine.begin_trial(report.parts, now)
 
@@ -183,30 +179,22 @@
         read = {(crash.runner, crash.at): crash for crash in statement.crashes}
         self._read_by_host[host] = read
         for key, crash in read.items():
-            parts = crash.sent_at_by_part
-            if key in known:
-                before = known[key].sent_at_by_part
-                parts = {
-                    part: sent_at
-                    for part, sent_at in parts.items()
-                    if before.get(part) != sent_at
-                }
+            parts = new_parts(crash, known.get(key))
             if parts:
                 own = host == self._host
                 self._record_crash(
                     Crash(crash.runner, crash.at, parts, own, by_own_clock=False)
                 )
 
-    def _state(self) -> None:
-        """State the evidence that this host has seen, as much as may be stated."""
-        if not self._changed:
+    def _prepare_statement(self) -> None:
+        """Set the crashes to state, if they have changed."""
+        if not self._crashes_changed:
             return
-        self._changed = False
-        hosts = self._reservations.host_count()
-        max_bytes = max(MIN_STATED_BYTES, MAX_STATED_BYTES // hosts)
+        self._crashes_changed = False
+        max_bytes = stated_bytes(self._reservations.host_count())
         self._reservations.host_holdings.crashes = tuple(
             RunnerCrash(crash.runner, crash.at, crash.sent_at_by_part)
-            for crash in self._quarantine.own_evidence(max_bytes)
+            for crash in self._quarantine.own_crashes(max_bytes)
         )
 
     def _broadcast(self, report: Report) -> None:
--- a/godwitrudder/process/statement_exchange.py
+++ b/godwitrudder/process/statement_exchange.py
@@ -12,12 +12,10 @@
 import math
 import time
 from collections.abc import Callable
-from typing import Any, Final
+from typing import Final
 
 import gevent
-import msgspec
 
-from godwitrudder import codec
 from godwitrudder.platform import names
 from godwitrudder.platform.store import (
     Appended,
@@ -31,19 +29,14 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
-from godwitrudder.request.host_holdings import PASS_ON_SECONDS, HostHoldings
+from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.request.passed_bounds import PASS_ON_SECONDS
+from godwitrudder.request.statement_size import fitted
 from godwitrudder.version.cursor import Cursor
-from godwitrudder.version.statements import Statement, first_epoch
+from godwitrudder.version.statements import CeilingRecord, Statement, first_epoch
 
 RETRY_INTERVAL_SECONDS: Final = 0.4
 """Delay between calls to a store that does not answer; calls are priced."""
-OPTIONAL_FIELDS: Final[tuple[tuple[str, Any], ...]] = (
-    ("crashes", ()),
-    ("limits", ()),
-    ("remembered_by_host", {}),
-    ("bounds_by_host", {}),
-)
-"""Fields that a statement may lack, and their empty values."""
 BOUND_BY_COPY_SECONDS: Final = 5.0
 """Further time in which another host may show the age of the older copy."""
 BOUNDS_WAIT_INTERVALS: Final = 4
@@ -126,15 +119,16 @@
         )
         if statement is None:
             return
-        if statement.raises_by_workspace != self._raises:
-            self._raises = statement.raises_by_workspace
-            self._log.note("ceilings_raised", tokens_by_workspace=self._raises)
-        statement, data = self._fitting(statement)
+        self._note_raises(statement)
+        made = fitted(statement, self._host_holdings.record_bytes)
+        if made.left_out:
+            self._log.note("statement_cut", fields=made.left_out)
+        statement = made.statement
         self._host_holdings.statement_sent(statement)
         self._sequence += 1
         if self._lending is not None:
             self._lending.notice_limits(statement)
-        end = self._append_until_stored(data)
+        end = self._append_until_stored(made.data)
         if end is not None:
             self.answered_at = self.now()
             self._host_holdings.statement_stored(statement, end)
@@ -208,7 +202,9 @@
             self._host_holdings.begin_era(page.era, self.now())
             self._fence()
         self._newest_read_at = self.now()
-        self._host_holdings.note_era_end(page.next)
+        self._host_holdings.stored_statements.note_read(
+            self._host_holdings.statements.era, page.next
+        )
         self._apply_page(page)
 
     def _apply_record(self, record: KeyedRecord) -> None:
@@ -222,20 +218,12 @@
         for handle in self.statement_handlers:
             handle(record.key, statement)
 
-    def _fitting(self, statement: Statement) -> tuple[Statement, bytes]:
-        """Return a statement that the store accepts, and its encoding.
-
-        If it is too large, what does not concern the own budgets is left out.  Hosts
-        that miss a bound of another host count more for that host.
-        """
-        data = codec.encode(statement)
-        for field, empty in OPTIONAL_FIELDS:
-            if len(data) <= self._host_holdings.record_bytes:
-                break
-            self._log.note("statement_cut", field=field, bytes=len(data))
-            statement = msgspec.structs.replace(statement, **{field: empty})
-            data = codec.encode(statement)
-        return statement, data
+    def _note_raises(self, statement: Statement) -> None:
+        """Log the ceilings that a statement raises, if they have changed."""
+        raises = (statement.ceilings or CeilingRecord()).raises_by_workspace
+        if raises != self._raises:
+            self._raises = raises
+            self._log.note("ceilings_raised", tokens_by_workspace=raises)
 
     def _append_until_stored(self, data: bytes) -> int | None:
         """Retry a statement until it is stored; return the offset after it.
--- a/godwitrudder/request/ceiling.py
+++ b/godwitrudder/request/ceiling.py
@@ -12,7 +12,11 @@
 from dataclasses import dataclass, field
 from typing import Final
 
-from godwitrudder.version.statements import UNBOUNDED_TOKENS, Statement
+from godwitrudder.version.statements import (
+    UNBOUNDED_TOKENS,
+    CeilingRecord,
+    Statement,
+)
 
 CEILING_SECONDS: Final = 20.0
 """Time that a raise is known before it is in force, and the greatest age of a copy from
@@ -64,7 +68,7 @@
     _read_began_at: float = -math.inf
     _since_era: int = 0
 
-    def raised(self, workspace: str) -> int | None:
+    def raised_ceiling(self, workspace: str) -> int | None:
         """Return the ceiling in force, None while the floor holds."""
         return self._in_force.get(workspace)
 
@@ -72,7 +76,7 @@
         """Return the tokens that all hosts together may be granted now."""
         if prepaid >= UNBOUNDED_TOKENS:
             return prepaid
-        raised = self.raised(workspace)
+        raised = self.raised_ceiling(workspace)
         return min(prepaid, floor(prepaid, lost) if raised is None else raised)
 
     def read(self, statement: Statement, now: float) -> None:
@@ -84,7 +88,8 @@
         for workspace, row in statement.rows_by_workspace.items():
             if row.raised and row.ceiling > known.get(workspace, 0):
                 known[workspace] = row.ceiling
-        for workspace, tokens in statement.raises_by_workspace.items():
+        record = statement.ceilings or CeilingRecord()
+        for workspace, tokens in record.raises_by_workspace.items():
             raises = self._raises.setdefault(workspace, [])
             highest = raises[-1].tokens if raises else 0
             if tokens > max(highest, known.get(workspace, 0)):
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import math
-from collections import deque
 from collections.abc import Mapping
 from typing import Final
 
@@ -21,17 +20,25 @@
     interval_seconds,
 )
 from godwitrudder.request.holding_records import (
-    Announcement,
     BudgetRemainder,
     RecoveryResult,
     raises_allowance,
     row_due,
 )
+from godwitrudder.request.known_limits import KnownLimits
 from godwitrudder.request.older_copy import is_young, lost_tokens
+from godwitrudder.request.passed_bounds import PassedBounds
+from godwitrudder.request.recovery import (
+    former_bounds,
+    former_statement_at_risk,
+    needs_bound,
+)
+from godwitrudder.request.stored_statements import StoredStatements
 from godwitrudder.version.statement_table import StatementTable
 from godwitrudder.version.statements import (
     ACTIVE_SECONDS,
     UNBOUNDED_TOKENS,
+    CeilingRecord,
     LostTokens,
     NamedLimit,
     RememberedRows,
@@ -39,22 +46,12 @@
     RunnerCrash,
     Statement,
     max_spent,
-    same_boot,
 )
 
 IDLE_STATEMENT_SECONDS: Final = ACTIVE_SECONDS / 3
 """Longest time between statements; a host that states nothing counts as inactive."""
 RECORD_BYTES: Final = 262_144
 """Size of a statement that every store accepts."""
-PASSED_SHARE: Final = 0.5
-"""Share of a statement's size for bounds of other hosts."""
-LATE_APPENDS: Final = 1
-"""Appends per host that reach the store after it was restored, though sent before."""
-NO_OFFSET: Final = 2**62
-"""Above all offsets: of a statement that the store has not confirmed."""
-PASS_ON_SECONDS: Final = 1.0
-"""Time in which hosts that are alive state again in a new era.  After it their peers
-pass on the bounds of those that have not."""
 
 
 class HostHoldings:
@@ -83,8 +80,10 @@
         Rate limits to state beside them.
     ceilings : Ceilings
         What all hosts together may be granted.
-    era_end : int
-        See ``Statement.era_end``.
+    stored_statements : StoredStatements
+        What the store has confirmed in this era.
+    known_limits : KnownLimits
+        What the other hosts know.
     fence : int
         Highest epoch that this process has used as a producer.
     first_start : bool
@@ -116,21 +115,14 @@
         self._read_to = 0
         self._sent_at = -math.inf
         self._confirmed_at = -math.inf
-        self._era_began_at = -math.inf
         self._stated_in_era = False
-        self._bounds_passed = False
-        self._passed_hosts: set[str] = set()
         self._witness_due = False
-        self._announcement: Announcement | None = None
         self._remembered: RememberedRows | None = None
-        self._newest: Statement | None = None
-        self._newest_end = NO_OFFSET
-        self._noticed_by: set[str] = set()
-        self.ceilings = Ceilings()
-        self.era_end = 0
-        self._end_era: int | None = None
         self._stated_raises: dict[str, int] = {}
-        self._stored: deque[tuple[float, int]] = deque()
+        self._passed_bounds = PassedBounds(host)
+        self.known_limits = KnownLimits(host, self.holding)
+        self.ceilings = Ceilings()
+        self.stored_statements = StoredStatements()
 
     def configure(self, prepaid_by_workspace: Mapping[str, int | None]) -> None:
         """Set the prepaid amounts in force; None means no limit."""
@@ -150,12 +142,6 @@
         self.statements.begin_read(now, newest_only)
         self.ceilings.begin_read(now)
 
-    def note_era_end(self, end: int) -> None:
-        """Note the end of the records that were read; the first in an era counts."""
-        if self._end_era != self.statements.era:
-            self._end_era = self.statements.era
-            self.era_end = end
-
     def record_demand(self, workspace: str, tokens: int, now: float) -> None:
         """Record the tokens that a request asks for."""
         if self._first_request_at is None:
@@ -197,14 +183,12 @@
         self.statements.begin_era(era, now, trusted)
         self.ceilings.begin_era()
         self._stated_raises = {}
-        self._stored.clear()
+        self.stored_statements.begin_era()
+        self._passed_bounds.begin_era(now)
+        self.known_limits.begin_era()
         self._stored_end_offset = 0
         self._read_to = 0
-        self._era_began_at = now
         self._stated_in_era = False
-        self._bounds_passed = False
-        self._passed_hosts = set()
-        self._announcement = None
         self._remembered = None
 
     @property
@@ -214,31 +198,12 @@
 
     @property
     def needs_bound(self) -> bool:
-        """Whether another host must tell what the former incarnation may have spent.
-
-        While the store has statements of hosts that nobody has bounded, or none at all
-        after a restore, one of those hosts may remember this one.
-        """
-        table = self.statements
-        if self.host in table.bounds_by_host:
-            return table.bounds_by_host[self.host] is None
-        empty = not (table.statements_by_host or table.bounds_by_host)
-        if empty:
-            return table.era > 0 and not self.first_start
-        return None in table.bounds_by_host.values()
+        """Whether another host must tell what the former incarnation may have spent."""
+        return needs_bound(self.statements, self.host, self.first_start)
 
     def former_statement_at_risk(self, now: float, booted: float) -> Statement | None:
-        """Return the statement of the machine's former boot if a limit exceeds its cap.
-
-        Tokens between cap and limit become spendable as the statement ages. After a
-        reboot the clock does not tell how many of them had become spendable. None if
-        the machine has not rebooted or no limit exceeds its cap.
-        """
-        former = self.statements.statements_by_host.get(self.host)
-        if former is None or same_boot(former, now, booted):
-            return None
-        rows = former.rows_by_workspace.values()
-        return former if any(row.limit > row.cap for row in rows) else None
+        """Return the former boot's statement if a limit exceeds its cap; see there."""
+        return former_statement_at_risk(self.statements, self.host, now, booted)
 
     def recover(
         self,
@@ -274,7 +239,13 @@
             if row.demand:
                 self.holding(workspace).demand.expect(row.demand, now)
         if self.former_is_lost:
-            bounds = self._former_bounds(min(now, started), booted)
+            bounds = former_bounds(
+                self.statements.bounds_by_host.get(self.host),
+                self._remembered,
+                self._prepaid,
+                min(now, started),
+                booted,
+            )
             for workspace, tokens in bounds.items():
                 self.holding(workspace).take_over(tokens, 0, now)
             return RecoveryResult(held, sum(bounds.values()), former, lost=True)
@@ -313,38 +284,12 @@
 
     def _copy_is_young(self, answered_at: float, booted: float) -> bool:
         table = self.statements
-        return is_young(table, self.host, self.era_end, answered_at, booted)
+        era_end = self.stored_statements.era_end
+        return is_young(table, self.host, era_end, answered_at, booted)
 
     def _lost_tokens(self) -> dict[str, int]:
         return lost_tokens(self.statements, self._prepaid)
 
-    def _former_bounds(self, ended: float, booted: float) -> dict[str, int]:
-        """Return the most that the former incarnation can have spent, by workspace.
-
-        Without a bound from another host that is the whole prepaid amount.
-
-        Parameters
-        ----------
-        ended : float
-            Time by which it had ended, in seconds.
-        """
-        bounds = self.statements.bounds_by_host.get(self.host)
-        if bounds is None:
-            return {
-                name: prepaid
-                for name, prepaid in self._prepaid.items()
-                if prepaid is not None
-            }
-        known = self._remembered
-        if known is None or not same_boot(known, ended, booted):
-            return bounds
-        rows = known.rows_by_workspace
-        return {
-            name: min(bound, rows[name].max_later_grant(ended - known.sent))
-            for name, bound in bounds.items()
-            if name in rows
-        }
-
     def remainder(self, workspace: str) -> BudgetRemainder:
         """Return what is left of a workspace's prepaid tokens."""
         others = self.statements.totals_excluding(self.host, workspace)
@@ -379,9 +324,11 @@
         """Return the statement to send now, None if none is due."""
         rows: dict[str, Row] = {}
         table = self.statements
-        all_bounds = self._bounds_to_pass_on(now)
-        due = self._statement_due(now, bool(all_bounds))
-        bounds_by_host, remembered_by_host = self._fitting(all_bounds)
+        pending = self._passed_bounds.pending(table, now)
+        due = self._statement_due(now) or self._passed_bounds.is_due(pending)
+        bounds_by_host, remembered_by_host = self._passed_bounds.fitting(
+            pending, table, self.record_bytes
+        )
         refresh_seconds = self.interval_seconds * REFRESH_INTERVALS
         for workspace in dict.fromkeys([*self._prepaid, *self.holdings]):
             if self._prepaid.get(workspace, 0) is None:
@@ -389,7 +336,7 @@
             holding = self.holding(workspace)
             prepaid = self.prepaid(workspace)
             holding.announce_allowance(prepaid / max(1, table.hosts), now)
-            raised = self.ceilings.raised(workspace)
+            raised = self.ceilings.raised_ceiling(workspace)
             ceiling = floor(prepaid, table.lost_tokens(workspace))
             row = holding.with_bounds(
                 self._row(workspace, holding, now),
@@ -419,10 +366,12 @@
             bounds_by_host,
             remembered_by_host,
             self.stopping,
-            dict(self.ceilings.own_raises),
-            self._read_sent(),
             table.lost,
-            self.era_end,
+            CeilingRecord(
+                dict(self.ceilings.own_raises),
+                self.stored_statements.read_sent(self._read_to, table.hosts),
+                self.stored_statements.era_end,
+            ),
         )
 
     def _plan_ceiling(self, workspace: str, row: Row) -> None:
@@ -438,66 +387,16 @@
             others.demand + row.demand,
         )
 
-    def _read_sent(self) -> float:
-        """Return ``Statement.read_sent`` of the statement to send now."""
-        below = self._read_to - LATE_APPENDS * max(1, self.statements.hosts)
-        while len(self._stored) > 1 and self._stored[1][1] <= below:
-            self._stored.popleft()
-        if self._stored and self._stored[0][1] <= below:
-            return self._stored[0][0]
-        return -1.0
-
-    def _statement_due(self, now: float, passes_bounds: bool) -> bool:
+    def _statement_due(self, now: float) -> bool:
         """Return whether a statement is due, whatever its rows say."""
         return (
             not self._stated_in_era
             or self._witness_due
-            or (passes_bounds and not self._bounds_passed)
             or now - self._sent_at > IDLE_STATEMENT_SECONDS
             or any(crash not in self._stated_crashes for crash in self.crashes)
             or any(limit.runner not in self._stated_runners for limit in self.limits)
         )
 
-    def _bounds_to_pass_on(self, now: float) -> dict[str, dict[str, int] | None]:
-        """Return the bounds of hosts that have not stated in this era.
-
-        Hosts that the store still lists get some time to state again.
-        """
-        table = self.statements
-        waited = now - self._era_began_at >= PASS_ON_SECONDS
-        return {
-            host: bounds
-            for host, bounds in table.bounds_by_host.items()
-            if host != self.host
-            and (host not in table.listed_hosts or (waited and bounds is not None))
-        }
-
-    def _fitting(
-        self, bounds_by_host: dict[str, dict[str, int] | None]
-    ) -> tuple[dict[str, dict[str, int] | None], dict[str, RememberedRows]]:
-        """Return the bounds that fit into a statement, and what they follow from.
-
-        The others are passed on in the next statements.
-        """
-        table = self.statements
-        if self._passed_hosts.issuperset(bounds_by_host):
-            self._passed_hosts.clear()
-        fitting: dict[str, dict[str, int] | None] = {}
-        remembered_by_host: dict[str, RememberedRows] = {}
-        left = self.record_bytes * PASSED_SHARE
-        for host in sorted(bounds_by_host, key=self._passed_hosts.__contains__):
-            bounds = bounds_by_host[host]
-            rows = None
-            if bounds is not None and host in table.statements_by_host:
-                rows = table.remembered(host)
-            left -= len(host) + len(codec.encode([bounds, rows]))
-            if left < 0 and fitting:
-                break
-            fitting[host] = bounds
-            if rows is not None:
-                remembered_by_host[host] = rows
-        return fitting, remembered_by_host
-
     def statement_sent(self, statement: Statement) -> None:
         """Record that a statement is about to be sent; call this before sending.
 
@@ -505,37 +404,25 @@
         read back.
         """
         self._sent_at = statement.sent
-        self._stated_raises = statement.raises_by_workspace
         self._witness_due = False
-        self._passed_hosts.update(statement.bounds_by_host)
-        self._bounds_passed = bool(statement.bounds_by_host) and (
-            self._bounds_passed
-            or self._passed_hosts.issuperset(self._bounds_to_pass_on(statement.sent))
-        )
+        if statement.ceilings is not None:
+            self._stated_raises = statement.ceilings.raises_by_workspace
+        self._passed_bounds.statement_sent(statement, self.statements)
+        self.known_limits.statement_sent(statement)
         self._stated_crashes = statement.crashes
         self._stated_runners = frozenset(each.runner for each in statement.limits)
-        announced = self._announcement
-        self._noticed_by = set()
-        self._newest = statement
-        self._newest_end = NO_OFFSET
         for workspace, row in statement.rows_by_workspace.items():
-            holding = self.holding(workspace)
-            holding.statement_sent(row, statement.sent)
-            if announced is not None:
-                announced.lower(workspace, row.limit)
+            self.holding(workspace).statement_sent(row, statement.sent)
 
     def statement_stored(self, statement: Statement, end: int) -> None:
         """Record that the store has confirmed a statement, with its end offset."""
-        self._stored_end_offset = self._newest_end = end
+        self._stored_end_offset = end
         self._stated_in_era = True
         self._confirmed_at = statement.sent
-        self._stored.append((statement.sent, end))
+        self.stored_statements.add(statement.sent, end)
+        self.known_limits.statement_stored(statement, end)
         for workspace in statement.rows_by_workspace:
             self.holding(workspace).statement_stored()
-        if self._announcement is None:
-            rows = statement.rows_by_workspace
-            limits = {workspace: row.limit for workspace, row in rows.items()}
-            self._announcement = Announcement(end, rows, limits)
 
     def apply_read(self, offset: int, now: float) -> bool:
         """Update the grants after a read of all records before an offset.
@@ -547,8 +434,7 @@
         self.ceilings.end_read()
         if not self._stated_in_era or offset < self._stored_end_offset:
             return False
-        self._apply_announcement(now)
-        self._apply_noticed()
+        self.known_limits.apply_read(self.statements, now)
         self._update_grants(now)
         return True
 
@@ -557,49 +443,12 @@
             others = self.statements.totals_excluding(self.host, workspace)
             holding.update_grant(self.ceiling(workspace), others, now)
 
-    def _apply_announcement(self, now: float) -> None:
-        """Put in force what all active hosts have read: allowances and limits."""
-        announced = self._announcement
-        if announced is None:
-            return
-        if not self.statements.read_by_active_hosts(self.host, announced.end):
-            return
-        self._announcement = None
-        for workspace, row in announced.rows_by_workspace.items():
-            holding = self.holding(workspace)
-            holding.use_allowance(row.allowance, now)
-            limit = announced.limits[workspace]
-            holding.known_limit = max(holding.known_limit, limit)
-
-    def _apply_noticed(self) -> None:
-        """Note the newest limits as known if all active hosts have confirmed them."""
-        newest, table = self._newest, self.statements
-        if newest is None or newest.era != table.era:
-            return
-        if not table.read_by_active_hosts(
-            self.host, self._newest_end, self._noticed_by
-        ):
-            return
-        for workspace, row in newest.rows_by_workspace.items():
-            holding = self.holding(workspace)
-            holding.known_limit = max(holding.known_limit, row.limit)
-
-    def limits_to_notice(self, statement: Statement) -> dict[str, int]:
-        """Return the limits of a statement that other hosts are not known to know."""
-        return {
-            workspace: row.limit
-            for workspace, row in statement.rows_by_workspace.items()
-            if row.limit > self.holding(workspace).known_limit
-        }
-
     def record_noticed(self, host: str, sent: float, now: float) -> None:
         """Note that a host has confirmed the limits of the newest statement."""
-        newest = self._newest
-        if newest is None or newest.sent != sent:
+        if not self.known_limits.record_noticed(host, sent):
             return
-        self._noticed_by.add(host)
         if self._stated_in_era and self._read_to >= self._stored_end_offset:
-            self._apply_noticed()
+            self.known_limits.apply_noticed(self.statements)
             self._update_grants(now)
 
     def all_tokens_returned(self) -> bool:
--- a/godwitrudder/request/older_copy.py
+++ b/godwitrudder/request/older_copy.py
@@ -13,6 +13,7 @@
 from godwitrudder.version.statement_table import StatementTable
 from godwitrudder.version.statements import (
     UNBOUNDED_TOKENS,
+    CeilingRecord,
     Statement,
     same_boot,
 )
@@ -28,7 +29,7 @@
     host : str
         This host, which has stated something in the former era.
     era_end : int
-        See ``Statement.era_end``.
+        See ``CeilingRecord.era_end``.
     answered_at : float
         Time at which the store first answered this process in this era, in seconds.
     booted : float
@@ -37,17 +38,19 @@
     former = table.statements_by_host.get(host)
     if former is None or former.era != table.era - 1:
         return False
-    if former.read_sent is None or former.read_sent < 0:
+    if former.ceilings is None or former.ceilings.read_sent is None:
         return False
-    statements = table.statements_by_host.values()
-    # Hosts that stated in this era and died have lengthened the log since.
-    ends = [each.era_end for each in statements if each.era == table.era]
+    ends = [era_end]
+    for statement in table.statements_by_host.values():
+        if statement.ceilings is None or statement.era < table.era - 1:
+            return False
+        if statement.era == table.era:
+            # Its host has died since, but has lengthened the log.
+            ends.append(statement.ceilings.era_end)
     return (
-        all(each.era >= table.era - 1 for each in statements)
-        and all(each.read_sent is not None for each in statements)
-        and same_boot(former, answered_at, booted)
-        and former.read_to <= min([era_end, *ends])
-        and answered_at - former.read_sent <= CEILING_SECONDS
+        same_boot(former, answered_at, booted)
+        and former.read_to <= min(ends)
+        and answered_at - former.ceilings.read_sent <= CEILING_SECONDS
     )
 
 
@@ -87,7 +90,8 @@
     raises, others = [0], [floor(prepaid, table.lost_tokens(workspace))]
     raised: list[int] = []
     for statement in statements:
-        raises.append(statement.raises_by_workspace.get(workspace, 0))
+        record = statement.ceilings or CeilingRecord()
+        raises.append(record.raises_by_workspace.get(workspace, 0))
         row = statement.rows_by_workspace.get(workspace)
         if row is not None:
             counts = row.raised and _knows_loss(table, statement)
--- a/godwitrudder/version/statements.py
+++ b/godwitrudder/version/statements.py
@@ -171,6 +171,26 @@
     tokens_by_workspace: dict[str, int]
 
 
+class CeilingRecord(msgspec.Struct, frozen=True, array_like=True):
+    """What bounds the fleet's grants by a copy of the store that has this statement.
+
+    Attributes
+    ----------
+    raises_by_workspace : dict
+        Higher ceilings that will be in force later.
+    read_sent : float or None
+        Send time of an earlier statement of this process that lies far enough below
+        ``Statement.read_to`` to be in each copy that has as many records; None if there
+        is none.
+    era_end : int
+        End of the records at the process's first read in that era.
+    """
+
+    raises_by_workspace: dict[str, int] = {}
+    read_sent: float | None = None
+    era_end: int = 0
+
+
 class Statement(msgspec.Struct, frozen=True, array_like=True):
     """The record of one host.
 
@@ -204,16 +224,10 @@
         machine knows how old such a statement was when the former process ended.
     stopping : bool
         Whether the process is stopping; others then don't wait for it to read anything.
-    raises_by_workspace : dict
-        Higher ceilings that will be in force later.
-    read_sent : float or None
-        Send time of an earlier statement of this process that lies far enough below
-        ``read_to`` to be in each copy that has as many records; negative if unknown.
-        None from a process that keeps no ceilings.
     lost : LostTokens or None
         None if nothing is known to be lost.
-    era_end : int
-        End of the records at the process's first read in that era.
+    ceilings : CeilingRecord or None
+        None from a process that keeps no ceilings.
     """
 
     epoch: int
@@ -230,10 +244,8 @@
     bounds_by_host: dict[str, dict[str, int] | None] = {}
     remembered_by_host: dict[str, RememberedRows] = {}
     stopping: bool = False
-    raises_by_workspace: dict[str, int] = {}
-    read_sent: float | None = None
     lost: LostTokens | None = None
-    era_end: int = 0
+    ceilings: CeilingRecord | None = None
 
 
 ALLOWANCE_SECONDS: Final = 3.0
--- a/tests/ledger_model.py
+++ b/tests/ledger_model.py
@@ -8,8 +8,9 @@
 from godwitrudder import codec
 from godwitrudder.connection.loans import Ask, Loan
 from godwitrudder.request.holding import Policy
-from godwitrudder.request.host_holdings import PASS_ON_SECONDS, HostHoldings
+from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import Lending
+from godwitrudder.request.passed_bounds import PASS_ON_SECONDS
 from godwitrudder.version.statements import Statement, first_epoch
 
 WORKSPACE = "w"
@@ -353,7 +354,7 @@
     def notice_limits(self, host: str, statement: Statement) -> None:
         """Tell the other hosts the statement's higher limits; they confirm them."""
         holdings = self.processes[host].host_holdings
-        limits = holdings.limits_to_notice(statement)
+        limits = holdings.known_limits.to_notice(statement)
         for name, process in self.processes.items():
             if name != host and process.host_holdings.statements.notice(
                 host, statement.epoch, statement.era, statement.sent, limits
@@ -390,5 +391,6 @@
             process.host_holdings.apply_statement(name, data, self.clock(host))
         process.host_holdings.statements.end_read()
         process.offset = len(self.store.records)
-        process.host_holdings.note_era_end(process.offset)
+        holdings = process.host_holdings
+        holdings.stored_statements.note_read(holdings.statements.era, process.offset)
         process.host_holdings.apply_read(process.offset, self.clock(host))
--- a/tests/test_crash_evidence.py
+++ b/tests/test_crash_evidence.py
@@ -9,15 +9,11 @@
 
 from godwitrudder import codec
 from godwitrudder.process.quarantine import FleetQuarantine
+from godwitrudder.request.crash_evidence import MAX_SUSPECT_PARTS, Crash
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.host_holdings import HostHoldings
-from godwitrudder.request.quarantine import (
-    MAX_SUSPECT_PARTS,
-    Crash,
-    Free,
-    Quarantine,
-    Quarantined,
-)
+from godwitrudder.request.quarantine import Free, Quarantine, Quarantined
+from godwitrudder.request.statement_size import fitted
 from godwitrudder.version.statements import Row, RunnerCrash, Statement
 from tests.entry_setup import good, run_entry
 
@@ -82,7 +78,7 @@
     quarantine = Quarantine()
     for number in range(2):
         quarantine.record_crash(crash(number), 1000.0 + 2 * number)
-    for known in quarantine.own_crashes():
+    for known in quarantine._evidence.crashes:
         known.sent_at_by_part = Untouched(known.sent_at_by_part)
     assert quarantine.admit(["sound"], 1003.0) == Free()
     assert isinstance(quarantine.admit(["deadly"], 1003.0), Quarantined)
@@ -144,10 +140,12 @@
 
 def test_a_statement_leaves_out_anything_but_its_rows_to_fit_into_a_record() -> None:
     """A record that the store refuses would be appended for ever."""
-    with run_entry(good) as setup:
-        exchange = setup.entry.reservations.exchange
-        made = statement([crash(number) for number in range(CRASHES)])
-        fitting, data = exchange._fitting(made)
-        limit = setup.entry.reservations.host_holdings.record_bytes
-        assert len(data) <= limit < len(codec.encode(made))
-        assert fitting.rows_by_workspace == made.rows_by_workspace
+    made = statement([crash(number) for number in range(CRASHES)])
+    limit = HostHoldings("h0", Policy()).record_bytes
+    assert len(codec.encode(made)) > limit
+    fitting = fitted(made, limit)
+    assert len(fitting.data) <= limit
+    assert fitting.left_out == ("crashes",)
+    assert fitting.data == codec.encode(fitting.statement)
+    assert fitting.statement.rows_by_workspace == made.rows_by_workspace
+    assert fitted(fitting.statement, limit).left_out == ()
--- a/tests/test_fleet_without_memory.py
+++ b/tests/test_fleet_without_memory.py
@@ -9,8 +9,9 @@
 from godwitrudder import codec
 from godwitrudder.request.ceiling import CEILING_SECONDS, Ceilings, floor
 from godwitrudder.request.holding import Policy
-from godwitrudder.request.host_holdings import LATE_APPENDS, HostHoldings
-from godwitrudder.version.statements import Row, Statement
+from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.request.stored_statements import LATE_APPENDS
+from godwitrudder.version.statements import CeilingRecord, Row, Statement
 
 PREPAID = 100_000_000
 LIMITS = {"h0": 1_000_000, "h1": 2_000_000, "h2": 0}
@@ -21,7 +22,11 @@
     """Return a statement of era 0, as it stands in the copy."""
     raised = ceiling != floor(PREPAID)
     row = Row(limit, limit, ceiling=ceiling, raised=raised)
-    fields: dict[str, Any] = {"read_to": READ_TO, "read_sent": 98.0, **more}
+    fields: dict[str, Any] = {
+        "read_to": READ_TO,
+        "ceilings": CeilingRecord(read_sent=98.0),
+        **more,
+    }
     return Statement(1, 100.0, 0.0, {"w": row}, **fields)
 
 
@@ -37,7 +42,7 @@
     holdings.statements.era = 1
     for name, limit in LIMITS.items():
         put(holdings, name, copied(limit, ceiling, **more))
-    holdings.note_era_end(READ_TO)
+    holdings.stored_statements.note_read(1, READ_TO)
     assert holdings.needs_bound
     return holdings
 
@@ -60,8 +65,8 @@
 
 def test_a_raised_ceiling_counts_as_spent() -> None:
     """BUDGET: what is found again must not have been spent."""
-    raises = {"w": 60_000_000}
-    holdings = started("h0", ceiling=50_000_000, raises_by_workspace=raises)
+    record = CeilingRecord({"w": 60_000_000}, read_sent=98.0)
+    holdings = started("h0", ceiling=50_000_000, ceilings=record)
     assert holdings.bound_by_ceilings(110.0, 0.0)
     assert counted(holdings) + LIMITS["h0"] == 60_000_000
 
@@ -72,9 +77,9 @@
         (98.0 + CEILING_SECONDS + 0.1, READ_TO, 0.0, {}),
         (110.0, READ_TO - 1, 0.0, {}),
         (110.0, READ_TO, 5.0, {}),
-        (110.0, READ_TO, 0.0, {"read_sent": -1.0}),
+        (110.0, READ_TO, 0.0, {"ceilings": CeilingRecord()}),
         (110.0, READ_TO, 0.0, {"era": -1}),
-        (110.0, READ_TO, 0.0, {"read_sent": None}),
+        (110.0, READ_TO, 0.0, {"ceilings": None}),
     ],
     ids=[
         "old",
@@ -90,7 +95,7 @@
 ) -> None:
     """BUDGET: the copy may lack a ceiling that was in force."""
     holdings = started("h0", **more)
-    holdings.era_end = end
+    holdings.stored_statements.era_end = end
     assert not holdings.bound_by_ceilings(answered_at, booted)
     holdings.recover(111.0, booted)
     assert holdings.holding("w").spent == PREPAID
@@ -133,7 +138,9 @@
     BUDGET: what it has appended makes the log no proof of the copy's age.
     """
     holdings = started("h0")
-    again = copied(5_000_000, 70_000_000, era=1, era_end=era_end)
+    again = copied(
+        5_000_000, 70_000_000, era=1, ceilings=CeilingRecord(era_end=era_end)
+    )
     put(holdings, "h1", again)
     assert holdings.bound_by_ceilings(110.0, 0.0) is bounded
     if bounded:
@@ -144,12 +151,13 @@
 def test_a_statement_names_an_earlier_one_below_those_that_may_come_late() -> None:
     holdings = HostHoldings("h0", Policy())
     holdings.configure({"w": PREPAID})
-    named = []
+    named: list[float | None] = []
     for number in range(6):
         now = 10.0 + number
         statement = holdings.statement(now, 0.0, 1)
         assert statement is not None
-        named.append(statement.read_sent)
+        assert statement.ceilings is not None
+        named.append(statement.ceilings.read_sent)
         holdings.statement_sent(statement)
         holdings.begin_read(now)
         holdings.apply_statement("h0", codec.encode(statement), now)
@@ -157,14 +165,14 @@
         holdings.apply_read(number + 1, now)
         holdings.record_demand("w", 1000 + 900 * number, now)
     assert LATE_APPENDS == 1
-    assert named == [-1.0, -1.0, 10.0, 11.0, 12.0, 13.0]
+    assert named == [None, None, 10.0, 11.0, 12.0, 13.0]
 
 
 def test_a_raise_is_in_force_for_reads_that_begin_long_after_it_was_read() -> None:
     ceilings = Ceilings()
     assert ceilings.in_force("w", PREPAID) == floor(PREPAID)
-    raises = {"w": 40_000}
-    ceilings.read(copied(0, floor(PREPAID), raises_by_workspace=raises), 10.0)
+    raises = CeilingRecord({"w": 40_000})
+    ceilings.read(copied(0, floor(PREPAID), ceilings=raises), 10.0)
     ceilings.begin_read(10.0 + CEILING_SECONDS - 0.1)
     ceilings.end_read()
     assert ceilings.in_force("w", PREPAID) == floor(PREPAID)
@@ -177,8 +185,8 @@
 
 def test_a_raise_that_the_store_may_have_lost_never_comes_into_force() -> None:
     ceilings = Ceilings()
-    raises = {"w": 40_000}
-    ceilings.read(copied(0, floor(PREPAID), raises_by_workspace=raises), 10.0)
+    raises = CeilingRecord({"w": 40_000})
+    ceilings.read(copied(0, floor(PREPAID), ceilings=raises), 10.0)
     ceilings.begin_era()
     ceilings.begin_read(100.0)
     ceilings.end_read()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
+from godwitrudder.request.answered_parts import ANSWER_TRUST_SECONDS
+from godwitrudder.request.crash_evidence import MAX_CRASHES, Crash
 from godwitrudder.request.quarantine import (
-    ANSWER_TRUST_SECONDS,
-    MAX_CRASHES,
     MAX_QUARANTINE_SECONDS,
     QUARANTINE_SECONDS,
     TRIAL_SECONDS,
-    Crash,
     Free,
     Quarantine,
     Quarantined,
