--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -14,13 +14,15 @@
 from gevent.server import StreamServer
 
 from bench.loopback import IP
+from godwitrudder import codec
 from godwitrudder.clock import HybridClock, SystemClock
 from godwitrudder.connection import probe
 from godwitrudder.connection.link import Handlers
 from godwitrudder.connection.peer import PeerLinks, PeerServer
 from godwitrudder.connection.runner import Broken, LinkTimeouts, RunnerLinks
+from godwitrudder.platform import hosts
 from godwitrudder.platform.hosts import HttpHostList
-from godwitrudder.platform.store import Store
+from godwitrudder.platform.store import Store, Unavailable
 from godwitrudder.platform.weights import HttpWeightStore
 from godwitrudder.process.metrics import Metrics
 from godwitrudder.request.answer import Prompt
@@ -168,6 +170,9 @@
     return probe.load(address)
 
 
+FAILURES = (codec.Malformed, Unavailable, probe.PollFailed)
+
+
 @pytest.mark.parametrize("ask", [fetch_hosts, fetch_weights, read_store, read_load])
 @pytest.mark.parametrize("what", ENDLESS)
 def test_a_platform_service_that_sends_without_end_is_given_up(
@@ -175,10 +180,20 @@
 ) -> None:
     with Sender(ENDLESS[what]) as sender:
         with others_run():
-            ask(sender.address)
+            assert isinstance(ask(sender.address), FAILURES)
         assert sender.taken < MAX_TAKEN_BYTES
 
 
+@pytest.mark.parametrize("ask", [fetch_hosts, fetch_weights, read_load])
+def test_a_platform_service_that_sends_byte_by_byte_is_given_up(
+    ask: Callable[[Address], object],
+) -> None:
+    with Sender(ENDLESS["body"], pause=0.1) as sender:
+        began = time.monotonic()
+        assert isinstance(ask(sender.address), FAILURES)
+        assert time.monotonic() - began < 2 * hosts.TIMEOUT_SECONDS
+
+
 def handlers() -> Handlers:
     return Handlers(HybridClock(SystemClock()), Metrics())
 
