--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -23,8 +23,9 @@
 
 HOLDING: Final = "godwitrudder/request/holding.py"
 LENDING: Final = "godwitrudder/request/lending.py"
-PLACEMENT: Final = "godwitrudder/request/placement.py"
-SENDER: Final = "godwitrudder/process/sender.py"
+CANDIDATE: Final = "godwitrudder/request/placing/candidate.py"
+PLACEMENT: Final = "godwitrudder/request/placing/placement.py"
+SENDER: Final = "godwitrudder/process/forwarding/sender.py"
 
 EDITS_BY_MECHANISM: Final[dict[str, tuple[Edit, ...]]] = {
     "loans-on-demand": (
@@ -104,14 +105,14 @@
     ),
     "others-reports": (
         Edit(
-            PLACEMENT,
+            CANDIDATE,
             "self.others = max(0.0, running + waiting - self.in_flight)",
             "self.others = 0.0 * running",
         ),
     ),
     "ejection": (
         Edit(
-            PLACEMENT,
+            CANDIDATE,
             "self.ejected_until = now + seconds",
             "self.ejections += seconds < 0",
         ),
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -21,7 +21,7 @@
 )
 from godwitrudder.platform import names
 from godwitrudder.request.outcome import Reason
-from godwitrudder.request.placement import Part
+from godwitrudder.request.placing.candidate import Part
 
 # Statuses of an entry process; the daemon uses ``OPENAI_STATUS_BY_REASON``.
 PLATFORM_STATUS_BY_REASON: Final = {
@@ -82,10 +82,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Load that a runner reports, in requests."""
+    """Load that a runner reports.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, that wait there, and that it can work on at a time.
+        ``slots`` is 0 if it does not say.
+    work_percent : float or None
+        How long work takes on its machine now, 100 as usual; None if it does not say.
+    """
 
     running: int
     waiting: int
+    slots: int = 0
+    work_percent: float | None = None
 
 
 def request_id(request: CallerRequest) -> str:
@@ -195,8 +206,10 @@
     if not value:
         return None
     try:
-        running, waiting, *_ = value.split(b",")
-        return Load(_parse_whole(running), _parse_whole(waiting))
+        running, waiting, *more = value.split(b",")
+        slots = max(0, _parse_whole(more[0])) if more else 0
+        percent = _parse_percent(more[1]) if len(more) > 1 else None
+        return Load(_parse_whole(running), _parse_whole(waiting), slots, percent)
     except ValueError:
         return value.decode("latin-1")
 
@@ -284,6 +297,14 @@
     return int(digits)
 
 
+def _parse_percent(value: bytes) -> float:
+    """Parse how long work takes; raise ValueError if it is no positive number."""
+    percent = float(value)
+    if not 0 < percent < math.inf:
+        raise ValueError(f"expected a percentage, not {value[:40]!r}")
+    return percent
+
+
 def _parse_milliseconds(value: bytes) -> float:
     """Parse a time; raise ValueError if it is none or longer than timers accept."""
     milliseconds = float(value)
--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
 
 import msgspec
 
+from godwitrudder.options import Options
 from godwitrudder.validation import Address, Problem, parse, parse_address
 
 BYTES_PER_MEGABIT: Final = 125_000.0
@@ -62,6 +63,7 @@
     ip: str = ""
     bootstrap: bool = False
     internal_ports: list[int] = msgspec.field(default_factory=list)
+    options: Options | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +96,8 @@
     first_start : bool
         Whether the whole fleet starts for the first time, so that nothing can have been
         spent yet.
+    options : Options
+        The operator's options.
     """
 
     host: str
@@ -111,10 +115,17 @@
     link_bytes_per_second: float = 0.0
     peers: Address | None = None
     first_start: bool = False
+    options: Options = field(default_factory=Options)
 
 
-def load(path: Path) -> EntrySettings | Problem:
-    """Read and validate the settings file."""
+def load(path: Path, options: Options) -> EntrySettings | Problem:
+    """Read and validate the settings file.
+
+    Parameters
+    ----------
+    options : Options
+        The options if the file holds none.
+    """
     try:
         text = path.read_text()
     except OSError as error:
@@ -148,6 +159,7 @@
         model.limits.link_mbps * BYTES_PER_MEGABIT,
         _peer_address(model),
         model.bootstrap,
+        options if model.options is None else model.options,
     )
 
 
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -33,7 +33,7 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.outage import longest_wait
-from godwitrudder.request.placement import Candidate, Directives
+from godwitrudder.request.placing.candidate import Candidate, Directives
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 from godwitrudder.version.cursor import Cursor
 
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -22,11 +22,13 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
-from godwitrudder.process.forwarder import Forwarder
+from godwitrudder.process.forwarding.forwarder import Forwarder
+from godwitrudder.process.forwarding.responder import Responder
+from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import ReservationTask
-from godwitrudder.process.sender import Sender
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.intake import Intake
 from godwitrudder.request.retry_window import RetryWindow
@@ -106,17 +108,20 @@
             quarantine,
             limits,
         )
+        choice = RunnerChoice(
+            settings.failure_domain, self.directory, sender, limits, log, random
+        )
+        choice.host_count = self.reservations.host_count
         self.forwarder = Forwarder(
-            settings.failure_domain,
             self.directory,
             self.reservations,
+            choice,
             sender,
+            Responder(log, self._metrics, random),
             log,
-            self._metrics,
             random,
             self._new_retry_window,
             quarantine,
-            limits,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
--- a/godwitrudder/process/entry_main.py
+++ b/godwitrudder/process/entry_main.py
@@ -22,6 +22,7 @@
 import gevent  # noqa: E402
 from gevent.event import Event  # noqa: E402
 
+from godwitrudder.options import Options, parse_options  # noqa: E402
 from godwitrudder.platform import names, settings  # noqa: E402
 from godwitrudder.process.decisions import DecisionLog  # noqa: E402
 from godwitrudder.process.entry import Entry  # noqa: E402
@@ -35,7 +36,12 @@
     """Run until SIGTERM; return the exit status."""
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
     path = Path(os.environ.get(names.SETTINGS_VARIABLE, "settings.json"))
-    loaded = settings.load(path)
+    variable = names.OPTIONS_VARIABLE
+    options = parse_options(variable, os.environ.get(variable, ""))
+    if isinstance(options, Problem):
+        print(options, file=sys.stderr)
+        return 2
+    loaded = settings.load(path, options)
     if isinstance(loaded, Problem):
         print(loaded, file=sys.stderr)
         return 2
@@ -44,18 +50,20 @@
     entry = Entry(loaded, int(port) if port else None, log)
     stopped = Event()
     gevent.signal_handler(signal.SIGTERM, stopped.set)
-    gevent.signal_handler(signal.SIGHUP, reload_settings, entry, path, log)
+    gevent.signal_handler(signal.SIGHUP, reload_settings, entry, path, options, log)
     gc.collect()
     gc.freeze()
     entry.start()
-    gevent.spawn(watch_settings, entry, path, log)
+    gevent.spawn(watch_settings, entry, path, options, log)
     log.note("start", failure_domain=loaded.failure_domain)
     stopped.wait()
     entry.stop()
     return 0
 
 
-def watch_settings(entry: Entry, path: Path, log: DecisionLog) -> None:
+def watch_settings(
+    entry: Entry, path: Path, options: Options, log: DecisionLog
+) -> None:
     """Reload the settings whenever the file has changed, with or without SIGHUP."""
     loaded_ns = _modified_ns(path)
     while True:
@@ -63,7 +71,7 @@
         modified_ns = _modified_ns(path)
         if modified_ns != loaded_ns:
             loaded_ns = modified_ns
-            reload_settings(entry, path, log)
+            reload_settings(entry, path, options, log)
 
 
 def _modified_ns(path: Path) -> int | None:
@@ -74,9 +82,11 @@
         return None
 
 
-def reload_settings(entry: Entry, path: Path, log: DecisionLog) -> None:
+def reload_settings(
+    entry: Entry, path: Path, options: Options, log: DecisionLog
+) -> None:
     """Reload the settings; if they are invalid the old ones stay in force."""
-    loaded = settings.load(path)
+    loaded = settings.load(path, options)
     if isinstance(loaded, Problem):
         log.note("settings_unread", why=str(loaded))
         return
--- /dev/null
+++ b/godwitrudder/process/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""The path of one request from its caller to a runner."""
--- a/godwitrudder/process/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -2,7 +2,6 @@
 
 For each request the forwarder reserves tokens, chooses a runner and sends the
 request there.  The kind of the route decides whether an attempt may be retried.
-The status that a caller gets depends on whether a runner may have run the request.
 """
 
 from __future__ import annotations
@@ -14,42 +13,36 @@
 from random import Random
 from typing import Final
 
-import msgspec
 from gevent.event import Event
 
 from godwitrudder.connection.http import CallerDisconnected, CallerLink
-from godwitrudder.connection.messages import CallerRequest, Headers
-from godwitrudder.connection.shape import error_body
+from godwitrudder.connection.messages import CallerRequest
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
-from godwitrudder.process.entry_metrics import EntryMetrics
-from godwitrudder.process.forwarded_request import (
+from godwitrudder.process.forwarding.forwarded_request import (
     AttemptResult,
     ForwardedRequest,
     NotRun,
     Streamed,
     Whole,
 )
+from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES, Responder
+from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
-from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import (
     Reservation,
     ReservationRefused,
     ReservationTask,
 )
-from godwitrudder.process.sender import Sender
 from godwitrudder.request import retry_delay
 from godwitrudder.request.charge import charged_tokens
 from godwitrudder.request.outcome import (
-    Failed,
-    Ran,
     Reason,
     Refused,
-    fail,
     refuse,
 )
-from godwitrudder.request.placement import Candidate, place
 from godwitrudder.request.quarantine import Quarantined
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import Route, RouteKind, Target
@@ -65,11 +58,6 @@
 """Longest wait for a process that is still starting; a start takes about 0.5 s."""
 STARTUP_WAIT_SHARE: Final = 0.3
 """Share of a request's deadline that it may spend on that wait."""
-MIN_CONNECTIONS_PER_RUNNER: Final = 4
-"""Least limit on this host's requests at one runner, however many hosts share the
-runner's connections."""
-NOT_RUN_STATUSES: Final = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request did not run and will not run later."""
 
 
 class Forwarder:
@@ -89,27 +77,25 @@
 
     def __init__(
         self,
-        failure_domain: str,
         directory: Directory,
         reservations: ReservationTask,
+        choice: RunnerChoice,
         sender: Sender,
+        responder: Responder,
         log: DecisionLog,
-        metrics: EntryMetrics,
         random: Random,
         new_retry_window: Callable[[], RetryWindow],
         quarantine: FleetQuarantine,
-        limits: FleetLimits,
     ) -> None:
-        self._failure_domain = failure_domain
         self._directory = directory
         self._reservations = reservations
+        self._choice = choice
         self._sender = sender
+        self._responder = responder
         self._log = log
-        self._metrics = metrics
         self._random = random
         self._new_retry_window = new_retry_window
         self._quarantine = quarantine
-        self._limits = limits
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -138,11 +124,11 @@
         caller_headers = wire.parse_caller_headers(request)
         if isinstance(caller_headers, str):
             refused = refuse(Reason.BAD_REQUEST, problem=caller_headers)
-            return self._refuse(link, "", refused, None)
+            return self._responder.refuse(link, "", refused, None)
         forwarded = self._admit(link, request, caller_headers, now)
         if isinstance(forwarded, Refused):
             left = caller_headers.deadline_seconds
-            return self._refuse(
+            return self._responder.refuse(
                 link, caller_headers.request.decode("latin-1"), forwarded, left
             )
         return self._forward_with_reservation(forwarded)
@@ -201,7 +187,7 @@
         verdict = self._quarantine.check(forwarded.shared_parts)
         if isinstance(verdict, Quarantined):
             forwarded.quarantine_seconds = verdict.seconds
-            return self._give_up(forwarded)
+            return self._responder.give_up(forwarded)
         max_tokens = caller_headers.prompt_tokens + caller_headers.output_tokens
         if workspace is None or workspace.prepaid is None or not max_tokens:
             return self._try_runners(forwarded)
@@ -216,7 +202,9 @@
         if isinstance(reservation, ReservationRefused):
             left = forwarded.seconds_left
             refused = self._token_refusal(reservation, workspace.name, max_tokens, left)
-            return self._refuse(forwarded.link, forwarded.request_id, refused, left)
+            return self._responder.refuse(
+                forwarded.link, forwarded.request_id, refused, left
+            )
         with self._settling(forwarded, reservation):
             return self._try_runners(forwarded)
 
@@ -270,31 +258,31 @@
             if forwarded.link.closed_by_caller:
                 raise CallerDisconnected
             if forwarded.seconds_left <= 0:
-                return self._give_up(forwarded)
+                return self._responder.give_up(forwarded)
             if forwarded.sends and not window.take(self.host_count(), time.monotonic()):
                 forwarded.problem = forwarded.problem or "the retry budget is exhausted"
-                return self._give_up(forwarded)
+                return self._responder.give_up(forwarded)
             result = self._attempt(forwarded)
             if result is None:
-                return self._give_up(forwarded)
+                return self._responder.give_up(forwarded)
             if isinstance(result, Streamed):
-                return self._record_answer(forwarded, 200)
+                return self._responder.record_answer(forwarded, 200)
             if isinstance(result, Whole):
                 if self._should_retry(forwarded, result):
                     if result.head.status not in NOT_RUN_STATUSES:
                         forwarded.failed_answer = result
                     continue
-                return self._pass_on(forwarded, result)
+                return self._responder.pass_on(forwarded, result)
             forwarded.problem = result.reason
             if isinstance(result, NotRun):
                 forwarded.rejections += 1
                 if forwarded.rejections > MAX_REJECTIONS:
-                    return self._give_up(forwarded)
+                    return self._responder.give_up(forwarded)
                 continue
             if not forwarded.route.repeatable:
-                return self._give_up(forwarded)
+                return self._responder.give_up(forwarded)
             if forwarded.possible_runs >= forwarded.route.max_attempts:
-                return self._give_up(forwarded)
+                return self._responder.give_up(forwarded)
 
     def _attempt(self, forwarded: ForwardedRequest) -> AttemptResult | None:
         """Send the request to one runner; return None if that is not possible now."""
@@ -305,7 +293,7 @@
                 forwarded.problem = "its prompt is quarantined"
                 return None
             forwarded.trial_parts = () if verdict is None else verdict.parts
-            candidate = self._choose_runner(forwarded)
+            candidate = self._choice.choose(forwarded)
             if candidate is None:
                 return None
             return self._sender.send(forwarded, candidate)
@@ -323,147 +311,11 @@
         window = self._retry_window(forwarded.target.name)
         return window.left(self.host_count(), time.monotonic()) > 1
 
-    def _choose_runner(self, forwarded: ForwardedRequest) -> Candidate | None:
-        target = forwarded.target
-        candidates = self._directory.candidates(target.name)
-        share = (
-            target.max_connections // max(1, self.host_count())
-            or MIN_CONNECTIONS_PER_RUNNER
-        )
-        now = time.monotonic()
-        permitted = self._limits.permitted(candidates)
-        candidate = place(
-            permitted,
-            forwarded.caller_headers.parts,
-            self._failure_domain,
-            forwarded.excluded,
-            max(MIN_CONNECTIONS_PER_RUNNER, share),
-            self._random,
-            now,
-            self._sender.connected_runners(),
-            bool(forwarded.trial_parts),
-        )
-        if candidate is not None:
-            self._limits.take(candidate.entry.id)
-        else:
-            backoffs = [
-                each.directives.backoff_until - now
-                for each in permitted
-                if each.may_be_used
-            ]
-            forwarded.backoff_seconds = max(0.0, min(backoffs, default=0.0))
-        self._log.note(
-            "place",
-            forwarded.request_id,
-            target=target.name,
-            candidates=len(candidates),
-            permitted=len(permitted),
-            excluded=len(forwarded.excluded),
-            runner=None if candidate is None else candidate.entry.id,
-            load=None if candidate is None else round(candidate.load(now), 1),
-            entries_age=round(now - self._directory.answered_at, 3),
-            left=round(forwarded.seconds_left, 3),
-        )
-        return candidate
-
     def _retry_window(self, target: str) -> RetryWindow:
         if target not in self._retry_windows_by_target:
             self._retry_windows_by_target[target] = self._new_retry_window()
         return self._retry_windows_by_target[target]
 
-    def _pass_on(self, forwarded: ForwardedRequest, whole: Whole) -> bool:
-        """Pass a runner's answer on to the caller.
-
-        A status of ``NOT_RUN_STATUSES`` is not passed on here: the runner sent it
-        without the header that proves that the request did not run.
-        """
-        status = whole.head.status
-        if status in NOT_RUN_STATUSES:
-            forwarded.problem = f"status {status} without proof that it did not run"
-            return self._give_up(forwarded)
-        forwarded.succeeded_whole = status < 300
-        forwarded.link.answer(status, whole.head.headers, whole.body)
-        return self._record_answer(forwarded, status)
-
-    def _record_answer(self, forwarded: ForwardedRequest, status: int) -> bool:
-        seconds = time.monotonic() - forwarded.started_at
-        name = forwarded.target.name
-        self._metrics.answers.labels(name, str(status)).inc()
-        self._metrics.answer_seconds.labels(name).observe(seconds)
-        self._log.note(
-            "answered",
-            forwarded.request_id,
-            status=status,
-            events=forwarded.events,
-            arrivals=forwarded.sends,
-            tokens_after=round(forwarded.token_wait_seconds, 4),
-            first_after=forwarded.first_event_seconds,
-            seconds=round(seconds, 4),
-        )
-        return True
-
-    def _give_up(self, forwarded: ForwardedRequest) -> bool:
-        """Answer that no runner succeeded, and whether one may have run the request."""
-        if forwarded.failed_answer is not None and not forwarded.answer_begun:
-            return self._pass_on(forwarded, forwarded.failed_answer)
-        if forwarded.possible_runs or forwarded.answer_begun:
-            if forwarded.seconds_left <= 0:
-                return self._fail(forwarded, fail(Reason.DEADLINE, Ran.UNKNOWN))
-            problem = forwarded.problem
-            failed = fail(Reason.RUNNER_FAILED, Ran.UNKNOWN, problem=problem)
-            return self._fail(forwarded, failed)
-        if forwarded.quarantine_seconds is not None:
-            refused = refuse(Reason.QUARANTINED, forwarded.quarantine_seconds)
-        else:
-            seconds = retry_delay.jitter(
-                retry_delay.NO_RUNNER_RETRY_SECONDS, self._random
-            )
-            seconds = max(seconds, forwarded.backoff_seconds)
-            refused = refuse(Reason.NO_RUNNER, seconds, target=forwarded.target.name)
-        return self._refuse(
-            forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
-        )
-
-    def _refuse(
-        self, link: CallerLink, request: str, refused: Refused, left: float | None
-    ) -> bool:
-        status = wire.PLATFORM_STATUS_BY_REASON[refused.reason]
-        headers: Headers = [(b"content-type", b"application/json")]
-        retry_after = refused.retry_after
-        if retry_after is not None:
-            if left is not None:
-                retry_after = retry_delay.cap_retry_seconds(retry_after, left)
-            headers += wire.retry_after(retry_after)
-        link.answer(status, headers, msgspec.json.encode(error_body(refused)))
-        self._metrics.refusals.labels(str(refused.reason)).inc()
-        self._log.note(
-            "refused",
-            request,
-            reason=str(refused.reason),
-            status=status,
-            retry_after=retry_after,
-            detail=refused.detail,
-        )
-        return True
-
-    def _fail(self, forwarded: ForwardedRequest, failed: Failed) -> bool:
-        self._metrics.failures.labels(str(failed.reason)).inc()
-        self._log.note(
-            "failed",
-            forwarded.request_id,
-            reason=str(failed.reason),
-            problem=forwarded.problem,
-            begun=forwarded.answer_begun,
-            events=forwarded.events,
-        )
-        if forwarded.answer_begun:
-            return False
-        status = wire.PLATFORM_STATUS_BY_REASON[failed.reason]
-        headers: Headers = [(b"content-type", b"application/json")]
-        body = msgspec.json.encode(error_body(failed))
-        forwarded.link.answer(status, headers, body)
-        return True
-
 
 def _startup_wait_seconds(caller_headers: wire.CallerHeaders) -> float:
     """Return how long a request waits for a process that is starting, in seconds."""
--- /dev/null
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -0,0 +1,91 @@
+"""Chooses the runner of a request among those that it may be sent to now."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.directory import Directory
+from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
+from godwitrudder.process.forwarding.sender import Sender
+from godwitrudder.process.rate_limits import FleetLimits
+from godwitrudder.request.placing.candidate import Candidate
+from godwitrudder.request.placing.placement import place
+
+MIN_CONNECTIONS_PER_RUNNER: Final = 4
+"""Least limit on this host's requests at one runner, however many hosts share the
+runner's connections."""
+
+
+class RunnerChoice:
+    """Chooses runners; one per process.
+
+    Attributes
+    ----------
+    host_count : callable
+        Returns the number of hosts that share the runners' connections.
+    """
+
+    def __init__(
+        self,
+        failure_domain: str,
+        directory: Directory,
+        sender: Sender,
+        limits: FleetLimits,
+        log: DecisionLog,
+        random: Random,
+    ) -> None:
+        self._failure_domain = failure_domain
+        self._directory = directory
+        self._sender = sender
+        self._limits = limits
+        self._log = log
+        self._random = random
+        self.host_count: Callable[[], int] = lambda: 1
+
+    def choose(self, forwarded: ForwardedRequest) -> Candidate | None:
+        """Return the runner for the next attempt, None if there is none now."""
+        target = forwarded.target
+        candidates = self._directory.candidates(target.name)
+        share = (
+            target.max_connections // max(1, self.host_count())
+            or MIN_CONNECTIONS_PER_RUNNER
+        )
+        now = time.monotonic()
+        permitted = self._limits.permitted(candidates)
+        candidate = place(
+            permitted,
+            forwarded.caller_headers.parts,
+            self._failure_domain,
+            forwarded.excluded,
+            max(MIN_CONNECTIONS_PER_RUNNER, share),
+            self._random,
+            now,
+            self._sender.connected_runners(),
+            bool(forwarded.trial_parts),
+        )
+        if candidate is not None:
+            self._limits.take(candidate.entry.id)
+        else:
+            backoffs = [
+                each.directives.backoff_until - now
+                for each in permitted
+                if each.may_be_used
+            ]
+            forwarded.backoff_seconds = max(0.0, min(backoffs, default=0.0))
+        self._log.note(
+            "place",
+            forwarded.request_id,
+            target=target.name,
+            candidates=len(candidates),
+            permitted=len(permitted),
+            excluded=len(forwarded.excluded),
+            runner=None if candidate is None else candidate.entry.id,
+            load=None if candidate is None else round(candidate.load(now), 1),
+            entries_age=round(now - self._directory.answered_at, 3),
+            left=round(forwarded.seconds_left, 3),
+        )
+        return candidate
--- a/godwitrudder/process/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -17,7 +17,7 @@
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.entry_metrics import EntryMetrics
-from godwitrudder.process.forwarded_request import (
+from godwitrudder.process.forwarding.forwarded_request import (
     AttemptResult,
     ForwardedRequest,
     Lost,
@@ -34,7 +34,7 @@
     evidence_of,
     is_answered,
 )
-from godwitrudder.request.placement import Candidate, Directives
+from godwitrudder.request.placing.candidate import Candidate, Directives
 from godwitrudder.version.catalogue import RouteKind
 
 FIRST_BYTE_TIMEOUT_FACTOR: Final = 2.0
@@ -331,7 +331,10 @@
         if isinstance(load, str):
             self._log.note("load_unread", runner=candidate.entry.id, value=load)
         elif load is not None:
-            candidate.reported(load.running, load.waiting, time.monotonic())
+            now = time.monotonic()
+            candidate.reported(
+                load.running, load.waiting, now, load.slots, load.work_percent
+            )
 
     def _apply_directives(self, attempt: Attempt, head: ResponseHead) -> None:
         """Apply the directives to hosts in a runner's answer."""
--- a/godwitrudder/process/rate_limits.py
+++ b/godwitrudder/process/rate_limits.py
@@ -12,7 +12,7 @@
 from godwitrudder.connection.reports import MAX_AGE_SECONDS, LimitReport, Report
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.reservations import ReservationTask
-from godwitrudder.request.placement import Candidate
+from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.request.rate_limit import HostPosition, RateLimits
 from godwitrudder.version.statements import NamedLimit, Statement
 
--- /dev/null
+++ b/godwitrudder/request/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the runner for a request."""
--- a/godwitrudder/request/placement.py
+++ b/godwitrudder/request/placing/candidate.py
@@ -1,11 +1,6 @@
-"""Placement: chooses the runner of a request from what one host knows.
+"""Candidates: the runners of a target as one host knows them.
 
-The cost of a runner is counted in prompt tokens to be read before this request. It
-includes the tokens of its own prompt that are not cached there, the tokens that this
-host sent and that are not being answered yet, and the load that the runner last
-reported, which decays with age. Parts of prompts that no host may have sent yet have a
-home runner by rendezvous hashing. Hosts that have not exchanged any state therefore
-send a shared part to the same runner.
+The load that a runner last reported decays with its age; so does its share of failures.
 """
 
 from __future__ import annotations
@@ -14,34 +9,10 @@
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from random import Random
 from typing import Final
 
-import xxhash
-
 from godwitrudder.version.catalogue import ListedRunner
 
-READ_WEIGHT: Final = 3.0
-"""Weight of a prompt token that the runner must read, relative to one that it reads
-before for other requests. Reading a prompt again has a price; a wait within the target
-latency has none."""
-REQUEST_TOKENS: Final = 300.0
-"""Cost of one running request, in prompt tokens: by how much it slows down a step."""
-WAITING_TOKENS: Final = 3000.0
-"""Cost of one request that waits at the runner."""
-FULL_TOKENS: Final = 30_000.0
-"""Cost of a runner without a free slot."""
-FAILURE_TOKENS: Final = 60_000.0
-"""Cost of a runner that fails every request."""
-DISTANCE_TOKENS: Final = 150.0
-"""Cost of another failure domain; traffic between domains has a price."""
-TRIAL_TOKENS: Final = 30_000.0
-"""Cost of a runner with a request on trial, which may end all that it works on."""
-CONNECT_TOKENS: Final = 750.0
-"""Cost of a new connection: it is priced as 250 shared tokens that are read again, at
-``READ_WEIGHT``."""
-HOME_CACHED_SHARE: Final = 0.9
-"""Share of a shared prompt part that is assumed to be cached at its home runner."""
 REPORT_DECAY_SECONDS: Final = 1.0
 """Time constant with which the reported requests of other hosts decay."""
 FAILURE_DECAY_SECONDS: Final = 4.0
@@ -102,6 +73,11 @@
         Requests of other hosts, as of ``others_at``.
     waiting : int
         Requests that waited at the runner, as of ``others_at``.
+    reported_slots : int
+        Slots in its last load report; 0 if it reported none.
+    work_percent : float or None
+        How long work took on its machine as of ``others_at``, 100 as usual; None if it
+        has not said so.
     failures : float
         Weighted share of failures, 0 to 1, as of ``failed_at``.
     refused_at : float
@@ -124,6 +100,8 @@
     others: float = 0.0
     waiting: int = 0
     others_at: float = -math.inf
+    reported_slots: int = 0
+    work_percent: float | None = None
     failures: float = 0.0
     failed_at: float = 0.0
     refused_at: float = -math.inf
@@ -141,8 +119,17 @@
         leaving = self.entry.leaving or self.directives.leaving
         return not (leaving or self.replaced or self.gone)
 
-    def reported(self, running: int, waiting: int, now: float) -> None:
+    def reported(
+        self,
+        running: int,
+        waiting: int,
+        now: float,
+        slots: int = 0,
+        work_percent: float | None = None,
+    ) -> None:
         """Record a load report of the runner; it includes the requests of this host."""
+        self.reported_slots = slots
+        self.work_percent = work_percent
         self.others = max(0.0, running + waiting - self.in_flight)
         self.waiting = waiting
         self.others_at = now
@@ -191,103 +178,3 @@
         """Return the estimated number of requests that the runner works on."""
         weight = math.exp(-(now - self.others_at) / REPORT_DECAY_SECONDS)
         return self.in_flight + self.others * weight
-
-
-def place(
-    candidates: Collection[Candidate],
-    parts: tuple[Part, ...],
-    home: str,
-    excluded: Collection[str],
-    connections_most: int,
-    random: Random,
-    now: float,
-    connected: Collection[str] = (),
-    on_trial: bool = False,
-) -> Candidate | None:
-    """Return the runner for a request, None if there is none.
-
-    Parameters
-    ----------
-    parts : tuple of Part
-        Parts of the prompt in order; the last one is the request's own. Empty for a
-        plain service.
-    home : str
-        Failure domain of this host.
-    excluded : collection of str
-        Ids of the runners that this request was sent to before.
-    connections_most : int
-        Largest number of requests of this host at one runner.
-    connected : collection of str
-        Ids of the runners with an idle connection.
-    on_trial : bool
-        Whether the prompt may end the runner.
-    """
-    eligible = [
-        candidate
-        for candidate in _trusted(candidates)
-        if candidate.entry.id not in excluded
-        and candidate.in_flight < connections_most
-        and now >= candidate.directives.backoff_until
-    ]
-    usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
-    usable = usable or eligible
-    if not usable:
-        return None
-    home_runner = _home_runner(usable, parts)
-    costs = [
-        (
-            _cost(candidate, parts, home, candidate is home_runner, now)
-            + (TRIAL_TOKENS if candidate.trials else 0.0)
-            + (REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0)
-            + (0.0 if candidate.entry.id in connected else CONNECT_TOKENS),
-            random.random(),
-            index,
-        )
-        for index, candidate in enumerate(usable)
-    ]
-    return usable[min(costs)[2]]
-
-
-def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
-    """Return the runners that may get requests.
-
-    An outage of the store lets the entries of most runners expire; a runner that leaves
-    is one of few. So while more than half of the runners are listed, the others count
-    as gone.
-    """
-    usable = [candidate for candidate in candidates if candidate.may_be_used]
-    listed = [candidate for candidate in usable if not candidate.unlisted]
-    return listed if 2 * len(listed) > len(usable) else usable
-
-
-def _cost(
-    candidate: Candidate, parts: tuple[Part, ...], home: str, is_home: bool, now: float
-) -> float:
-    """Return the cost of a request at a runner, in prompt tokens."""
-    total = sum(part.tokens for part in parts)
-    cached = float(candidate.cached(parts))
-    if is_home and parts:
-        cached = max(cached, HOME_CACHED_SHARE * (total - parts[-1].tokens))
-    load = candidate.load(now)
-    cost = READ_WEIGHT * (total - cached) + candidate.pending_tokens
-    cost += REQUEST_TOKENS * load
-    if now - candidate.others_at < REPORT_DECAY_SECONDS:
-        cost += WAITING_TOKENS * candidate.waiting
-    if load >= candidate.entry.slots:
-        cost += FULL_TOKENS
-    if candidate.entry.failure_domain != home:
-        cost += DISTANCE_TOKENS
-    return cost + FAILURE_TOKENS * candidate.failure_share(now)
-
-
-def _home_runner(usable: list[Candidate], parts: tuple[Part, ...]) -> Candidate | None:
-    """Return the home runner of the last shared part."""
-    if len(parts) < 2:
-        return None
-    part = parts[-2].id
-    return max(
-        usable,
-        key=lambda candidate: xxhash.xxh64_intdigest(
-            f"{candidate.entry.id}/{part}".encode()
-        ),
-    )
--- a/tests/test_entry_process.py
+++ b/tests/test_entry_process.py
@@ -11,6 +11,7 @@
 
 from godwitrudder.connection import shape
 from godwitrudder.error_messages import TEXT_BY_REASON
+from godwitrudder.options import Options
 from godwitrudder.platform import names
 from godwitrudder.process.entry_main import watch_settings
 from standins.platform_runner import (
@@ -266,7 +267,7 @@
     path = tmp_path / "settings.json"
     path.write_text("{}")
     with run_entry(good) as setup:
-        task = gevent.spawn(watch_settings, setup.entry, path, setup.log)
+        task = gevent.spawn(watch_settings, setup.entry, path, Options(), setup.log)
         gevent.sleep(0.05)
         path.write_text('{"node": 5}')
         while not any(note[0] == "settings_unread" for note in setup.log.decisions):
--- a/tests/test_fleet_shapes.py
+++ b/tests/test_fleet_shapes.py
@@ -13,7 +13,8 @@
 
 import pytest
 
-from godwitrudder.request.placement import Candidate, Part, place
+from godwitrudder.request.placing.candidate import Candidate, Part
+from godwitrudder.request.placing.placement import place
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import ListedRunner
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,8 @@
 
 from random import Random
 
-from godwitrudder.request.placement import Candidate, Part, place
+from godwitrudder.request.placing.candidate import Candidate, Part
+from godwitrudder.request.placing.placement import place
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import ListedRunner
 
