--- a/godwitrudder/connection/loans.py
+++ b/godwitrudder/connection/loans.py
@@ -28,6 +28,7 @@
 MAX_DEMAND: Final = 1e12
 """Tokens per second, far above what a fleet generates (450,000)."""
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+Limit = Annotated[int, msgspec.Meta(ge=-MAX_TOKENS, le=MAX_TOKENS)]
 Demand = Annotated[float, msgspec.Meta(ge=0, le=MAX_DEMAND)]
 
 
@@ -128,13 +129,16 @@
     ----------
     host, epoch, era, sent : str, int, int, float
         Identify the statement.
+    limits : dict of int
+        Tokens by workspace.  The limit of a host that has borrowed more than it has
+        spent is negative.
     """
 
     host: str
     epoch: int
     era: int
     sent: float
-    limits: dict[str, Tokens]
+    limits: dict[str, Limit]
 
 
 class LimitNoticed(msgspec.Struct, frozen=True, array_like=True, tag="noticed"):
