--- a/godwitrudder/platform/store.py
+++ b/godwitrudder/platform/store.py
@@ -277,10 +277,22 @@
             after = page.items[-1].key
 
     def read(
-        self, topic: str, offset: int, wait_seconds: float = 0.0
+        self,
+        topic: str,
+        offset: int,
+        wait_seconds: float = 0.0,
+        max_kilobytes: int | None = None,
     ) -> RawPage | Forgotten | Rejected | Unavailable:
-        """Read from an offset on, waiting up to ``wait_seconds`` for a record."""
+        """Read from an offset on, waiting up to ``wait_seconds`` for a record.
+
+        Parameters
+        ----------
+        max_kilobytes : int or None
+            Largest size of the answer; None for the store's own limit.
+        """
         query = {"topic": topic, "part": 0, "from": offset}
+        if max_kilobytes is not None:
+            query["max_kb"] = max_kilobytes
         client = self._client
         if wait_seconds:
             query["wait_ms"] = int(wait_seconds * 1000)
@@ -295,10 +307,14 @@
         return _decode_page(offset, answer)
 
     def read_keyed(
-        self, topic: str, offset: int, wait_seconds: float = 0.0
+        self,
+        topic: str,
+        offset: int,
+        wait_seconds: float = 0.0,
+        max_kilobytes: int | None = None,
     ) -> Page | Forgotten | Rejected | Unavailable:
-        """Read keyed records from an offset on."""
-        page = self.read(topic, offset, wait_seconds)
+        """Read keyed records from an offset on; see ``read``."""
+        page = self.read(topic, offset, wait_seconds, max_kilobytes)
         if not isinstance(page, RawPage):
             return page
         records = tuple(_decode_keyed(content) for content in page.records)
--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -48,6 +48,9 @@
 RELIST_SECONDS: Final = 2.0
 """Time in which live runners are listed again after the store's first answer, or its
 first one after a silence."""
+PAGE_KILOBYTES: Final = 128
+"""Largest page of changes.  A host that has missed more reads the newest record of
+each key instead: 30 versions of 55 KB took 4 s on a link of 5 Mbit/s."""
 MAX_FORMER_RUNNERS: Final = 1000
 """Dropped runners remembered, as their entries may return; the oldest are forgotten
 first."""
@@ -121,7 +124,10 @@
         return list(self.candidates_by_target.get(target, {}).values())
 
     def follow_configuration(self) -> None:
-        """Poll the store for new configuration versions until the task is killed."""
+        """Poll the store for new configuration versions until the task is killed.
+
+        A host that has missed several versions reads only the newest one.
+        """
         cursor, wait = Cursor(), 0.0
         while True:
             began = time.monotonic()
@@ -129,7 +135,7 @@
             # A read that waits after an outage would not tell of a restore at once.
             wait = 0.0 if page is None else self._configuration_poll_seconds
             if page is None:
-                cursor.offset = None if self.catalogue is None else cursor.offset
+                cursor.offset = None
                 elapsed = time.monotonic() - began
                 gevent.sleep(max(0.0, RETRY_INTERVAL_SECONDS - elapsed))
                 continue
@@ -139,8 +145,9 @@
             if isinstance(page, Forgotten):
                 cursor.offset = None
                 continue
-            cursor.offset = page.next
-            for record in page.records:
+            cursor.offset = page.next if page.whole else None
+            newest_by_key = {record.key: record for record in page.records}
+            for record in newest_by_key.values():
                 self._apply_configuration(record)
 
     def follow_runners(self) -> None:
@@ -161,12 +168,14 @@
                 self.answered_at = now
                 if cursor.offset is None:
                     self._remove_unlisted({record.key for record in page.records}, now)
-                cursor.offset = page.next
+                cursor.offset = page.next if page.whole else None
                 for record in page.records:
                     self._apply_entry(record, now, restored)
                 restored = False
                 self.runners_read = True
                 self._check_ready()
+                if not page.whole:
+                    continue
             elif isinstance(page, Forgotten):
                 cursor.offset = None
                 continue
@@ -184,7 +193,7 @@
         if cursor.offset is None:
             page: Page | Forgotten | Rejected | Unavailable = self._store.newest(topic)
         else:
-            page = self._store.read_keyed(topic, cursor.offset, wait)
+            page = self._store.read_keyed(topic, cursor.offset, wait, PAGE_KILOBYTES)
         if isinstance(page, Rejected | Unavailable):
             self._log.note("store_no_answer", topic=topic, answer=str(page))
             return None
--- a/standins/store.py
+++ b/standins/store.py
@@ -182,8 +182,11 @@
         if not topic.first_offset <= offset <= topic.end:
             return json_response({"first": topic.first_offset}, 410)
         page = struct.pack(">QQ", topic.end, topic.first_offset)
+        max_bytes = int(request.query.get("max_kb", "1024")) * 1024
         for record in topic.records[offset - topic.first_offset :]:
             page += struct.pack(">I", len(record)) + record
+            if len(page) > max_bytes:
+                break
         return Response(200, [page], "application/octet-stream")
 
 
--- a/tests/test_silent_store.py
+++ b/tests/test_silent_store.py
@@ -8,6 +8,7 @@
 import pytest
 
 from bench.loopback import IP
+from godwitrudder import codec
 from godwitrudder.platform import names
 from godwitrudder.platform.store import Page, Store, Unavailable
 from godwitrudder.validation import Address
@@ -66,3 +67,33 @@
         assert isinstance(store.read_keyed("t", 0), Page)
         assert isinstance(waiting.get(timeout=5.0), Unavailable)
         store.close()
+
+
+def test_a_host_that_missed_many_versions_reads_only_the_newest(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """CONFIG: 30 versions of 55 KB took a link of 5 Mbit/s 4 s after an outage."""
+    with run_entry(good) as setup:
+        read_bytes: list[int] = []
+        answer = setup.store.answer
+
+        def count(request: Request) -> Response:
+            response = answer(request)
+            if request.query["topic"] == names.OPERATOR_TOPIC:
+                read_bytes.append(sum(len(part) for part in response.chunks))
+            return response
+
+        monkeypatch.setattr(setup.store, "answer", count)
+        setup.store.faults.set({"down": True})
+        gevent.sleep(2.0)  # the waiting read has ended
+        newest = configuration(1)
+        for version in range(2, 32):
+            newest = {**configuration(version), "padding": "x" * 55_000}
+            setup.store.put(names.OPERATOR_TOPIC, KEY, newest)
+        read_bytes.clear()
+        setup.store.faults.set({"down": False})
+        gevent.sleep(1.5)
+        catalogue = setup.entry.directory.current()
+        assert catalogue is not None
+        assert catalogue.version == 31
+        assert sum(read_bytes) < 2 * len(codec.encode(newest))
