--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -13,6 +13,8 @@
 
 BYTES_PER_MEGABIT: Final = 125_000.0
 """The settings state the link's rate in Mbit/s."""
+BYTES_PER_MEGABYTE: Final = 1_000_000.0
+"""The settings state the memory limit in MB."""
 RECORD_BYTES: Final = 262_144
 """Size of the largest record that a store accepts, where the settings don't say."""
 
@@ -48,6 +50,7 @@
     """Resources of the machine."""
 
     link_mbps: float = 0.0
+    memory_mb: float = 0.0
 
 
 class SettingsModel(msgspec.Struct):
@@ -98,6 +101,8 @@
         spent yet.
     options : Options
         The operator's options.
+    memory_bytes : float
+        Memory limit of the host; 0 if unknown.
     """
 
     host: str
@@ -116,6 +121,7 @@
     peers: Address | None = None
     first_start: bool = False
     options: Options = field(default_factory=Options)
+    memory_bytes: float = 0.0
 
 
 def load(path: Path, options: Options) -> EntrySettings | Problem:
@@ -160,6 +166,7 @@
         _peer_address(model),
         model.bootstrap,
         options if model.options is None else model.options,
+        model.limits.memory_mb * BYTES_PER_MEGABYTE,
     )
 
 
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -25,12 +25,14 @@
 from godwitrudder.process.forwarding.forwarder import Forwarder
 from godwitrudder.process.forwarding.responder import Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.runner_queues import RunnerQueues
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.intake import Intake
+from godwitrudder.request.queueing.wait_queue import QueueBounds
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import CallerLimits
 
@@ -112,6 +114,16 @@
             settings.failure_domain, self.directory, sender, limits, log, random
         )
         choice.host_count = self.reservations.host_count
+        queues = RunnerQueues(
+            self.directory,
+            choice,
+            lambda: self.settings.options.queueing,
+            QueueBounds.for_memory(settings.memory_bytes),
+            log,
+            self._metrics,
+            random,
+        )
+        sender.on_load_report = queues.record_load_report
         self.forwarder = Forwarder(
             self.directory,
             self.reservations,
@@ -122,6 +134,7 @@
             random,
             self._new_retry_window,
             quarantine,
+            queues,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
@@ -151,6 +164,7 @@
             self.reservations.run,
             self._open_for_requests,
             self._sample_link,
+            self.forwarder.queues.run,
         ):
             self._tasks.append(self._spawn(task))
         for server in self._servers:
@@ -166,6 +180,7 @@
         self.reservations.stop_holding_ahead()
         deadline = began + self.settings.grace_seconds - EXIT_MARGIN_SECONDS
         self.forwarder.process_ends_at = deadline
+        self.forwarder.queues.drain()
         while time.monotonic() < deadline:
             accepting = time.monotonic() - began < DRAIN_ACCEPT_SECONDS
             if (
@@ -293,6 +308,7 @@
         """Update the gauges and return the metrics in the text format."""
         metrics = self._metrics
         metrics.in_flight.set(self.forwarder.in_flight)
+        self.forwarder.queues.set_gauges()
         metrics.link_part.set(self.intake.part)
         metrics.store_silent.set(self.reservations.silent_seconds)
         metrics.tokens_held.set(self.reservations.host_holdings.held)
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -92,6 +92,29 @@
             "Messages at the peers' port that were not accepted",
             registry=self.registry,
         )
+        self._add_queue()
+
+    def _add_queue(self) -> None:
+        """Add the metrics of the queues for runners."""
+        self.queue_length = Gauge(
+            "godwitrudder_queue_length",
+            "Requests that wait for a runner with headroom",
+            ["target"],
+            registry=self.registry,
+        )
+        self.queue_outcomes = Counter(
+            "godwitrudder_queue_outcomes",
+            "Requests that left or were refused a queue, by outcome",
+            ["target", "outcome"],
+            registry=self.registry,
+        )
+        self.queue_seconds = Histogram(
+            "godwitrudder_queue_seconds",
+            "Time that requests waited for a runner with headroom",
+            ["target"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
 
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -43,6 +43,8 @@
         Id of the last of these events, after which another runner resumes the stream.
     problem : str
         Why the last attempt failed, or why no further one was made.
+    sent_at : float
+        Monotonic seconds at which it was last sent to a runner.
     token_wait_seconds : float
         Time that it waited for tokens.
     first_event_seconds : float or None
@@ -75,6 +77,7 @@
     events: int = 0
     last_event_id: int | None = None
     problem: str = ""
+    sent_at: float = 0.0
     token_wait_seconds: float = 0.0
     first_event_seconds: float | None = None
     succeeded_whole: bool = False
@@ -93,6 +96,25 @@
         """Return the ids of the prompt's parts that other requests may share."""
         return tuple(part.id for part in self.caller_headers.parts[:-1])
 
+    @property
+    def rank(self) -> int:
+        """Return its priority: that of its workspace, or else of its route."""
+        workspace = self.workspace
+        if workspace is not None and workspace.rank is not None:
+            return workspace.rank
+        return self.route.rank
+
+    @property
+    def max_tokens(self) -> int:
+        """Return the tokens of its prompt and of its largest output."""
+        return self.caller_headers.prompt_tokens + self.caller_headers.output_tokens
+
+    @property
+    def size_bytes(self) -> int:
+        """Return the bytes of its headers and body."""
+        headers = sum(len(name) + len(value) for name, value in self.request.headers)
+        return headers + len(self.request.body)
+
     @property
     def seconds_left(self) -> float:
         """Return the seconds until the deadline."""
--- a/godwitrudder/process/forwarding/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from random import Random
 from typing import Final
 
@@ -29,6 +30,7 @@
 )
 from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES, Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.runner_queues import RunnerQueues
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.reservations import (
@@ -73,6 +75,8 @@
         Monotonic seconds at which the process exits; infinite until it drains.
     host_count : callable
         Returns the number of hosts that share retry budgets and connections.
+    queues : RunnerQueues
+        Requests that wait for a runner with headroom.
     """
 
     def __init__(
@@ -86,6 +90,7 @@
         random: Random,
         new_retry_window: Callable[[], RetryWindow],
         quarantine: FleetQuarantine,
+        queues: RunnerQueues,
     ) -> None:
         self._directory = directory
         self._reservations = reservations
@@ -96,6 +101,7 @@
         self._random = random
         self._new_retry_window = new_retry_window
         self._quarantine = quarantine
+        self.queues = queues
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -262,9 +268,19 @@
             if forwarded.sends and not window.take(self.host_count(), time.monotonic()):
                 forwarded.problem = forwarded.problem or "the retry budget is exhausted"
                 return self._responder.give_up(forwarded)
+            overloaded = self.queues.wait(forwarded)
+            if overloaded is not None:
+                return self._responder.refuse(
+                    forwarded.link,
+                    forwarded.request_id,
+                    overloaded,
+                    forwarded.seconds_left,
+                )
             result = self._attempt(forwarded)
             if result is None:
                 return self._responder.give_up(forwarded)
+            if isinstance(result, Streamed | Whole):
+                self.queues.record_answer(forwarded)
             if isinstance(result, Streamed):
                 return self._responder.record_answer(forwarded, 200)
             if isinstance(result, Whole):
@@ -293,10 +309,13 @@
                 forwarded.problem = "its prompt is quarantined"
                 return None
             forwarded.trial_parts = () if verdict is None else verdict.parts
-            candidate = self._choice.choose(forwarded)
+            candidate = self._choice.choose(
+                forwarded, partial(self.queues.fits, forwarded)
+            )
             if candidate is None:
                 return None
-            return self._sender.send(forwarded, candidate)
+            with self.queues.sending(forwarded, candidate):
+                return self._sender.send(forwarded, candidate)
 
     def _should_retry(self, forwarded: ForwardedRequest, whole: Whole) -> bool:
         """Whether to retry a request that a runner answered with a server error."""
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import time
 from collections.abc import Callable
 from random import Random
@@ -13,13 +14,24 @@
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.request.placing.candidate import Candidate
-from godwitrudder.request.placing.placement import place
+from godwitrudder.request.placing.placement import (
+    is_usable,
+    place,
+    usable_runners,
+)
+from godwitrudder.version.catalogue import Target
 
 MIN_CONNECTIONS_PER_RUNNER: Final = 4
 """Least limit on this host's requests at one runner, however many hosts share the
 runner's connections."""
 
 
+class Waits(enum.Enum):
+    """What a request waits for."""
+
+    FOR_ROOM = enum.auto()
+
+
 class RunnerChoice:
     """Chooses runners; one per process.
 
@@ -46,27 +58,64 @@
         self._random = random
         self.host_count: Callable[[], int] = lambda: 1
 
-    def choose(self, forwarded: ForwardedRequest) -> Candidate | None:
-        """Return the runner for the next attempt, None if there is none now."""
+    def find_room(
+        self, forwarded: ForwardedRequest, has_room: Callable[[Candidate], bool]
+    ) -> Candidate | Waits | None:
+        """Return a usable runner with room for a request, found first.
+
+        Returns
+        -------
+        Candidate, Waits or None
+            The runner, ``Waits.FOR_ROOM`` if all usable runners lack room, and None if
+            no runner is usable.
+        """
+        target, now = forwarded.target, time.monotonic()
+        most = self._most_connections(target)
+        crowded = unlisted = False
+        candidates = self._directory.candidates_by_target.get(target.name, {})
+        for candidate in candidates.values():
+            unlisted = unlisted or candidate.unlisted
+            if not is_usable(candidate, forwarded.excluded, most, now):
+                continue
+            if not has_room(candidate):
+                crowded = True
+            elif self._limits.permitted([candidate]):
+                return candidate
+        if crowded and not unlisted:
+            return Waits.FOR_ROOM
+        permitted = self._limits.permitted(list(candidates.values()))
+        usable = usable_runners(permitted, forwarded.excluded, most, now)
+        if not usable:
+            return None
+        return next((each for each in usable if has_room(each)), Waits.FOR_ROOM)
+
+    def may_use(self, forwarded: ForwardedRequest, candidate: Candidate) -> bool:
+        """Whether a request may be sent to a listed runner now."""
+        most = self._most_connections(forwarded.target)
+        usable = is_usable(candidate, forwarded.excluded, most, time.monotonic())
+        return usable and bool(self._limits.permitted([candidate]))
+
+    def choose(
+        self,
+        forwarded: ForwardedRequest,
+        fits: Callable[[Candidate], bool] = lambda candidate: True,
+    ) -> Candidate | None:
+        """Return the runner for the next attempt, None if there is none now.
+
+        Parameters
+        ----------
+        fits : callable
+            Whether a runner has memory for the request; one that has not is chosen only
+            if none has.
+        """
         target = forwarded.target
         candidates = self._directory.candidates(target.name)
-        share = (
-            target.max_connections // max(1, self.host_count())
-            or MIN_CONNECTIONS_PER_RUNNER
-        )
         now = time.monotonic()
         permitted = self._limits.permitted(candidates)
-        candidate = place(
-            permitted,
-            forwarded.caller_headers.parts,
-            self._failure_domain,
-            forwarded.excluded,
-            max(MIN_CONNECTIONS_PER_RUNNER, share),
-            self._random,
-            now,
-            self._sender.connected_runners(),
-            bool(forwarded.trial_parts),
-        )
+        candidate = self._place(forwarded, permitted, now)
+        if candidate is not None and not fits(candidate):
+            fitting = [each for each in permitted if fits(each)]
+            candidate = self._place(forwarded, fitting, now) or candidate
         if candidate is not None:
             self._limits.take(candidate.entry.id)
         else:
@@ -89,3 +138,23 @@
             left=round(forwarded.seconds_left, 3),
         )
         return candidate
+
+    def _place(
+        self, forwarded: ForwardedRequest, candidates: list[Candidate], now: float
+    ) -> Candidate | None:
+        return place(
+            candidates,
+            forwarded.caller_headers.parts,
+            self._failure_domain,
+            forwarded.excluded,
+            self._most_connections(forwarded.target),
+            self._random,
+            now,
+            self._sender.connected_runners(),
+            bool(forwarded.trial_parts),
+        )
+
+    def _most_connections(self, target: Target) -> int:
+        """Return the most requests of this host at one runner of a target."""
+        share = target.max_connections // max(1, self.host_count())
+        return max(MIN_CONNECTIONS_PER_RUNNER, share)
--- /dev/null
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -0,0 +1,412 @@
+"""Requests that wait until a runner of their target has headroom.
+
+A request waits in its own greenlet. It leaves the queue when it may start, when its
+deadline passes, when this host drains, or when its caller leaves and the greenlet is
+killed. In each case it leaves exactly once.
+"""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from itertools import count
+from random import Random
+from typing import Final
+
+import gevent
+from gevent.event import Event
+
+from godwitrudder.options import Queueing
+from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.directory import Directory
+from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
+from godwitrudder.process.forwarding.runner_choice import RunnerChoice, Waits
+from godwitrudder.request import retry_delay
+from godwitrudder.request.outcome import Reason, Refused, refuse
+from godwitrudder.request.placing.candidate import Candidate
+from godwitrudder.request.queueing.admission import (
+    DrainRate,
+    Overload,
+    ServiceTimes,
+    may_wait,
+    retry_seconds,
+)
+from godwitrudder.request.queueing.headroom import (
+    MeanSize,
+    Memory,
+    fits_memory,
+    has_room,
+)
+from godwitrudder.request.queueing.wait_queue import (
+    QueueBounds,
+    QueuedRequest,
+    WaitQueue,
+)
+
+RECHECK_SECONDS: Final = 0.05
+"""Interval between checks of the queues without an event: reports age and runners are
+listed. It is a quarter of the shortest latency objective."""
+CALM_SECONDS: Final = 1.0
+"""Time without waiting requests after which a queue is logged as empty; without it an
+overload would be logged at each gap between two requests."""
+
+
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """A waiting request.
+
+    Attributes
+    ----------
+    runner : Candidate or None
+        Runner that it is assigned to from its start until its greenlet runs.
+    left : Event
+        Set once it has started or must leave.
+    draining : bool
+        Whether it must leave because this host drains.
+    """
+
+    forwarded: ForwardedRequest
+    queued: QueuedRequest
+    runner: Candidate | None = None
+    started: bool = False
+    draining: bool = False
+    left: Event = field(default_factory=Event)
+
+
+@dataclass(slots=True)
+class _TargetQueue:
+    """The queue of one target and what admission to it depends on.
+
+    Attributes
+    ----------
+    reporting : Candidate or None
+        A runner that has said how long work takes; None if none has.
+    busy : bool
+        Whether requests wait, or did so within ``CALM_SECONDS``.
+    began_at, left_at : float
+        Monotonic seconds at which it became busy, and at which a request last left.
+    longest : int
+        Most requests that waited since it became busy.
+    """
+
+    waiting: WaitQueue
+    rate: DrainRate = field(default_factory=DrainRate)
+    service: ServiceTimes = field(default_factory=ServiceTimes)
+    mean_size: MeanSize = field(default_factory=MeanSize)
+    reporting: Candidate | None = None
+    is_on: bool = False
+    busy: bool = False
+    began_at: float = 0.0
+    left_at: float = 0.0
+    longest: int = 0
+
+
+class RunnerQueues:
+    """The queues of all targets of one process.
+
+    Parameters
+    ----------
+    queueing : callable
+        Returns the operator's option in force.
+    bounds : QueueBounds
+        Bounds of all queues together.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        choice: RunnerChoice,
+        queueing: Callable[[], Queueing],
+        bounds: QueueBounds,
+        log: DecisionLog,
+        metrics: EntryMetrics,
+        random: Random,
+    ) -> None:
+        self._directory = directory
+        self._choice = choice
+        self._queueing = queueing
+        self._bounds = bounds
+        self._log = log
+        self._metrics = metrics
+        self._random = random
+        self._queues_by_target: dict[str, _TargetQueue] = {}
+        self._waiters_by_key: dict[str, _Waiter] = {}
+        self._keys = count(1)
+        self._draining = False
+        self._any_waiting = Event()
+
+    def run(self) -> None:
+        """Check the queues at intervals while requests wait, until killed."""
+        while True:
+            self._any_waiting.wait()
+            gevent.sleep(RECHECK_SECONDS)
+            for target, queue in list(self._queues_by_target.items()):
+                self._start_waiting(target)
+                self._note_calm(target, queue)
+            if not any(queue.busy for queue in self._queues_by_target.values()):
+                self._any_waiting.clear()
+
+    def wait(self, forwarded: ForwardedRequest) -> Refused | None:
+        """Wait until a runner has headroom for a request.
+
+        A request that a runner may have run does not wait: it has had its turn, and it
+        could not be refused as not run.
+
+        Returns
+        -------
+        Refused or None
+            The refusal, or None if the request may be sent now.
+        """
+        queue, now = self._queue(forwarded.target.name), time.monotonic()
+        if forwarded.possible_runs or not self._is_on(forwarded.target.name, queue):
+            return None
+        if not queue.waiting:
+            room = self._find_room(forwarded, queue, now)
+            if not isinstance(room, Waits):
+                queue.rate.record(now)
+                return None
+        refused = self._refuse_on_arrival(forwarded, queue, now)
+        if refused is not None:
+            return refused
+        with self._waiting(forwarded, queue, now) as waiter:
+            waiter.left.wait(max(0.0, forwarded.seconds_left))
+        return self._outcome(waiter, queue)
+
+    def fits(self, forwarded: ForwardedRequest, candidate: Candidate) -> bool:
+        """Whether a runner's memory has room for a request, where the queue is on."""
+        queue = self._queue(forwarded.target.name)
+        if not queue.is_on:
+            return True
+        memory = _memory(forwarded, queue)
+        return fits_memory(candidate, forwarded.max_tokens, memory, time.monotonic())
+
+    @contextmanager
+    def sending(
+        self, forwarded: ForwardedRequest, candidate: Candidate
+    ) -> Iterator[None]:
+        """Count a request at its runner; start waiting ones once it has ended."""
+        target, tokens = forwarded.target.name, forwarded.max_tokens
+        self._queue(target).mean_size.record(tokens)
+        forwarded.sent_at = time.monotonic()
+        candidate.assign(tokens)
+        try:
+            yield
+        finally:
+            candidate.release(tokens)
+            self._start_waiting(target, candidate)
+
+    def record_answer(self, forwarded: ForwardedRequest) -> None:
+        """Record how long the complete answer to a request took."""
+        seconds = time.monotonic() - forwarded.sent_at
+        self._queue(forwarded.target.name).service.record(forwarded.route.name, seconds)
+
+    def record_load_report(self, candidate: Candidate) -> None:
+        """Act on a newer load report of a runner."""
+        target = candidate.entry.target
+        if candidate.work_percent is not None:
+            self._queue(target).reporting = candidate
+        self._start_waiting(target, candidate)
+
+    def drain(self) -> None:
+        """Refuse the requests that wait, and from now on all that would have to."""
+        self._draining = True
+        for waiter in list(self._waiters_by_key.values()):
+            waiter.draining = True
+            waiter.left.set()
+
+    def set_gauges(self) -> None:
+        """Set the gauges of the queues' lengths."""
+        for target, queue in self._queues_by_target.items():
+            self._metrics.queue_length.labels(target).set(len(queue.waiting))
+
+    def _queue(self, target: str) -> _TargetQueue:
+        queue = self._queues_by_target.get(target)
+        if queue is None:
+            queue = _TargetQueue(WaitQueue(self._bounds))
+            self._queues_by_target[target] = queue
+        return queue
+
+    def _is_on(self, target: str, queue: _TargetQueue) -> bool:
+        """Whether requests to a target queue; a change is logged."""
+        option = self._queueing()
+        is_on = option is Queueing.ON
+        if option is Queueing.AUTO and queue.reporting is not None:
+            if queue.reporting.gone or queue.reporting.work_percent is None:
+                queue.reporting = self._reporting(target)
+            is_on = queue.reporting is not None
+        if is_on is not queue.is_on:
+            queue.is_on = is_on
+            self._log.note("queueing", target=target, on=is_on, option=option.value)
+        return is_on
+
+    def _reporting(self, target: str) -> Candidate | None:
+        """Return a listed runner that says how long work takes, None if none does."""
+        candidates = self._directory.candidates(target)
+        return next(
+            (each for each in candidates if each.work_percent is not None), None
+        )
+
+    def _find_room(
+        self,
+        forwarded: ForwardedRequest,
+        queue: _TargetQueue,
+        now: float,
+        changed: Candidate | None = None,
+    ) -> Candidate | Waits | None:
+        """Return a runner with room, of all or only one whose load has changed."""
+        tokens, memory = forwarded.max_tokens, _memory(forwarded, queue)
+        if changed is not None:
+            room = has_room(changed, tokens, memory, now)
+            usable = room and self._choice.may_use(forwarded, changed)
+            return changed if usable else Waits.FOR_ROOM
+        return self._choice.find_room(
+            forwarded, lambda candidate: has_room(candidate, tokens, memory, now)
+        )
+
+    def _refuse_on_arrival(
+        self, forwarded: ForwardedRequest, queue: _TargetQueue, now: float
+    ) -> Refused | None:
+        """Return the refusal of a request that may not wait, None if it may."""
+        if self._draining:
+            return self._refuse(forwarded, queue, Overload.DRAINING, 0.0)
+        if not self._bounds.admits(forwarded.size_bytes):
+            return self._refuse(forwarded, queue, Overload.FULL, 0.0)
+        workspace = _workspace(forwarded)
+        wait = queue.rate.wait(queue.waiting.ahead(forwarded.rank, workspace), now)
+        route = forwarded.route
+        service = queue.service.expected(route.name, route.latency_objective_seconds)
+        if may_wait(wait, service, forwarded.seconds_left):
+            return None
+        return self._refuse(forwarded, queue, Overload.EXPECTED_WAIT, 0.0)
+
+    @contextmanager
+    def _waiting(
+        self, forwarded: ForwardedRequest, queue: _TargetQueue, now: float
+    ) -> Iterator[_Waiter]:
+        """Queue a request while the block runs, unless it starts."""
+        queued = QueuedRequest(
+            str(next(self._keys)),
+            forwarded.rank,
+            _workspace(forwarded),
+            now,
+            forwarded.route.latency_objective_seconds,
+            forwarded.size_bytes,
+        )
+        waiter = self._waiters_by_key[queued.key] = _Waiter(forwarded, queued)
+        target = forwarded.target.name
+        if not queue.busy:
+            queue.busy, queue.began_at, queue.longest = True, now, 0
+            self._log.note("queue_begins", target=target, rank=queued.rank)
+        queue.waiting.push(queued)
+        queue.longest = max(queue.longest, len(queue.waiting))
+        self._any_waiting.set()
+        outcome = "caller_gone"
+        try:
+            yield waiter
+            outcome = "started" if waiter.started else "unserved"
+        finally:
+            self._leave(waiter, queue, outcome)
+
+    def _leave(self, waiter: _Waiter, queue: _TargetQueue, outcome: str) -> None:
+        """Take a request out of the queue, or release the runner it was assigned."""
+        forwarded, target = waiter.forwarded, waiter.forwarded.target.name
+        del self._waiters_by_key[waiter.queued.key]
+        queue.waiting.remove(waiter.queued)
+        if waiter.runner is not None:
+            waiter.runner.release(forwarded.max_tokens)
+            if outcome == "caller_gone":
+                self._start_waiting(target, waiter.runner)
+        queue.left_at = time.monotonic()
+        seconds = queue.left_at - waiter.queued.arrived
+        self._metrics.queue_seconds.labels(target).observe(seconds)
+        self._metrics.queue_outcomes.labels(target, outcome).inc()
+
+    def _note_calm(self, target: str, queue: _TargetQueue) -> None:
+        """Log that no request has waited for a while."""
+        calm = time.monotonic() - queue.left_at >= CALM_SECONDS
+        if queue.busy and not queue.waiting and calm:
+            queue.busy = False
+            self._log.note(
+                "queue_ends",
+                target=target,
+                seconds=round(queue.left_at - queue.began_at, 3),
+                longest=queue.longest,
+            )
+
+    def _outcome(self, waiter: _Waiter, queue: _TargetQueue) -> Refused | None:
+        forwarded = waiter.forwarded
+        if waiter.started and forwarded.seconds_left > 0:
+            return None
+        waited = time.monotonic() - waiter.queued.arrived
+        why = Overload.DRAINING if waiter.draining else Overload.DEADLINE
+        return self._refuse(forwarded, queue, why, waited)
+
+    def _start_waiting(self, target: str, changed: Candidate | None = None) -> None:
+        """Start the waiting requests that runners have headroom for, in order.
+
+        Parameters
+        ----------
+        changed : Candidate or None
+            The only runner whose load has changed since the last check; None if the
+            age of the reports may have changed any.
+        """
+        queue = self._queue(target)
+        if not queue.waiting:
+            return
+        now = time.monotonic()
+        is_on = self._is_on(target, queue)
+        while (queued := queue.waiting.next(now)) is not None:
+            waiter = self._waiters_by_key[queued.key]
+            forwarded = waiter.forwarded
+            room = self._find_room(forwarded, queue, now, changed) if is_on else None
+            if isinstance(room, Waits):
+                return
+            queue.waiting.start(now)
+            queue.rate.record(now)
+            if room is not None:
+                room.assign(forwarded.max_tokens)
+            waiter.runner, waiter.started = room, True
+            waiter.left.set()
+
+    def _refuse(
+        self,
+        forwarded: ForwardedRequest,
+        queue: _TargetQueue,
+        why: Overload,
+        waited: float,
+    ) -> Refused:
+        """Return a refusal with its retry time; log and count it."""
+        target, now = forwarded.target.name, time.monotonic()
+        ahead = queue.waiting.ahead(forwarded.rank, _workspace(forwarded))
+        wait = queue.rate.wait(max(1, ahead), now)
+        left = forwarded.seconds_left
+        self._metrics.queue_outcomes.labels(target, str(why)).inc()
+        self._log.note(
+            "queue_refused",
+            forwarded.request_id,
+            target=target,
+            why=str(why),
+            rank=forwarded.rank,
+            ahead=ahead,
+            wait=round(wait, 3),
+            waited=round(waited, 3),
+            left=round(left, 3),
+        )
+        if why is Overload.DRAINING:
+            seconds = retry_delay.DRAINING_RETRY_SECONDS
+            seconds = retry_delay.jitter(seconds, self._random)
+            return refuse(Reason.DRAINING, seconds)
+        seconds = retry_seconds(wait, waited, left, self._random)
+        return refuse(Reason.OVERLOADED, seconds, target=target)
+
+
+def _memory(forwarded: ForwardedRequest, queue: _TargetQueue) -> Memory:
+    engine = forwarded.target.engine
+    return Memory(engine.memory_tokens if engine else 0, queue.mean_size.tokens)
+
+
+def _workspace(forwarded: ForwardedRequest) -> str:
+    return "" if forwarded.workspace is None else forwarded.workspace.name
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -106,6 +106,11 @@
     on_replaced : callable
         Called with a runner that was replaced and the id of the instance that
         answered at its address.
+
+    Attributes
+    ----------
+    on_load_report : callable
+        Called with a runner that has reported its load.
     """
 
     def __init__(
@@ -123,6 +128,7 @@
         self._attempts: list[Attempt] = []
         quarantine.on_blamed = self._abort
         self._on_replaced = on_replaced
+        self.on_load_report: Callable[[Candidate], None] = lambda candidate: None
         self._log = log
         self._metrics = metrics
 
@@ -289,7 +295,7 @@
             forwarded.request,
             candidate.entry.id,
             None if workspace is None else workspace.name,
-            self._rank(forwarded),
+            forwarded.rank,
             forwarded.seconds_left,
             (
                 forwarded.caller_headers.after_event
@@ -335,6 +341,7 @@
             candidate.reported(
                 load.running, load.waiting, now, load.slots, load.work_percent
             )
+            self.on_load_report(candidate)
 
     def _apply_directives(self, attempt: Attempt, head: ResponseHead) -> None:
         """Apply the directives to hosts in a runner's answer."""
@@ -440,12 +447,6 @@
         timeout = max(1.0, route.max_event_gap_seconds * NEXT_EVENT_TIMEOUT_FACTOR)
         return min(forwarded.deadline, time.monotonic() + timeout)
 
-    def _rank(self, forwarded: ForwardedRequest) -> int:
-        workspace = forwarded.workspace
-        if workspace is not None and workspace.rank is not None:
-            return workspace.rank
-        return forwarded.route.rank
-
 
 def _end_of(result: AttemptResult) -> AttemptEnd:
     match result:
--- a/godwitrudder/request/placing/candidate.py
+++ b/godwitrudder/request/placing/candidate.py
@@ -67,6 +67,10 @@
         Requests of this host at the runner.
     trials : int
         Those of them whose prompts may end the runner.
+    assigned : int
+        Requests of this host at the runner or about to be sent there.
+    assigned_tokens : int
+        Prompt tokens and largest outputs of the assigned requests.
     pending_tokens : int
         Prompt tokens of those requests whose answer has not begun.
     others : float
@@ -96,6 +100,8 @@
     entry: ListedRunner
     in_flight: int = 0
     trials: int = 0
+    assigned: int = 0
+    assigned_tokens: int = 0
     pending_tokens: int = 0
     others: float = 0.0
     waiting: int = 0
@@ -119,6 +125,16 @@
         leaving = self.entry.leaving or self.directives.leaving
         return not (leaving or self.replaced or self.gone)
 
+    def assign(self, tokens: int) -> None:
+        """Count a request of ``tokens`` as about to be sent to the runner."""
+        self.assigned += 1
+        self.assigned_tokens += tokens
+
+    def release(self, tokens: int) -> None:
+        """Stop counting an assigned request of ``tokens``."""
+        self.assigned -= 1
+        self.assigned_tokens -= tokens
+
     def reported(
         self,
         running: int,
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -74,15 +74,7 @@
     on_trial : bool
         Whether the prompt may end the runner.
     """
-    eligible = [
-        candidate
-        for candidate in _trusted(candidates)
-        if candidate.entry.id not in excluded
-        and candidate.in_flight < connections_most
-        and now >= candidate.directives.backoff_until
-    ]
-    usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
-    usable = usable or eligible
+    usable = usable_runners(candidates, excluded, connections_most, now)
     if not usable:
         return None
     home_runner = _home_runner(usable, parts)
@@ -100,6 +92,44 @@
     return usable[min(costs)[2]]
 
 
+def usable_runners(
+    candidates: Collection[Candidate],
+    excluded: Collection[str],
+    connections_most: int,
+    now: float,
+) -> list[Candidate]:
+    """Return the runners that a request may be sent to; ejected ones if all are."""
+    eligible = [
+        candidate
+        for candidate in _trusted(candidates)
+        if _accepts(candidate, excluded, connections_most, now)
+    ]
+    usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
+    return usable or eligible
+
+
+def is_usable(
+    candidate: Candidate, excluded: Collection[str], connections_most: int, now: float
+) -> bool:
+    """Whether ``usable_runners`` contains a runner whatever is known of the others."""
+    return (
+        candidate.may_be_used
+        and not candidate.unlisted
+        and now >= candidate.ejected_until
+        and _accepts(candidate, excluded, connections_most, now)
+    )
+
+
+def _accepts(
+    candidate: Candidate, excluded: Collection[str], connections_most: int, now: float
+) -> bool:
+    return (
+        candidate.entry.id not in excluded
+        and candidate.in_flight < connections_most
+        and now >= candidate.directives.backoff_until
+    )
+
+
 def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
     """Return the runners that may get requests.
 
--- /dev/null
+++ b/godwitrudder/request/queueing/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing: headroom of runners, waiting requests, and their admission."""
--- a/godwitrudder/request/turn.py
+++ b/godwitrudder/request/turn.py
@@ -141,6 +141,13 @@
             self._start(backlog, ticket, now)
             return ticket
 
+    def peek(self) -> Ticket | None:
+        """Return the request that ``pop`` takes if none has expired."""
+        backlog = self._next(False)
+        if backlog is None:
+            return None
+        return next(iter(backlog.tickets_by_request.values()))
+
     def cancel(self, ticket: Ticket) -> bool:
         """Remove a request; return False if it was no longer queued."""
         backlog = self.backlogs_by_workspace.get(ticket.workspace)
