--- a/godwitrudder/connection/reports.py
+++ b/godwitrudder/connection/reports.py
@@ -79,7 +79,60 @@
     age: Age
 
 
-Report = CrashReport | AnswerReport | TrialReport | LimitReport
+MAX_COUNT: Final = 1_000_000
+"""More requests than any runner takes."""
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+MAX_TARGETS: Final = 100
+MAX_RUNNERS: Final = 100
+"""Targets and runners in one report; fewer fit into one datagram."""
+
+
+class RunnerLoad(msgspec.Struct, frozen=True, array_like=True):
+    """The newest load report of a runner.
+
+    Attributes
+    ----------
+    running, waiting, slots : int
+        Requests that it works on, that wait there, and that it can work on at a time;
+        ``slots`` is 0 if it did not say.
+    percent : float or None
+        How long work takes on its machine, 100 as usual; None if it did not say.
+    age : float
+        Seconds since the runner said so.
+    """
+
+    runner: Name
+    running: Count
+    waiting: Count
+    slots: Count
+    percent: Annotated[float, msgspec.Meta(gt=0)] | None
+    age: Age
+
+
+class TargetLoad(msgspec.Struct, frozen=True, array_like=True):
+    """What a host knows of a target's runners.
+
+    Attributes
+    ----------
+    demand : float
+        Requests per second to the target that arrive at the host that reports.
+    runners : list of RunnerLoad
+        The newest reports of runners, as many as fit.
+    """
+
+    target: Name
+    demand: Annotated[float, msgspec.Meta(ge=0, le=MAX_COUNT)]
+    runners: Annotated[list[RunnerLoad], msgspec.Meta(max_length=MAX_RUNNERS)]
+
+
+class HeadroomReport(msgspec.Struct, frozen=True, array_like=True, tag="headroom"):
+    """What a host knows of the headroom of targets whose queue is on."""
+
+    host: str
+    targets: Annotated[list[TargetLoad], msgspec.Meta(max_length=MAX_TARGETS)]
+
+
+Report = CrashReport | AnswerReport | TrialReport | LimitReport | HeadroomReport
 
 
 def fitting_names(values: list[str] | tuple[str, ...]) -> list[str]:
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -23,6 +23,7 @@
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarding.forwarder import Forwarder
+from godwitrudder.process.forwarding.headroom_gossip import HeadroomGossip
 from godwitrudder.process.forwarding.responder import Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
 from godwitrudder.process.forwarding.runner_queues import RunnerQueues
@@ -124,6 +125,9 @@
             random,
         )
         sender.on_load_report = queues.record_load_report
+        self._gossip = HeadroomGossip(
+            self.directory, self.reservations, queues, log, self._metrics, random
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.reservations,
@@ -165,6 +169,7 @@
             self._open_for_requests,
             self._sample_link,
             self.forwarder.queues.run,
+            self._gossip.run,
         ):
             self._tasks.append(self._spawn(task))
         for server in self._servers:
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -93,6 +93,12 @@
             registry=self.registry,
         )
         self._add_queue()
+        self.headroom_reports = Counter(
+            "godwitrudder_headroom_reports",
+            "Headroom reports exchanged with other hosts",
+            ["direction"],
+            registry=self.registry,
+        )
 
     def _add_queue(self) -> None:
         """Add the metrics of the queues for runners."""
--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -30,6 +30,7 @@
 from godwitrudder.request.queueing.admission import (
     DrainRate,
     Overload,
+    RecentRate,
     ServiceTimes,
     may_wait,
     retry_seconds,
@@ -94,6 +95,7 @@
 
     waiting: WaitQueue
     rate: DrainRate = field(default_factory=DrainRate)
+    demand: RecentRate = field(default_factory=RecentRate)
     service: ServiceTimes = field(default_factory=ServiceTimes)
     mean_size: MeanSize = field(default_factory=MeanSize)
     reporting: Candidate | None = None
@@ -163,6 +165,8 @@
         queue, now = self._queue(forwarded.target.name), time.monotonic()
         if forwarded.possible_runs or not self._is_on(forwarded.target.name, queue):
             return None
+        if not forwarded.sends:
+            queue.demand.record(now)
         if not queue.waiting:
             room = self._find_room(forwarded, queue, now)
             if not isinstance(room, Waits):
@@ -210,6 +214,28 @@
             self._queue(target).reporting = candidate
         self._start_waiting(target, candidate)
 
+    def demand_by_target(self) -> dict[str, float]:
+        """Return the requests per second for each target whose queue is on."""
+        now = time.monotonic()
+        return {
+            target: queue.demand.per_second(now) or 0.0
+            for target, queue in self._queues_by_target.items()
+            if self._is_on(target, queue)
+        }
+
+    def uses_reports(self, target: str, percent: float | None) -> bool:
+        """Whether other hosts' load reports on a target count here.
+
+        Parameters
+        ----------
+        percent : float or None
+            How long work takes on the runner by such a report.
+        """
+        option = self._queueing()
+        if option is Queueing.AUTO:
+            return percent is not None or self._queue(target).reporting is not None
+        return option is Queueing.ON
+
     def drain(self) -> None:
         """Refuse the requests that wait, and from now on all that would have to."""
         self._draining = True
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -35,6 +35,7 @@
 from godwitrudder.connection.reports import (
     AnswerReport,
     CrashReport,
+    HeadroomReport,
     LimitReport,
     Report,
     TrialReport,
@@ -322,7 +323,13 @@
                 address in self._age_key_by_address and message.seconds is not None
             ):
                 self._age_answers.append(max(0.0, message.seconds))
-            case CrashReport() | AnswerReport() | TrialReport() | LimitReport():
+            case (
+                CrashReport()
+                | AnswerReport()
+                | TrialReport()
+                | LimitReport()
+                | HeadroomReport()
+            ):
                 for handle in self.report_handlers:
                     handle(message)
 
--- a/godwitrudder/request/placing/candidate.py
+++ b/godwitrudder/request/placing/candidate.py
@@ -75,8 +75,8 @@
         Prompt tokens of those requests whose answer has not begun.
     others : float
         Requests of other hosts, as of ``others_at``.
-    waiting : int
-        Requests that waited at the runner, as of ``others_at``.
+    waiting, reported_running : int
+        Requests that waited at the runner, and that it worked on, as of ``others_at``.
     reported_slots : int
         Slots in its last load report; 0 if it reported none.
     work_percent : float or None
@@ -105,6 +105,7 @@
     pending_tokens: int = 0
     others: float = 0.0
     waiting: int = 0
+    reported_running: int = 0
     others_at: float = -math.inf
     reported_slots: int = 0
     work_percent: float | None = None
@@ -144,6 +145,7 @@
         work_percent: float | None = None,
     ) -> None:
         """Record a load report of the runner; it includes the requests of this host."""
+        self.reported_running = running
         self.reported_slots = slots
         self.work_percent = work_percent
         self.others = max(0.0, running + waiting - self.in_flight)
--- a/godwitrudder/request/queueing/admission.py
+++ b/godwitrudder/request/queueing/admission.py
@@ -10,10 +10,10 @@
 
 from godwitrudder.request.retry_delay import RETRY_SHARE_OF_TIME_LEFT
 
-DRAIN_WINDOW_SECONDS: Final = 3.0
-"""Time over which starts are counted: as long as a burst, so that the rate follows the
+RATE_WINDOW_SECONDS: Final = 3.0
+"""Time over which events are counted: as long as a burst, so that the rate follows the
 runners' speed and one slow answer does not change it much."""
-MIN_DRAIN_SECONDS: Final = 0.5
+MIN_RATE_SECONDS: Final = 0.5
 """Least time over which a rate is taken; a shorter one would be mostly chance."""
 SERVICE_GAIN: Final = 0.1
 """Weight of the newest answer in the mean time of service."""
@@ -34,26 +34,35 @@
 
 
 @dataclass(slots=True)
-class DrainRate:
-    """The rate at which requests of one target start, from the last seconds."""
+class RecentRate:
+    """The rate of events in the last seconds."""
 
-    _starts: deque[float] = field(default_factory=deque)
+    _times: deque[float] = field(default_factory=deque)
     _first_at: float | None = None
 
     def record(self, now: float) -> None:
-        """Record that a request starts."""
+        """Record an event."""
         if self._first_at is None:
             self._first_at = now
-        self._starts.append(now)
+        self._times.append(now)
         self._forget(now)
 
     def per_second(self, now: float) -> float | None:
-        """Return the rate, None if nothing ever started."""
+        """Return the rate, None if there never was an event."""
         if self._first_at is None:
             return None
         self._forget(now)
-        seconds = min(DRAIN_WINDOW_SECONDS, now - self._first_at)
-        return len(self._starts) / max(MIN_DRAIN_SECONDS, seconds)
+        seconds = min(RATE_WINDOW_SECONDS, now - self._first_at)
+        return len(self._times) / max(MIN_RATE_SECONDS, seconds)
+
+    def _forget(self, now: float) -> None:
+        while self._times and self._times[0] <= now - RATE_WINDOW_SECONDS:
+            self._times.popleft()
+
+
+@dataclass(slots=True)
+class DrainRate(RecentRate):
+    """The rate at which requests of one target start."""
 
     def wait(self, ahead: int, now: float) -> float:
         """Return the expected wait behind ``ahead`` requests, in seconds.
@@ -64,11 +73,7 @@
         rate = self.per_second(now)
         if not ahead or rate is None:
             return 0.0
-        return ahead / max(rate, 1 / DRAIN_WINDOW_SECONDS)
-
-    def _forget(self, now: float) -> None:
-        while self._starts and self._starts[0] <= now - DRAIN_WINDOW_SECONDS:
-            self._starts.popleft()
+        return ahead / max(rate, 1 / RATE_WINDOW_SECONDS)
 
 
 @dataclass(slots=True)
