--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -124,6 +124,7 @@
             self._metrics,
             random,
         )
+        queues.host_count = self.reservations.host_count
         sender.on_load_report = queues.record_load_report
         self._gossip = HeadroomGossip(
             self.directory, self.reservations, queues, log, self._metrics, random
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -93,6 +93,18 @@
             registry=self.registry,
         )
         self._add_queue()
+        self.headroom = Gauge(
+            "godwitrudder_headroom",
+            "Further requests that the target's runners can work on",
+            ["target"],
+            registry=self.registry,
+        )
+        self.headroom_share = Gauge(
+            "godwitrudder_headroom_share",
+            "This host's part of the demand for a target, 0 to 1",
+            ["target"],
+            registry=self.registry,
+        )
         self.headroom_reports = Counter(
             "godwitrudder_headroom_reports",
             "Headroom reports exchanged with other hosts",
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -104,6 +104,11 @@
             return workspace.rank
         return self.route.rank
 
+    @property
+    def workspace_name(self) -> str:
+        """Return the name of its workspace, empty if it has none."""
+        return "" if self.workspace is None else self.workspace.name
+
     @property
     def max_tokens(self) -> int:
         """Return the tokens of its prompt and of its largest output."""
--- a/godwitrudder/process/forwarding/headroom_gossip.py
+++ b/godwitrudder/process/forwarding/headroom_gossip.py
@@ -113,6 +113,8 @@
             return
         self._metrics.headroom_reports.labels("received").inc()
         now = time.monotonic()
+        demand_by_target = {each.target: each.demand for each in report.targets}
+        self._queues.peer_demands.record(report.host, demand_by_target, now)
         for target in report.targets:
             known = self._directory.candidates_by_target.get(target.target, {})
             for load in target.runners:
--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -10,7 +10,6 @@
 import time
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 from itertools import count
 from random import Random
 from typing import Final
@@ -24,23 +23,24 @@
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice, Waits
+from godwitrudder.process.forwarding.target_queue import TargetQueue, Waiter
 from godwitrudder.request import retry_delay
 from godwitrudder.request.outcome import Reason, Refused, refuse
 from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.request.queueing.admission import (
-    DrainRate,
     Overload,
-    RecentRate,
-    ServiceTimes,
     may_wait,
     retry_seconds,
 )
 from godwitrudder.request.queueing.headroom import (
-    MeanSize,
-    Memory,
     fits_memory,
     has_room,
 )
+from godwitrudder.request.queueing.share import (
+    MEASURE_SECONDS,
+    PeerDemands,
+    TargetRoom,
+)
 from godwitrudder.request.queueing.wait_queue import (
     QueueBounds,
     QueuedRequest,
@@ -55,57 +55,6 @@
 overload would be logged at each gap between two requests."""
 
 
-@dataclass(slots=True, eq=False)
-class _Waiter:
-    """A waiting request.
-
-    Attributes
-    ----------
-    runner : Candidate or None
-        Runner that it is assigned to from its start until its greenlet runs.
-    left : Event
-        Set once it has started or must leave.
-    draining : bool
-        Whether it must leave because this host drains.
-    """
-
-    forwarded: ForwardedRequest
-    queued: QueuedRequest
-    runner: Candidate | None = None
-    started: bool = False
-    draining: bool = False
-    left: Event = field(default_factory=Event)
-
-
-@dataclass(slots=True)
-class _TargetQueue:
-    """The queue of one target and what admission to it depends on.
-
-    Attributes
-    ----------
-    reporting : Candidate or None
-        A runner that has said how long work takes; None if none has.
-    busy : bool
-        Whether requests wait, or did so within ``CALM_SECONDS``.
-    began_at, left_at : float
-        Monotonic seconds at which it became busy, and at which a request last left.
-    longest : int
-        Most requests that waited since it became busy.
-    """
-
-    waiting: WaitQueue
-    rate: DrainRate = field(default_factory=DrainRate)
-    demand: RecentRate = field(default_factory=RecentRate)
-    service: ServiceTimes = field(default_factory=ServiceTimes)
-    mean_size: MeanSize = field(default_factory=MeanSize)
-    reporting: Candidate | None = None
-    is_on: bool = False
-    busy: bool = False
-    began_at: float = 0.0
-    left_at: float = 0.0
-    longest: int = 0
-
-
 class RunnerQueues:
     """The queues of all targets of one process.
 
@@ -115,6 +64,13 @@
         Returns the operator's option in force.
     bounds : QueueBounds
         Bounds of all queues together.
+
+    Attributes
+    ----------
+    peer_demands : PeerDemands
+        Demand that other hosts have stated.
+    host_count : callable
+        Returns the number of hosts that share the runners.
     """
 
     def __init__(
@@ -134,11 +90,14 @@
         self._log = log
         self._metrics = metrics
         self._random = random
-        self._queues_by_target: dict[str, _TargetQueue] = {}
-        self._waiters_by_key: dict[str, _Waiter] = {}
+        self._queues_by_target: dict[str, TargetQueue] = {}
+        self._waiters_by_key: dict[str, Waiter] = {}
         self._keys = count(1)
         self._draining = False
         self._any_waiting = Event()
+        self._peers_silent = False
+        self.peer_demands = PeerDemands()
+        self.host_count: Callable[[], int] = lambda: 1
 
     def run(self) -> None:
         """Check the queues at intervals while requests wait, until killed."""
@@ -167,7 +126,7 @@
             return None
         if not forwarded.sends:
             queue.demand.record(now)
-        if not queue.waiting:
+        if not queue.waiting and self._has_share(forwarded, queue, now):
             room = self._find_room(forwarded, queue, now)
             if not isinstance(room, Waits):
                 queue.rate.record(now)
@@ -184,7 +143,7 @@
         queue = self._queue(forwarded.target.name)
         if not queue.is_on:
             return True
-        memory = _memory(forwarded, queue)
+        memory = queue.memory(forwarded)
         return fits_memory(candidate, forwarded.max_tokens, memory, time.monotonic())
 
     @contextmanager
@@ -193,13 +152,16 @@
     ) -> Iterator[None]:
         """Count a request at its runner; start waiting ones once it has ended."""
         target, tokens = forwarded.target.name, forwarded.max_tokens
-        self._queue(target).mean_size.record(tokens)
+        queue = self._queue(target)
+        queue.mean_size.record(tokens)
         forwarded.sent_at = time.monotonic()
+        share_key = queue.share.start(forwarded.sent_at)
         candidate.assign(tokens)
         try:
             yield
         finally:
             candidate.release(tokens)
+            queue.share.end(share_key)
             self._start_waiting(target, candidate)
 
     def record_answer(self, forwarded: ForwardedRequest) -> None:
@@ -247,15 +209,19 @@
         """Set the gauges of the queues' lengths."""
         for target, queue in self._queues_by_target.items():
             self._metrics.queue_length.labels(target).set(len(queue.waiting))
+            if queue.is_on:
+                share = queue.share
+                self._metrics.headroom.labels(target).set(share.room.free)
+                self._metrics.headroom_share.labels(target).set(share.fraction.value)
 
-    def _queue(self, target: str) -> _TargetQueue:
+    def _queue(self, target: str) -> TargetQueue:
         queue = self._queues_by_target.get(target)
         if queue is None:
-            queue = _TargetQueue(WaitQueue(self._bounds))
+            queue = TargetQueue(WaitQueue(self._bounds))
             self._queues_by_target[target] = queue
         return queue
 
-    def _is_on(self, target: str, queue: _TargetQueue) -> bool:
+    def _is_on(self, target: str, queue: TargetQueue) -> bool:
         """Whether requests to a target queue; a change is logged."""
         option = self._queueing()
         is_on = option is Queueing.ON
@@ -278,12 +244,12 @@
     def _find_room(
         self,
         forwarded: ForwardedRequest,
-        queue: _TargetQueue,
+        queue: TargetQueue,
         now: float,
         changed: Candidate | None = None,
     ) -> Candidate | Waits | None:
         """Return a runner with room, of all or only one whose load has changed."""
-        tokens, memory = forwarded.max_tokens, _memory(forwarded, queue)
+        tokens, memory = forwarded.max_tokens, queue.memory(forwarded)
         if changed is not None:
             room = has_room(changed, tokens, memory, now)
             usable = room and self._choice.may_use(forwarded, changed)
@@ -292,15 +258,31 @@
             forwarded, lambda candidate: has_room(candidate, tokens, memory, now)
         )
 
+    def _has_share(
+        self, forwarded: ForwardedRequest, queue: TargetQueue, now: float
+    ) -> bool:
+        """Whether this host may start one more request at a target."""
+        share, target = queue.share, forwarded.target.name
+        if now - share.measured_at >= MEASURE_SECONDS:
+            candidates = self._directory.candidates_by_target.get(target, {}).values()
+            room = TargetRoom.of(candidates, queue.memory(forwarded), now)
+            own, hosts = queue.demand.per_second(now) or 0.0, self.host_count()
+            fraction = self.peer_demands.fraction(target, own, hosts, now)
+            share.measure(room, fraction, now)
+            if fraction.silent is not self._peers_silent and hosts > 1:
+                self._peers_silent = fraction.silent
+                self._log.note("headroom_peers", silent=fraction.silent, hosts=hosts)
+        return share.allows(now)
+
     def _refuse_on_arrival(
-        self, forwarded: ForwardedRequest, queue: _TargetQueue, now: float
+        self, forwarded: ForwardedRequest, queue: TargetQueue, now: float
     ) -> Refused | None:
         """Return the refusal of a request that may not wait, None if it may."""
         if self._draining:
             return self._refuse(forwarded, queue, Overload.DRAINING, 0.0)
         if not self._bounds.admits(forwarded.size_bytes):
             return self._refuse(forwarded, queue, Overload.FULL, 0.0)
-        workspace = _workspace(forwarded)
+        workspace = forwarded.workspace_name
         wait = queue.rate.wait(queue.waiting.ahead(forwarded.rank, workspace), now)
         route = forwarded.route
         service = queue.service.expected(route.name, route.latency_objective_seconds)
@@ -310,18 +292,18 @@
 
     @contextmanager
     def _waiting(
-        self, forwarded: ForwardedRequest, queue: _TargetQueue, now: float
-    ) -> Iterator[_Waiter]:
+        self, forwarded: ForwardedRequest, queue: TargetQueue, now: float
+    ) -> Iterator[Waiter]:
         """Queue a request while the block runs, unless it starts."""
         queued = QueuedRequest(
             str(next(self._keys)),
             forwarded.rank,
-            _workspace(forwarded),
+            forwarded.workspace_name,
             now,
             forwarded.route.latency_objective_seconds,
             forwarded.size_bytes,
         )
-        waiter = self._waiters_by_key[queued.key] = _Waiter(forwarded, queued)
+        waiter = self._waiters_by_key[queued.key] = Waiter(forwarded, queued)
         target = forwarded.target.name
         if not queue.busy:
             queue.busy, queue.began_at, queue.longest = True, now, 0
@@ -336,11 +318,13 @@
         finally:
             self._leave(waiter, queue, outcome)
 
-    def _leave(self, waiter: _Waiter, queue: _TargetQueue, outcome: str) -> None:
+    def _leave(self, waiter: Waiter, queue: TargetQueue, outcome: str) -> None:
         """Take a request out of the queue, or release the runner it was assigned."""
         forwarded, target = waiter.forwarded, waiter.forwarded.target.name
         del self._waiters_by_key[waiter.queued.key]
         queue.waiting.remove(waiter.queued)
+        if waiter.started:
+            queue.share.end(waiter.share_key)
         if waiter.runner is not None:
             waiter.runner.release(forwarded.max_tokens)
             if outcome == "caller_gone":
@@ -350,7 +334,7 @@
         self._metrics.queue_seconds.labels(target).observe(seconds)
         self._metrics.queue_outcomes.labels(target, outcome).inc()
 
-    def _note_calm(self, target: str, queue: _TargetQueue) -> None:
+    def _note_calm(self, target: str, queue: TargetQueue) -> None:
         """Log that no request has waited for a while."""
         calm = time.monotonic() - queue.left_at >= CALM_SECONDS
         if queue.busy and not queue.waiting and calm:
@@ -362,7 +346,7 @@
                 longest=queue.longest,
             )
 
-    def _outcome(self, waiter: _Waiter, queue: _TargetQueue) -> Refused | None:
+    def _outcome(self, waiter: Waiter, queue: TargetQueue) -> Refused | None:
         forwarded = waiter.forwarded
         if waiter.started and forwarded.seconds_left > 0:
             return None
@@ -387,6 +371,8 @@
         while (queued := queue.waiting.next(now)) is not None:
             waiter = self._waiters_by_key[queued.key]
             forwarded = waiter.forwarded
+            if is_on and not self._has_share(forwarded, queue, now):
+                return
             room = self._find_room(forwarded, queue, now, changed) if is_on else None
             if isinstance(room, Waits):
                 return
@@ -394,19 +380,20 @@
             queue.rate.record(now)
             if room is not None:
                 room.assign(forwarded.max_tokens)
+            waiter.share_key = queue.share.start(now)
             waiter.runner, waiter.started = room, True
             waiter.left.set()
 
     def _refuse(
         self,
         forwarded: ForwardedRequest,
-        queue: _TargetQueue,
+        queue: TargetQueue,
         why: Overload,
         waited: float,
     ) -> Refused:
         """Return a refusal with its retry time; log and count it."""
         target, now = forwarded.target.name, time.monotonic()
-        ahead = queue.waiting.ahead(forwarded.rank, _workspace(forwarded))
+        ahead = queue.waiting.ahead(forwarded.rank, forwarded.workspace_name)
         wait = queue.rate.wait(max(1, ahead), now)
         left = forwarded.seconds_left
         self._metrics.queue_outcomes.labels(target, str(why)).inc()
@@ -427,12 +414,3 @@
             return refuse(Reason.DRAINING, seconds)
         seconds = retry_seconds(wait, waited, left, self._random)
         return refuse(Reason.OVERLOADED, seconds, target=target)
-
-
-def _memory(forwarded: ForwardedRequest, queue: _TargetQueue) -> Memory:
-    engine = forwarded.target.engine
-    return Memory(engine.memory_tokens if engine else 0, queue.mean_size.tokens)
-
-
-def _workspace(forwarded: ForwardedRequest) -> str:
-    return "" if forwarded.workspace is None else forwarded.workspace.name
--- a/godwitrudder/request/queueing/headroom.py
+++ b/godwitrudder/request/queueing/headroom.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Final
 
@@ -52,26 +51,30 @@
     mean: float = 0.0
 
 
+def effective_slots(candidate: Candidate, now: float) -> float:
+    """Return the slots in proportion to how long work takes, which decays to usual."""
+    slots = candidate.reported_slots or candidate.entry.slots
+    age = now - candidate.others_at
+    if candidate.work_percent is None or age >= REPORT_DECAY_SECONDS:
+        return slots
+    weight = math.exp(-age / REPORT_DECAY_SECONDS)
+    percent = USUAL_PERCENT + weight * (candidate.work_percent - USUAL_PERCENT)
+    return slots * USUAL_PERCENT / max(1.0, percent)
+
+
 def headroom(candidate: Candidate, memory: Memory, now: float) -> float:
     """Return how many further requests of mean size a runner can work on.
 
     The result is negative if it has more requests than it can work on.
     """
     others = _others(candidate, now)
-    free = _slots(candidate, now) - _own(candidate) - others
+    free = effective_slots(candidate, now) - _own(candidate) - others
     if memory.capacity and memory.mean > 0:
         used = candidate.assigned_tokens + others * memory.mean
         free = min(free, (memory.capacity - used) / memory.mean)
     return free
 
 
-def target_headroom(
-    candidates: Iterable[Candidate], memory: Memory, now: float
-) -> float:
-    """Return the sum of the headroom of runners that have any."""
-    return sum(max(0.0, headroom(each, memory, now)) for each in candidates)
-
-
 def has_room(candidate: Candidate, tokens: int, memory: Memory, now: float) -> bool:
     """Whether a runner can work on a request of ``tokens`` at once.
 
@@ -81,7 +84,7 @@
     others, own = _others(candidate, now), _own(candidate)
     if not own and others < 1:
         return True
-    if own + others > _slots(candidate, now) - 1:
+    if own + others > effective_slots(candidate, now) - 1:
         return False
     return _fits(candidate, tokens, memory, others)
 
@@ -110,14 +113,3 @@
     if age >= REPORT_DECAY_SECONDS:
         return 0.0
     return candidate.others * math.exp(-age / REPORT_DECAY_SECONDS)
-
-
-def _slots(candidate: Candidate, now: float) -> float:
-    """Return the slots in proportion to how long work takes, which decays to usual."""
-    slots = candidate.reported_slots or candidate.entry.slots
-    age = now - candidate.others_at
-    if candidate.work_percent is None or age >= REPORT_DECAY_SECONDS:
-        return slots
-    weight = math.exp(-age / REPORT_DECAY_SECONDS)
-    percent = USUAL_PERCENT + weight * (candidate.work_percent - USUAL_PERCENT)
-    return slots * USUAL_PERCENT / max(1.0, percent)
--- a/tests/test_headroom_gossip.py
+++ b/tests/test_headroom_gossip.py
@@ -1,4 +1,4 @@
-"""Load reports that hosts pass on: their size, their age, and where none is sent."""
+"""Load reports that hosts pass on, and each host's share of the headroom."""
 
 from __future__ import annotations
 
@@ -22,10 +22,16 @@
     is_newer,
     newest_reports,
 )
+from godwitrudder.request.queueing.share import (
+    Fraction,
+    HostShare,
+    PeerDemands,
+    TargetRoom,
+)
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import ListedRunner
 from standins.platform_runner import ReceivedRequest, Step, build_response
-from tests.entry_setup import EntrySetup, run_fleet
+from tests.entry_setup import EntrySetup, run_fleet, status_of
 
 HOSTS = 78
 RUNNERS = 45
@@ -102,6 +108,69 @@
     assert not newest_reports([first, second], 11.01)
 
 
+def shares(demands: list[float], free: float, silent: bool) -> list[int]:
+    """Return how many requests each host starts at once after the same reports."""
+    started: list[int] = []
+    for own, demand in enumerate(demands):
+        peers, share = PeerDemands(), HostShare()
+        for host, other in enumerate(demands):
+            if host != own and not silent:
+                peers.record(str(host), {"t": other}, 10.0)
+        fraction = peers.fraction("t", demand, len(demands), 10.5)
+        share.measure(TargetRoom(1080.0, free), fraction, 10.5)
+        count = 0
+        while count < 2000 and share.allows(10.51):
+            count += 1
+            share.start(10.51)
+        started.append(count)
+    return started
+
+
+def test_hosts_together_start_what_is_free() -> None:
+    """Hosts that act on the same reports must not fill the headroom many times."""
+    demands = [2.0] * 70 + [12.0] * 8
+    started = shares(demands, 400.0, silent=False)
+    assert 0.9 * 400 <= sum(started) <= 400 + HOSTS
+    assert started[-1] >= 5 * started[0]
+
+
+def test_each_host_may_start_one_request() -> None:
+    """A target whose slots are fewer than the hosts must stay in use."""
+    assert shares([2.0] * HOSTS, 0.0, silent=False) == [1] * HOSTS
+
+
+def test_silent_peers_leave_an_equal_part() -> None:
+    """A host that hears nobody must take no more than all others could at once."""
+    assert shares([2.0] * 77 + [50.0], 400.0, silent=True) == [5] * HOSTS
+
+
+def test_ample_headroom_is_not_divided() -> None:
+    """A burst at one host must not wait while most slots are free."""
+    assert min(shares([2.0] * HOSTS, 900.0, silent=False)) >= 300
+
+
+def test_ended_requests_free_their_share() -> None:
+    """Short requests must not wait until load reports show them."""
+    share = HostShare()
+    share.measure(TargetRoom(18.0, 3.0), Fraction(1 / HOSTS, False), 10.0)
+    for _ in range(20):
+        assert share.allows(10.05)
+        key = share.start(10.05)
+        assert not share.allows(10.05)
+        share.end(key)
+    share.start(10.05)
+    assert share.allows(10.6)
+
+
+def test_demand_of_hosts_that_left_expires() -> None:
+    """A host must not share with one that no longer says what it needs."""
+    peers = PeerDemands()
+    peers.record("gone", {"t": 1000.0}, 0.0)
+    peers.record("a", {"t": 1.0}, 10.5)
+    assert peers.fraction("t", 1.0, 4, 10.6) == Fraction(0.25, False)
+    assert peers.fraction("t", 1.0, 4, 12.6) == Fraction(0.25, True)
+
+
 def slow_machine(seen: ReceivedRequest, _number: int) -> list[Step]:
     """Answer that work takes two and a half times as long."""
     load = "X-Godwitrudder-Server-Load: 3,1,4,250"
@@ -132,6 +201,26 @@
         assert not fleet.hosts[1].entry.reservations.lending.refused_messages
 
 
+def slow(seen: ReceivedRequest, _number: int) -> list[Step]:
+    """Answer after a while."""
+    return [0.25, build_response(seen, "200 OK", b"hello")]
+
+
+def test_a_host_without_peers_keeps_to_an_equal_part() -> None:
+    """With three hosts and four slots, one that hears nobody starts one at a time."""
+    with run_fleet(3, slow) as fleet:
+        host = fleet.hosts[0]
+        options = Options(queueing=Queueing.ON)
+        host.entry.settings = replace(host.entry.settings, options=options)
+        asked = [gevent.spawn(host.ask) for _ in range(3)]
+        gevent.sleep(0.15)
+        assert len(fleet.runners[0].received_requests) == 1
+        gevent.joinall(asked)
+        assert [status_of(each.value) for each in asked] == [200] * 3
+        lines = [fields for kind, _, fields in host.log.decisions if "peers" in kind]
+        assert lines == [{"silent": True, "hosts": 3}]
+
+
 def test_without_a_queue_nothing_is_sent() -> None:
     """Deployments whose runners do not report times of work must stay as they are."""
     with run_fleet(2, slow_machine, lending=True) as fleet:
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -22,8 +22,8 @@
     fits_memory,
     has_room,
     headroom,
-    target_headroom,
 )
+from godwitrudder.request.queueing.share import TargetRoom
 from godwitrudder.request.queueing.wait_queue import (
     MAX_REQUESTS,
     QueueBounds,
@@ -120,9 +120,9 @@
     runners = [runner(number) for number in range(45)]
     for each in runners:
         each.reported(24, 10, 10.0, 24, 100.0)
-    assert target_headroom(runners, ENGINE, 10.1) == 0
+    assert TargetRoom.of(runners, ENGINE, 10.1).free == 0
     runners[:22] = [runner(100 + number) for number in range(22)]
-    assert target_headroom(runners, ENGINE, 10.1) == 22 * 24
+    assert TargetRoom.of(runners, ENGINE, 10.1).free == 22 * 24
 
 
 def test_a_burst_waits_and_is_served() -> None:
