--- a/godwitrudder/ctl/causes.py
+++ b/godwitrudder/ctl/causes.py
@@ -40,6 +40,7 @@
     CUT_ELSEWHERE = "cut: tokens elsewhere"
     CUT_SPENT = "cut: budget spent"
     NO_RUNNER = "no runner"
+    NO_HEADROOM = "no headroom"
     RATE_LIMITED = "runners at their rate limits"
     QUARANTINED = "prompt quarantined"
     OTHER_REFUSAL = "refused otherwise"
@@ -49,6 +50,7 @@
 
 CAUSE_BY_REASON: Final = {
     "no_runner": Cause.NO_RUNNER,
+    "overloaded": Cause.NO_HEADROOM,
     "prompt_quarantined": Cause.QUARANTINED,
 }
 
--- a/tests/test_causes.py
+++ b/tests/test_causes.py
@@ -33,6 +33,7 @@
     (refusal(silent=0.1, **SHORT), Cause.ELSEWHERE),
     (refusal(silent=0.1, **{**SHORT, "exhausted": True}), Cause.SPENT),
     ([log_line(1.0, "refused", reason="no_runner", status=503)], Cause.NO_RUNNER),
+    ([log_line(1.0, "refused", reason="overloaded", status=503)], Cause.NO_HEADROOM),
     (
         [log_line(1.0, "refused", reason="prompt_quarantined", status=503)],
         Cause.QUARANTINED,
