--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -248,14 +248,20 @@
         now: float,
         changed: Candidate | None = None,
     ) -> Candidate | Waits | None:
-        """Return a runner with room, of all or only one whose load has changed."""
+        """Return a runner with room, of all or only one whose load has changed.
+
+        A host without any request at the target may start one at a full runner with
+        enough memory, which queues it: where hosts outnumber slots, each would else
+        wait for reports while slots are free.
+        """
         tokens, memory = forwarded.max_tokens, queue.memory(forwarded)
+        check = has_room if queue.share.running else fits_memory
         if changed is not None:
-            room = has_room(changed, tokens, memory, now)
+            room = check(changed, tokens, memory, now)
             usable = room and self._choice.may_use(forwarded, changed)
             return changed if usable else Waits.FOR_ROOM
         return self._choice.find_room(
-            forwarded, lambda candidate: has_room(candidate, tokens, memory, now)
+            forwarded, lambda candidate: check(candidate, tokens, memory, now)
         )
 
     def _has_share(
--- a/godwitrudder/request/queueing/share.py
+++ b/godwitrudder/request/queueing/share.py
@@ -120,11 +120,14 @@
     ----------
     measured_at : float
         Clock reading of the last measurement, in seconds.
+    running : int
+        Requests of this host that have started and not ended.
     """
 
     measured_at: float = -math.inf
     room: TargetRoom = TargetRoom(0.0, 0.0)
     fraction: Fraction = Fraction(1.0, True)
+    running: int = 0
     _started_at_by_key: dict[int, float] = field(default_factory=dict)
     _unreported_then: int = 0
     _freed: int = 0
@@ -147,12 +150,14 @@
 
     def start(self, now: float) -> int:
         """Record that a request starts, and return the key with which it ends."""
+        self.running += 1
         self._last_key += 1
         self._started_at_by_key[self._last_key] = now
         return self._last_key
 
     def end(self, key: int) -> None:
         """Record that a request has ended; one that reports show frees headroom."""
+        self.running -= 1
         if self._started_at_by_key.pop(key, None) is None:
             self._freed += 1
 
--- a/tests/test_runner_queue.py
+++ b/tests/test_runner_queue.py
@@ -104,6 +104,18 @@
         assert outcomes(setup, "queueing") == ([True] if on else [])
 
 
+def test_a_host_without_requests_starts_one_at_a_full_runner() -> None:
+    """Where hosts outnumber slots, none may wait while all slots could be free."""
+    with run_entry(slow(0.3, "X-Godwitrudder-Server-Load: 4,9,4,100")) as setup:
+        set_queueing(setup, Queueing.ON)
+        ask(setup).join()
+        asked = [ask(setup) for _ in range(2)]
+        gevent.sleep(0.15)
+        assert len(setup.runners[0].received_requests) == 2
+        gevent.joinall(asked)
+        assert [status_of(each.value) for each in asked] == [200, 200]
+
+
 def test_a_caller_that_leaves_while_it_waits_is_never_sent() -> None:
     """A request without a caller must not take a slot."""
     with run_full(slow(0.5)) as (setup, first):
