--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -33,6 +33,7 @@
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.intake import Intake
+from godwitrudder.request.queueing.processor_load import ProcessorLoad
 from godwitrudder.request.queueing.wait_queue import QueueBounds
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import CallerLimits
@@ -80,6 +81,7 @@
         self._store = Store(settings.store)
         self._traffic = Traffic()
         self.intake = Intake()
+        self.processor = ProcessorLoad()
         self.pool = LinkPool(names.REQUEST_ID, self._traffic)
         self.directory = Directory(
             self._store,
@@ -140,6 +142,7 @@
             self._new_retry_window,
             quarantine,
             queues,
+            self.processor,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
@@ -213,10 +216,15 @@
     @property
     def ready(self) -> bool:
         """Whether the load balancer should send new callers here."""
+        open_for_callers = self.intake.open and not self._processor_full
         return (
-            self.forwarder.started.is_set() and not self.draining and self.intake.open
+            self.forwarder.started.is_set() and not self.draining and open_for_callers
         )
 
+    @property
+    def _processor_full(self) -> bool:
+        return self.processor.full and self.forwarder.queues.any_on()
+
     def _open_for_requests(self) -> None:
         """Admit requests once configuration, runners and holdings are known."""
         self.directory.ready.wait()
@@ -231,6 +239,7 @@
         while True:
             gevent.sleep(LINK_SAMPLE_SECONDS)
             now = time.monotonic()
+            self._read_processor(now - read_at - LINK_SAMPLE_SECONDS)
             transferred = max(traffic.received - received, traffic.sent - sent)
             capacity = self.settings.link_bytes_per_second * (now - read_at)
             changed = self.intake.read(transferred / capacity if capacity else 0.0)
@@ -243,6 +252,16 @@
                     in_flight=self.forwarder.in_flight,
                 )
 
+    def _read_processor(self, late_seconds: float) -> None:
+        """Record by how much a task ran late."""
+        if self.processor.read(late_seconds):
+            self._log.note(
+                "processor",
+                full=self.processor.full,
+                late=round(self.processor.late_seconds, 3),
+                in_flight=self.forwarder.in_flight,
+            )
+
     def _spawn(self, task: Callable[[], None]) -> Greenlet:
         """Run a task; an exception in it is a bug and ends the process."""
 
@@ -316,6 +335,7 @@
         metrics.in_flight.set(self.forwarder.in_flight)
         self.forwarder.queues.set_gauges()
         metrics.link_part.set(self.intake.part)
+        metrics.processor_late.set(self.processor.late_seconds)
         metrics.store_silent.set(self.reservations.silent_seconds)
         metrics.tokens_held.set(self.reservations.host_holdings.held)
         for (path, status), count in self._store.calls.items():
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -92,6 +92,11 @@
             "Messages at the peers' port that were not accepted",
             registry=self.registry,
         )
+        self.processor_late = Gauge(
+            "godwitrudder_processor_late_seconds",
+            "Mean time by which tasks run later than they were due",
+            registry=self.registry,
+        )
         self._add_queue()
         self.headroom = Gauge(
             "godwitrudder_headroom",
--- a/godwitrudder/process/forwarding/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -46,6 +46,7 @@
     refuse,
 )
 from godwitrudder.request.quarantine import Quarantined
+from godwitrudder.request.queueing.processor_load import ProcessorLoad
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import Route, RouteKind, Target
 
@@ -91,6 +92,7 @@
         new_retry_window: Callable[[], RetryWindow],
         quarantine: FleetQuarantine,
         queues: RunnerQueues,
+        processor: ProcessorLoad,
     ) -> None:
         self._directory = directory
         self._reservations = reservations
@@ -102,6 +104,7 @@
         self._new_retry_window = new_retry_window
         self._quarantine = quarantine
         self.queues = queues
+        self._processor = processor
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -137,6 +140,8 @@
             return self._responder.refuse(
                 link, caller_headers.request.decode("latin-1"), forwarded, left
             )
+        if self._is_overloaded(forwarded):
+            return self._refuse_overloaded(forwarded)
         return self._forward_with_reservation(forwarded)
 
     def _admit(
@@ -172,6 +177,26 @@
             link, request, caller_headers, route, target, workspace, now, now + seconds
         )
 
+    def _is_overloaded(self, forwarded: ForwardedRequest) -> bool:
+        """Whether this host's processor is too busy to answer a request in time."""
+        objective = forwarded.route.latency_objective_seconds
+        left = forwarded.seconds_left
+        if self._processor.can_answer(forwarded.rank, objective, left):
+            return False
+        return self.queues.is_on(forwarded.target.name)
+
+    def _refuse_overloaded(self, forwarded: ForwardedRequest) -> bool:
+        """Refuse a request; its caller's next try reaches another host."""
+        forwarded.link.closing = True
+        seconds = retry_delay.jitter(
+            retry_delay.OVERLOADED_HOST_RETRY_SECONDS, self._random
+        )
+        target = forwarded.target.name
+        refused = refuse(Reason.OVERLOADED, seconds, target=target)
+        return self._responder.refuse(
+            forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
+        )
+
     def _ends_before_exit(self, route: Route, now: float, seconds: float) -> bool:
         """Whether a request with this timeout, in seconds, ends before the process."""
         if route.kind is RouteKind.STREAM:
--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -164,6 +164,14 @@
             queue.share.end(share_key)
             self._start_waiting(target, candidate)
 
+    def is_on(self, target: str) -> bool:
+        """Whether requests to a target queue."""
+        return self._is_on(target, self._queue(target))
+
+    def any_on(self) -> bool:
+        """Whether requests to any target queue."""
+        return any(queue.is_on for queue in self._queues_by_target.values())
+
     def record_answer(self, forwarded: ForwardedRequest) -> None:
         """Record how long the complete answer to a request took."""
         seconds = time.monotonic() - forwarded.sent_at
--- a/godwitrudder/request/retry_delay.py
+++ b/godwitrudder/request/retry_delay.py
@@ -21,6 +21,8 @@
 """Delay if another host may hold the tokens."""
 DRAINING_RETRY_SECONDS: Final = 0.03
 """Delay if this host shuts down and another one takes the request."""
+OVERLOADED_HOST_RETRY_SECONDS: Final = 0.05
+"""Delay if this host's processor is saturated and another one takes the request."""
 OUTAGE_SECONDS: Final = 8.5
 """Length within which an outage of the store usually ends; network cuts last 7 to 9
 s."""
