--- a/godwitrudder/options.py
+++ b/godwitrudder/options.py
@@ -23,7 +23,8 @@
 class Queueing(enum.Enum):
     """Where requests wait for room at a target's runners.
 
-    ``AUTO`` means targets whose runners report how long work takes on them.
+    ``AUTO`` means all targets where the platform's settings say that callers compete
+    for room, and elsewhere the targets whose runners report how long work takes.
     """
 
     AUTO = "auto"
--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -8,13 +8,15 @@
 
 import msgspec
 
-from godwitrudder.options import Options
+from godwitrudder.options import Options, Queueing
 from godwitrudder.validation import Address, Problem, parse, parse_address
 
 BYTES_PER_MEGABIT: Final = 125_000.0
 """The settings state the link's rate in Mbit/s."""
 BYTES_PER_MEGABYTE: Final = 1_000_000.0
 """The settings state the memory limit in MB."""
+PRESSURE_CONTRACT: Final = "pressure"
+"""Name under which the settings say that callers compete for room at the targets."""
 RECORD_BYTES: Final = 262_144
 """Size of the largest record that a store accepts, where the settings don't say."""
 
@@ -66,6 +68,7 @@
     ip: str = ""
     bootstrap: bool = False
     internal_ports: list[int] = msgspec.field(default_factory=list)
+    contracts: list[str] = msgspec.field(default_factory=list)
     options: Options | None = None
 
 
@@ -165,7 +168,7 @@
         model.limits.link_mbps * BYTES_PER_MEGABIT,
         _peer_address(model),
         model.bootstrap,
-        options if model.options is None else model.options,
+        _options(model, options),
         model.limits.memory_mb * BYTES_PER_MEGABYTE,
     )
 
@@ -175,3 +178,12 @@
     if not model.ip or not model.internal_ports:
         return None
     return Address(model.ip, model.internal_ports[0])
+
+
+def _options(model: SettingsModel, options: Options) -> Options:
+    """Return the options in force; requests queue where callers compete for room."""
+    if model.options is not None:
+        options = model.options
+    if options.queueing is Queueing.AUTO and PRESSURE_CONTRACT in model.contracts:
+        return msgspec.structs.replace(options, queueing=Queueing.ON)
+    return options
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+from pathlib import Path
+
 import pytest
 
 from godwitrudder.connection.messages import ResponseHead
 from godwitrudder.options import Options, Queueing, parse_options
-from godwitrudder.platform import headers
+from godwitrudder.platform import headers, settings
 from godwitrudder.validation import Problem
 
 
@@ -50,3 +53,27 @@
     """Runners of some targets state a fourth figure; a bad one voids the report."""
     head = ResponseHead(200, [(b"x-godwitrudder-server-load", value)])
     assert headers.load(head) == expected
+
+
+@pytest.mark.parametrize(
+    ("contracts", "text", "expected"),
+    [
+        ([], "", Queueing.AUTO),
+        (["pressure"], "", Queueing.ON),
+        (["pressure"], '{queueing: "off"}', Queueing.OFF),
+    ],
+)
+def test_requests_queue_where_the_settings_name_competition(
+    tmp_path: Path, contracts: list[str], text: str, expected: Queueing
+) -> None:
+    """Deployments that name none are served as before; the operator's word goes first."""
+    path = tmp_path / "settings.json"
+    listen = {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}
+    store = {"address": "127.0.0.1:3"}
+    model = {"node": "n", "zone": "z", "listen": listen, "platform": store}
+    path.write_text(json.dumps({**model, "contracts": contracts}))
+    options = parse_options("V", text)
+    assert isinstance(options, Options)
+    loaded = settings.load(path, options)
+    assert isinstance(loaded, settings.EntrySettings)
+    assert loaded.options.queueing is expected
