--- a/godwitrudder/platform/documents.py
+++ b/godwitrudder/platform/documents.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from godwitrudder import codec
-from godwitrudder.codec import Count, Malformed, Milliseconds, Whole
+from godwitrudder.codec import MAX_SECONDS, Count, Malformed, Milliseconds, Whole
 from godwitrudder.validation import Address, Problem, parse_address
 from godwitrudder.version.catalogue import (
     CallerLimits,
@@ -34,6 +34,8 @@
 
 
 Weight = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+Seconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_SECONDS)]
 
 
 class ShareModel(msgspec.Struct):
@@ -58,6 +60,8 @@
         Whether requests without a known API key are served.
     gap_aim_ms : float
         Longest pause between two events of a stream that counts as on time.
+    allowed_regions : list of str or None
+        Regions of the runners that may serve it; None or none for all regions.
     """
 
     name: str
@@ -73,6 +77,7 @@
     public: bool = False
     resumable: bool = False
     gap_aim_ms: Milliseconds = 0.0
+    allowed_regions: list[str] | None = None
 
 
 class LoadedModel(msgspec.Struct):
@@ -105,11 +110,18 @@
         Maximum number of connections to one runner, from all hosts together.
     engine : EngineModel or None
         None for a plain service.
+    cold_start_s : float
+        Time for which a runner is cold after its start.
+    cold_per_s : float
+        Requests per second from all hosts that a cold runner tolerates; 0 if none of
+        its runners is ever cold.
     """
 
     name: str
     max_conns: Whole = 0
     engine: EngineModel | None = None
+    cold_start_s: Seconds = 0.0
+    cold_per_s: Rate = 0.0
 
 
 class LimitsModel(msgspec.Struct):
@@ -130,12 +142,15 @@
         Rank of its requests; None for the rank of the route.
     prepaid : int or None
         Prepaid tokens; None for no limit.
+    allowed_regions : list of str or None
+        Regions of the runners that may serve its requests; None or none for all.
     """
 
     name: str
     api_keys: list[str] = []
     priority: Whole | None = None
     prepaid: Whole | None = None
+    allowed_regions: list[str] | None = None
 
 
 class ConfigurationModel(msgspec.Struct):
@@ -155,7 +170,13 @@
 
 
 class RunnerModel(msgspec.Struct):
-    """A runner's record in the store."""
+    """A runner's record in the store.
+
+    Attributes
+    ----------
+    cold_remaining_ms : float or None
+        Time for which it stays cold, as of the record; None if it does not say.
+    """
 
     service: str
     address: str
@@ -164,6 +185,7 @@
     slots: Whole = 1
     born: Whole = 0
     seq: Whole = 0
+    cold_remaining_ms: float | None = None
 
 
 def catalogue(data: bytes) -> Catalogue | Malformed:
@@ -173,7 +195,12 @@
         return model
     routes = [_route(route, model.tenants is None) for route in model.routes]
     workspaces = {
-        tenant.name: Workspace(tenant.name, tenant.priority, tenant.prepaid)
+        tenant.name: Workspace(
+            tenant.name,
+            tenant.priority,
+            tenant.prepaid,
+            frozenset(tenant.allowed_regions or ()),
+        )
         for tenant in model.tenants or []
     }
     by_key = {
@@ -218,6 +245,7 @@
         max(1, model.slots),
         model.born,
         model.seq,
+        min(MAX_SECONDS, max(0.0, (model.cold_remaining_ms or 0.0) / 1000)),
     )
 
 
@@ -243,17 +271,22 @@
         public=model.public or public,
         resumable=model.resumable and model.kind == "streaming",
         max_event_gap_seconds=model.gap_aim_ms / 1000,
+        homes=frozenset(model.allowed_regions or ()),
     )
 
 
 def _target(model: ServiceModel) -> Target:
     engine = model.engine
-    if engine is None:
-        return Target(model.name, model.max_conns, None)
-    parsed = Engine(
+    parsed = None if engine is None else _engine(engine)
+    return Target(
+        model.name, model.max_conns, parsed, model.cold_start_s, model.cold_per_s
+    )
+
+
+def _engine(engine: EngineModel) -> Engine:
+    return Engine(
         engine.slots,
         max(1, engine.stride),
         engine.kv_capacity_tokens,
         frozenset(loaded.name for loaded in engine.models),
     )
-    return Target(model.name, model.max_conns, parsed)
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -250,6 +250,23 @@
     return min(limit, MAX_RATE_LIMIT) if limit >= MIN_RATE_LIMIT else 0.0
 
 
+def cold_seconds(head: ResponseHead) -> float | str | None:
+    """Return for how long a runner says that it stays cold.
+
+    Returns
+    -------
+    float, str or None
+        The seconds, the value itself if it is no time, None without the header.
+    """
+    value = head.header(names.COLD_MS)
+    if not value:
+        return None
+    try:
+        return max(0.0, _parse_milliseconds(value) / 1000)
+    except ValueError:
+        return value.decode("latin-1")
+
+
 def idle_seconds(head: ResponseHead) -> float | None:
     """Return how long a runner keeps idle connections, None if it does not say."""
     for field in head.header(b"keep-alive").split(b","):
--- a/godwitrudder/platform/settings.py
+++ b/godwitrudder/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Final
@@ -42,6 +43,9 @@
     retry_window_s: float = 10.0
     retry_slack: float = 10.0
     settle_ms: float = 1500.0
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
+    evac_ms: float = 5000.0
 
 
 class LimitsModel(msgspec.Struct):
@@ -51,7 +55,15 @@
 
 
 class SettingsModel(msgspec.Struct):
-    """The fields of the settings file that the process reads."""
+    """The fields of the settings file that the process reads.
+
+    Attributes
+    ----------
+    region : str
+        Region of this host.
+    zones : dict
+        Region by failure domain.
+    """
 
     node: str
     zone: str
@@ -64,6 +76,8 @@
     bootstrap: bool = False
     internal_ports: list[int] = msgspec.field(default_factory=list)
     options: Options | None = None
+    region: str = ""
+    zones: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +112,13 @@
         spent yet.
     options : Options
         The operator's options.
+    region_by_failure_domain : mapping of str to str
+        Regions of the failure domains, that of this host among them.
+    cold_over, cold_slack : float
+        A cold runner gets at most its rate times ``cold_over``, and ``cold_slack``
+        requests, in a second.
+    evacuation_seconds : float
+        Time within which an evacuation must be in force.
     """
 
     host: str
@@ -116,6 +137,10 @@
     peers: Address | None = None
     first_start: bool = False
     options: Options = field(default_factory=Options)
+    region_by_failure_domain: Mapping[str, str] = field(default_factory=dict)
+    cold_over: float = 1.5
+    cold_slack: float = 5.0
+    evacuation_seconds: float = 5.0
 
 
 def load(path: Path, options: Options) -> EntrySettings | Problem:
@@ -160,9 +185,19 @@
         _peer_address(model),
         model.bootstrap,
         options if model.options is None else model.options,
+        _region_by_failure_domain(model),
+        bounds.cold_over,
+        bounds.cold_slack,
+        bounds.evac_ms / 1000,
     )
 
 
+def _region_by_failure_domain(model: SettingsModel) -> dict[str, str]:
+    """Return the regions of the failure domains; ``zones`` may leave out the own."""
+    own = {model.zone: model.region} if model.region else {}
+    return {**own, **model.zones}
+
+
 def _peer_address(model: SettingsModel) -> Address | None:
     """Return the address for messages of other hosts: the first internal port."""
     if not model.ip or not model.internal_ports:
--- a/godwitrudder/request/placing/candidate.py
+++ b/godwitrudder/request/placing/candidate.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from typing import Final
 
+from godwitrudder.request.places.cold_evidence import ColdEvidence
 from godwitrudder.version.catalogue import ListedRunner
 
 REPORT_DECAY_SECONDS: Final = 1.0
@@ -84,6 +85,10 @@
         Time at which its address last refused a connection after it had ended one.
     directives : Directives
         What the present instance has asked for.
+    cold : ColdEvidence
+        What says that it is cold.
+    cold_noted : bool
+        Whether it was noted as cold.
     unlisted : bool
         Whether its entry was removed at a time at which the store may have been away.
         The entry may only have expired, or the runner may have left.
@@ -108,6 +113,8 @@
     ejections: int = 0
     ejected_until: float = -math.inf
     directives: Directives = field(default_factory=Directives)
+    cold: ColdEvidence = field(default_factory=ColdEvidence)
+    cold_noted: bool = False
     unlisted: bool = False
     replaced: bool = False
     gone: bool = False
@@ -147,9 +154,11 @@
         seconds = min(MAX_EJECTION_SECONDS, EJECTED_SECONDS * 2.0**self.ejections)
         self.ejected_until = now + seconds
         self.ejections += 1
+        self.cold.note_restart(now)
 
     def carry_over(self, former: Candidate) -> None:
-        """Respect what the same instance asks for under a former entry."""
+        """Keep what is known of the same runner under a former entry."""
+        self.cold, self.cold_noted = former.cold, former.cold_noted
         if former.entry.started_ms == self.entry.started_ms:
             self.directives = former.directives
 
--- a/godwitrudder/version/catalogue.py
+++ b/godwitrudder/version/catalogue.py
@@ -12,6 +12,9 @@
 
 from godwitrudder.validation import Address
 
+Homes = frozenset[str]
+"""Regions whose runners may serve a request; empty if all may."""
+
 
 class RouteKind(enum.StrEnum):
     """Whether and how a request may be repeated."""
@@ -53,6 +56,8 @@
     max_event_gap_seconds : float
         Objective for the pause between two events of a stream; the timeout for the
         next event derives from it.
+    homes : frozenset of str
+        Regions of the runners that may serve its requests; empty for all.
     """
 
     name: str
@@ -67,6 +72,7 @@
     public: bool
     resumable: bool
     max_event_gap_seconds: float
+    homes: Homes = frozenset()
 
     @property
     def repeatable(self) -> bool:
@@ -106,11 +112,18 @@
         Maximum number of connections to one runner, from all hosts together.
     engine : Engine or None
         None for a plain service.
+    cold_start_seconds : float
+        Time for which a runner is cold after its start.
+    cold_per_second : float
+        Requests per second from all hosts that a cold runner tolerates; 0 if none of
+        its runners is ever cold.
     """
 
     name: str
     max_connections: int
     engine: Engine | None
+    cold_start_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,11 +136,14 @@
         Priority that overrides the route's rank; None for no override.
     prepaid : int or None
         Tokens that it may use in total, over all time; None for no limit.
+    homes : frozenset of str
+        Regions of the runners that may serve its requests; empty for all.
     """
 
     name: str
     rank: int | None
     prepaid: int | None
+    homes: Homes = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -154,6 +170,8 @@
         Unix milliseconds at which it started; 0 if it does not say.
     sequence : int
         Number of the report; it starts anew with the runner.
+    cold_seconds : float
+        Time for which it stays cold, as of the report.
     """
 
     id: str
@@ -164,6 +182,7 @@
     slots: int
     started_ms: int = 0
     sequence: int = 0
+    cold_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
