--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -6,13 +6,16 @@
 would have been listed again. It is used until then only if most of its target's
 runners have lost their entries.  The same holds if the store comes back from an older
 copy.  A runner that leaves, or has left, is not used again because of an older entry.
+
+An evacuation ends only by a record, or by its absence from a complete list of the
+configuration's topic.
 """
 
 from __future__ import annotations
 
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import replace
 from typing import Final
 
@@ -33,6 +36,7 @@
 )
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.request.outage import longest_wait
+from godwitrudder.request.places.evacuations import Evacuations
 from godwitrudder.request.placing.candidate import Candidate, Directives
 from godwitrudder.version.catalogue import Catalogue, Engine, ListedRunner
 from godwitrudder.version.cursor import Cursor
@@ -69,6 +73,10 @@
         force.
     traffic : Traffic
         Byte counters.
+    evacuation_seconds : float
+        Time within which an evacuation must be in force.
+    failure_domains : collection of str
+        Failure domains known from the settings.
 
     Attributes
     ----------
@@ -80,6 +88,8 @@
         Set once both the configuration and the runners were read.
     candidates_by_target : dict
         Runners by id, for each target.
+    evacuations : Evacuations
+        The evacuated failure domains.
     answered_at : float
         Monotonic seconds at which the store last answered a read of the runners.
     """
@@ -92,14 +102,19 @@
         leave_seconds: float,
         recovery_seconds: float,
         traffic: Traffic,
+        evacuation_seconds: float,
+        failure_domains: Collection[str],
     ) -> None:
         self._store = store
         self._configuration_poll_seconds = longest_wait(
-            recovery_seconds, TIMEOUT_SECONDS
+            min(recovery_seconds, evacuation_seconds), TIMEOUT_SECONDS
         )
         self._runners_poll_seconds = leave_seconds * RUNNERS_POLL_SHARE
         self._log = log
         self._traffic = traffic
+        self._failure_domains = frozenset(failure_domains)
+        self._unknown_domains: set[str] = set()
+        self.evacuations = Evacuations()
         self._on_runner_gone = on_runner_gone
         self.catalogue: Catalogue | None = None
         self.runners_read = False
@@ -139,6 +154,8 @@
             if isinstance(page, Forgotten):
                 cursor.offset = None
                 continue
+            # The configuration makes the process ready, so it is applied last.
+            self._apply_evacuations(page.records, cursor.offset is None)
             cursor.offset = page.next
             for record in page.records:
                 self._apply_configuration(record)
@@ -166,6 +183,7 @@
                     self._apply_entry(record, now, restored)
                 restored = False
                 self.runners_read = True
+                self._note_unknown_domains()
                 self._check_ready()
             elif isinstance(page, Forgotten):
                 cursor.offset = None
@@ -190,6 +208,52 @@
             return None
         return page
 
+    def _apply_evacuations(
+        self, records: Collection[KeyedRecord], complete: bool
+    ) -> None:
+        """Apply the records of evacuations.
+
+        Parameters
+        ----------
+        complete : bool
+            Whether the records are a complete list, so that others have ended.
+        """
+        now = time.monotonic()
+        for record in records:
+            prefix, _, domain = record.key.partition(names.EVACUATION_PREFIX)
+            if prefix or not domain:
+                continue
+            if not record.value:
+                self._end_evacuation(domain, now)
+            elif self.evacuations.begin(domain):
+                self._log.note("evacuation", failure_domain=domain, in_force=True)
+        if complete:
+            listed = {
+                record.key.removeprefix(names.EVACUATION_PREFIX) for record in records
+            }
+            for domain in self.evacuations.missing_from(listed):
+                self._end_evacuation(domain, now)
+        self._note_unknown_domains()
+
+    def _end_evacuation(self, domain: str, now: float) -> None:
+        if self.evacuations.end(domain, now):
+            self._log.note("evacuation", failure_domain=domain, in_force=False)
+
+    def _note_unknown_domains(self) -> None:
+        """Log each evacuated failure domain that is not known, once per evacuation."""
+        evacuated = self.evacuations.in_force
+        self._unknown_domains &= evacuated
+        if not self.runners_read or evacuated == self._unknown_domains:
+            return
+        known = self._failure_domains | {
+            candidate.entry.failure_domain
+            for group in self.candidates_by_target.values()
+            for candidate in group.values()
+        }
+        for domain in sorted(evacuated - known - self._unknown_domains):
+            self._log.note("evacuation_unknown", failure_domain=domain)
+            self._unknown_domains.add(domain)
+
     def _apply_configuration(self, record: KeyedRecord) -> None:
         if record.key != names.CONFIGURATION_KEY or record.value is None:
             return
@@ -237,6 +301,10 @@
             self._log.note("runner_leaving", runner=entry.id, leaving=entry.leaving)
         if known.entry.started_ms != entry.started_ms:
             known.directives = Directives()
+            if 0 < known.entry.started_ms < entry.started_ms:
+                known.cold.note_restart(now)
+        if _is_newer(entry, known.entry):
+            known.cold.note_record(entry.cold_seconds, now)
         known.entry = entry
         known.unlisted = known.replaced = False
 
@@ -260,13 +328,28 @@
         return known.gone and in_copy
 
     def _add(self, entry: ListedRunner) -> None:
+        now = time.monotonic()
         candidate = Candidate(entry)
         former = self._former_by_id.pop(entry.id, None)
         if former is not None:
             candidate.carry_over(former)
+        if former is None or _is_newer(entry, former.entry):
+            candidate.cold.note_record(entry.cold_seconds, now)
+        restarted = former is not None and former.entry.started_ms < entry.started_ms
+        if restarted or self._took_address(entry):
+            candidate.cold.note_restart(now)
         self.candidates_by_target.setdefault(entry.target, {})[entry.id] = candidate
         self._target_by_id[entry.id] = entry.target
 
+    def _took_address(self, entry: ListedRunner) -> bool:
+        """Whether the address of a runner to add was that of another instance."""
+        groups = [*self.candidates_by_target.values(), self._former_by_id]
+        return any(
+            other.entry.address == entry.address and other.entry.id != entry.id
+            for group in groups
+            for other in group.values()
+        )
+
     def runner_replaced(self, candidate: Candidate, instance: str) -> None:
         """Use the instance at a replaced runner's address while the store is silent.
 
@@ -280,7 +363,11 @@
             return
         if instance not in self._target_by_id and target.engine is not None:
             self._unlisted_instances.add(instance)
-            gevent.spawn(self._add_instance, replace(entry, id=instance), target.engine)
+            # What the former entry says of its instance does not hold for this one.
+            found = replace(
+                entry, id=instance, started_ms=0, sequence=0, cold_seconds=0.0
+            )
+            gevent.spawn(self._add_instance, found, target.engine)
 
     def _add_instance(self, entry: ListedRunner, engine: Engine) -> None:
         """Add an instance that the store has not listed yet, if it is an engine."""
@@ -336,3 +423,16 @@
                 self._former_by_id.popitem(last=False)
             self._on_runner_gone(runner)
             self._log.note("runner_gone", runner=runner, target=target, why=why)
+
+
+def _is_newer(entry: ListedRunner, known: ListedRunner) -> bool:
+    """Whether an entry tells something newer than the known one of the same runner.
+
+    A complete list repeats entries, and the store may come back with older ones; their
+    remaining times have passed in part.
+    """
+    if entry.started_ms != known.started_ms:
+        return entry.started_ms > known.started_ms
+    if entry.sequence and known.sequence:
+        return entry.sequence > known.sequence
+    return entry != known
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -22,6 +22,7 @@
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarding.eligibility import Eligibility
 from godwitrudder.process.forwarding.forwarder import Forwarder
 from godwitrudder.process.forwarding.responder import Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
@@ -31,6 +32,9 @@
 from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.intake import Intake
+from godwitrudder.request.places.cold_slots import ColdSlots
+from godwitrudder.request.places.constraints import Bound, Constraints
+from godwitrudder.request.places.regions import Regions
 from godwitrudder.request.retry_window import RetryWindow
 from godwitrudder.version.catalogue import CallerLimits
 
@@ -85,6 +89,8 @@
             settings.leave_seconds,
             settings.recovery_seconds,
             self._traffic,
+            settings.evacuation_seconds,
+            {settings.failure_domain, *settings.region_by_failure_domain},
         )
         self.reservations = ReservationTask(
             self._store,
@@ -100,6 +106,13 @@
         random = Random()
         quarantine = FleetQuarantine(self.reservations, log, random.random())
         limits = FleetLimits(self.reservations, log)
+        self.eligibility = Eligibility(
+            self._new_constraints(),
+            self.directory,
+            self.reservations.known_hosts,
+            log,
+            self._metrics,
+        )
         sender = Sender(
             self.pool,
             log,
@@ -107,9 +120,16 @@
             self.directory.runner_replaced,
             quarantine,
             limits,
+            self.eligibility,
         )
         choice = RunnerChoice(
-            settings.failure_domain, self.directory, sender, limits, log, random
+            settings.failure_domain,
+            self.directory,
+            sender,
+            limits,
+            self.eligibility,
+            log,
+            random,
         )
         choice.host_count = self.reservations.host_count
         self.forwarder = Forwarder(
@@ -244,6 +264,16 @@
             settings.retry_share, settings.retry_slack, settings.retry_window_seconds
         )
 
+    def _new_constraints(self) -> Constraints:
+        settings = self.settings
+        return Constraints(
+            self.directory.evacuations,
+            Regions(settings.region_by_failure_domain),
+            ColdSlots(settings.host),
+            Bound(settings.cold_over, settings.cold_slack),
+            time.time() - time.monotonic(),
+        )
+
     def _serve_caller(self, sock: socket.socket, _address: Any) -> None:
         """Serve the requests of one caller's connection."""
         catalogue = self.directory.current()
@@ -303,6 +333,8 @@
             for outcome, loans in lending.loans_by_outcome.items():
                 metrics.loans.labels(outcome).set(loans)
             metrics.peer_refused.set(lending.refused_messages)
+        metrics.evacuations.set(len(self.directory.evacuations.in_force))
+        metrics.cold_runners.set(self.eligibility.cold_runners())
         metrics.lines_left_out.set(self._log.dropped_lines)
         metrics.connections_opened.set(self.pool.opened)
         return metrics.render()
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -87,6 +87,28 @@
             ["outcome"],
             registry=self.registry,
         )
+        self.evacuations = Gauge(
+            "godwitrudder_evacuations",
+            "Failure domains that are evacuated",
+            registry=self.registry,
+        )
+        self.cold_runners = Gauge(
+            "godwitrudder_cold_runners",
+            "Runners that are cold now",
+            registry=self.registry,
+        )
+        self.cold_requests = Counter(
+            "godwitrudder_cold_requests",
+            "Requests sent to cold runners",
+            ["target"],
+            registry=self.registry,
+        )
+        self.constrained = Counter(
+            "godwitrudder_constrained",
+            "Choices without a runner, by each constraint that excluded some",
+            ["constraint"],
+            registry=self.registry,
+        )
         self.peer_refused = Gauge(
             "godwitrudder_peer_refused",
             "Messages at the peers' port that were not accepted",
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from dataclasses import dataclass, field
 
@@ -55,6 +56,8 @@
         Time for which it is held back; None if it is not.
     backoff_seconds : float
         Time until the first runner in backoff may be sent a request; 0 for none.
+    slot_ends_at : float
+        Monotonic seconds by which it must be sent if its runner is cold.
     failed_answer : Whole or None
         A failed answer of a runner, passed on if no other runner gives a better one.
     """
@@ -81,6 +84,7 @@
     trial_parts: tuple[str, ...] = ()
     quarantine_seconds: float | None = None
     backoff_seconds: float = 0.0
+    slot_ends_at: float = -math.inf
     failed_answer: Whole | None = None
 
     @property
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -17,6 +17,7 @@
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarding.eligibility import Eligibility
 from godwitrudder.process.forwarding.forwarded_request import (
     AttemptResult,
     ForwardedRequest,
@@ -116,9 +117,11 @@
         on_replaced: Callable[[Candidate, str], None],
         quarantine: FleetQuarantine,
         limits: FleetLimits,
+        eligibility: Eligibility,
     ) -> None:
         self._pool = pool
         self._limits = limits
+        self._eligibility = eligibility
         self._quarantine = quarantine
         self._attempts: list[Attempt] = []
         quarantine.on_blamed = self._abort
@@ -166,7 +169,7 @@
             return "the runner wants a pause"
         if self._quarantine.is_held(forwarded.shared_parts):
             return "the prompt was quarantined"
-        return None
+        return self._eligibility.obstacle(forwarded, candidate)
 
     def _record_evidence(self, attempt: Attempt) -> None:
         """Record what the end of an attempt says about the parts of its prompt."""
@@ -339,6 +342,7 @@
     def _apply_directives(self, attempt: Attempt, head: ResponseHead) -> None:
         """Apply the directives to hosts in a runner's answer."""
         self._apply_rate_limit(attempt, head)
+        self._apply_cold_time(attempt.candidate, head)
         runner, directives = attempt.candidate.entry.id, attempt.directives
         if wire.is_leaving(head) and not directives.leaving:
             directives.leaving = True
@@ -348,6 +352,13 @@
             directives.back_off(seconds, time.monotonic())
             self._log.note("backoff", runner=runner, seconds=seconds)
 
+    def _apply_cold_time(self, candidate: Candidate, head: ResponseHead) -> None:
+        seconds = wire.cold_seconds(head)
+        if isinstance(seconds, str):
+            self._log.note("cold_unread", runner=candidate.entry.id, value=seconds)
+        elif seconds is not None:
+            candidate.cold.note_answer(seconds, time.monotonic())
+
     def _apply_rate_limit(self, attempt: Attempt, head: ResponseHead) -> None:
         runner, limit = attempt.candidate.entry.id, wire.rate_limit(head)
         if isinstance(limit, str):
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -25,6 +25,9 @@
 
 STORE_SILENT_AFTER_SECONDS: Final = 1.2
 """Time without an answer after which the store is treated as unreachable."""
+JOIN_SECONDS: Final = 3.0
+"""Time after its first opening in which a new host can't know all others, as hosts that
+start together read each other's first statements only one or two intervals later."""
 STATEMENT_BATCH_SECONDS: Final = 0.03
 """Delay between statements, so that requests that wait share one."""
 
@@ -137,6 +140,7 @@
             store, self.host_holdings, self.lending, log, self._configure
         )
         self.opened = Event()
+        self._joined_at = 0.0
         self.before_statement: list[Callable[[], None]] = []
 
     def now(self) -> float:
@@ -152,6 +156,13 @@
         """Return the number of hosts that ever made a statement, at least 1."""
         return max(1, self.host_holdings.statements.hosts)
 
+    def known_hosts(self) -> tuple[str, ...] | None:
+        """Return the names of all hosts, None while they are not known."""
+        if not self.opened.is_set() or self.now() < self._joined_at:
+            return None
+        own, table = self.host_holdings.host, self.host_holdings.statements
+        return tuple(sorted({own, *table.statements_by_host}))
+
     def reserve(
         self,
         request: str,
@@ -203,6 +214,9 @@
     def run(self) -> None:
         """Publish and read statements until the process ends."""
         self.exchange.open()
+        table = self.host_holdings.statements
+        if self.host_holdings.host not in table.statements_by_host:
+            self._joined_at = self.now() + JOIN_SECONDS
         self.opened.set()
         self._statement_wanted.set()
         while True:
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -76,7 +76,7 @@
     """
     eligible = [
         candidate
-        for candidate in _trusted(candidates)
+        for candidate in trusted(candidates)
         if candidate.entry.id not in excluded
         and candidate.in_flight < connections_most
         and now >= candidate.directives.backoff_until
@@ -100,7 +100,7 @@
     return usable[min(costs)[2]]
 
 
-def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
+def trusted(candidates: Collection[Candidate]) -> list[Candidate]:
     """Return the runners that may get requests.
 
     An outage of the store lets the entries of most runners expire; a runner that leaves
--- a/tests/entry_setup.py
+++ b/tests/entry_setup.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import ExitStack, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import gevent
@@ -132,12 +132,15 @@
     hosts: list[EntrySetup]
     store: Store
     runners: list[PlatformRunner]
+    regions: Mapping[str, str] = field(default_factory=dict)
 
 
 @contextmanager
-def run_entry(*scripts: Script) -> Iterator[EntrySetup]:
+def run_entry(
+    *scripts: Script, regions: Mapping[str, str] | None = None
+) -> Iterator[EntrySetup]:
     """Run an entry process with one runner for each script."""
-    with run_fleet(1, *scripts) as fleet:
+    with run_fleet(1, *scripts, regions=regions) as fleet:
         yield fleet.hosts[0]
 
 
@@ -146,6 +149,7 @@
     hosts: int,
     *scripts: Script,
     lending: bool = False,
+    regions: Mapping[str, str] | None = None,
 ) -> Iterator[FleetSetup]:
     """Run entry processes with one runner for each script.
 
@@ -153,6 +157,8 @@
     ----------
     lending : bool
         Whether the processes exchange messages.
+    regions : mapping of str to str
+        Region by failure domain, for the settings.
     """
     with ExitStack() as stack:
         store = stack.enter_context(Store(Address(IP, free_port())))
@@ -163,7 +169,7 @@
         for number, runner in enumerate(runners):
             list_runner(store, number, runner)
         sink = stack.enter_context(open("/dev/null", "wb"))
-        fleet = FleetSetup([], store, runners)
+        fleet = FleetSetup([], store, runners, regions or {})
         for number in range(1, hosts + 1):
             fleet.hosts.append(start_host(stack, fleet, number, lending, sink.fileno()))
         for host in fleet.hosts:
@@ -197,6 +203,7 @@
         retry_window_seconds=10.0,
         retry_slack=50.0,
         peers=Address(IP, free_datagram_port()) if lending else None,
+        region_by_failure_domain=fleet.regions,
     )
     log = RecordingLog(settings.host, descriptor)
     entry = Entry(settings, None, log)
