--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -10,13 +10,17 @@
 
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
+from godwitrudder.process.forwarding.eligibility import Eligibility
 from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.rate_limits import FleetLimits
+from godwitrudder.request.places.cold_slots import Slot
+from godwitrudder.request.places.constraints import Selection
 from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.request.placing.placement import (
     is_usable,
     place,
+    trusted,
     usable_runners,
 )
 from godwitrudder.version.catalogue import Target
@@ -47,6 +51,7 @@
         directory: Directory,
         sender: Sender,
         limits: FleetLimits,
+        eligibility: Eligibility,
         log: DecisionLog,
         random: Random,
     ) -> None:
@@ -54,6 +59,7 @@
         self._directory = directory
         self._sender = sender
         self._limits = limits
+        self._eligibility = eligibility
         self._log = log
         self._random = random
         self.host_count: Callable[[], int] = lambda: 1
@@ -73,6 +79,8 @@
         most = self._most_connections(target)
         crowded = unlisted = False
         candidates = self._directory.candidates_by_target.get(target.name, {})
+        if self._eligibility.constrains(forwarded):
+            return self._find_constrained(forwarded, has_room)
         for candidate in candidates.values():
             unlisted = unlisted or candidate.unlisted
             if not is_usable(candidate, forwarded.excluded, most, now):
@@ -89,11 +97,29 @@
             return None
         return next((each for each in usable if has_room(each)), Waits.FOR_ROOM)
 
+    def _find_constrained(
+        self, forwarded: ForwardedRequest, has_room: Callable[[Candidate], bool]
+    ) -> Candidate | Waits | None:
+        """Return what ``find_room`` does, where constraints on placement apply."""
+        candidates = trusted(self._directory.candidates(forwarded.target.name))
+        selection = self._eligibility.select(forwarded, candidates)
+        usable = usable_runners(
+            self._limits.permitted(selection.usable),
+            forwarded.excluded,
+            self._most_connections(forwarded.target),
+            time.monotonic(),
+        )
+        if not usable:
+            return None
+        return next((each for each in usable if has_room(each)), Waits.FOR_ROOM)
+
     def may_use(self, forwarded: ForwardedRequest, candidate: Candidate) -> bool:
         """Whether a request may be sent to a listed runner now."""
         most = self._most_connections(forwarded.target)
         usable = is_usable(candidate, forwarded.excluded, most, time.monotonic())
-        return usable and bool(self._limits.permitted([candidate]))
+        if not usable or self._eligibility.obstacle(forwarded, candidate) is not None:
+            return False
+        return bool(self._limits.permitted([candidate]))
 
     def choose(
         self,
@@ -108,16 +134,41 @@
             Whether a runner has memory for the request; one that has not is chosen only
             if none has.
         """
+        candidate, selection = self._choose_now(forwarded, fits)
+        if candidate is None and selection.cold:
+            with self._eligibility.next_slot(forwarded, selection) as slot:
+                if slot is not None:
+                    candidate, selection = self._choose_now(forwarded, fits, slot)
+        if candidate is None:
+            self._eligibility.note_no_runner(selection)
+        return candidate
+
+    def _choose_now(
+        self,
+        forwarded: ForwardedRequest,
+        fits: Callable[[Candidate], bool],
+        reserved: Slot | None = None,
+    ) -> tuple[Candidate | None, Selection]:
+        """Choose without a wait; return also how the runners were separated.
+
+        Parameters
+        ----------
+        reserved : Slot or None
+            Slot at a cold runner that was reserved for the request.
+        """
         target = forwarded.target
         candidates = self._directory.candidates(target.name)
+        # Whether an unlisted runner may have left is told by all runners of the target.
+        selection = self._eligibility.select(forwarded, trusted(candidates), reserved)
         now = time.monotonic()
-        permitted = self._limits.permitted(candidates)
+        permitted = self._limits.permitted(selection.usable)
         candidate = self._place(forwarded, permitted, now)
         if candidate is not None and not fits(candidate):
             fitting = [each for each in permitted if fits(each)]
             candidate = self._place(forwarded, fitting, now) or candidate
         if candidate is not None:
             self._limits.take(candidate.entry.id)
+            self._eligibility.take(forwarded, candidate, selection)
         else:
             backoffs = [
                 each.directives.backoff_until - now
@@ -136,8 +187,9 @@
             load=None if candidate is None else round(candidate.load(now), 1),
             entries_age=round(now - self._directory.answered_at, 3),
             left=round(forwarded.seconds_left, 3),
+            **_constraints_for_log(selection),
         )
-        return candidate
+        return candidate, selection
 
     def _place(
         self, forwarded: ForwardedRequest, candidates: list[Candidate], now: float
@@ -158,3 +210,9 @@
         """Return the most requests of this host at one runner of a target."""
         share = target.max_connections // max(1, self.host_count())
         return max(MIN_CONNECTIONS_PER_RUNNER, share)
+
+
+def _constraints_for_log(selection: Selection) -> dict[str, dict[str, int]]:
+    """Return how many runners were excluded by which constraint, if any were."""
+    excluded = {str(reason): count for reason, count in selection.exclusions.items()}
+    return {"constraints": excluded} if excluded else {}
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -101,7 +101,7 @@
     """Return the runners that a request may be sent to; ejected ones if all are."""
     eligible = [
         candidate
-        for candidate in _trusted(candidates)
+        for candidate in trusted(candidates)
         if _accepts(candidate, excluded, connections_most, now)
     ]
     usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
@@ -130,7 +130,7 @@
     )
 
 
-def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
+def trusted(candidates: Collection[Candidate]) -> list[Candidate]:
     """Return the runners that may get requests.
 
     An outage of the store lets the entries of most runners expire; a runner that leaves
--- a/tests/test_options.py
+++ b/tests/test_options.py
@@ -66,7 +66,7 @@
 def test_requests_queue_where_the_settings_name_competition(
     tmp_path: Path, contracts: list[str], text: str, expected: Queueing
 ) -> None:
-    """Deployments that name none are served as before; the operator's word goes first."""
+    """Deployments that name none are served as before; the operator goes first."""
     path = tmp_path / "settings.json"
     listen = {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}
     store = {"address": "127.0.0.1:3"}
