--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -6,11 +6,17 @@
 
 from __future__ import annotations
 
+import json
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass, field
+from pathlib import Path
 from random import Random
 
+import pytest
+
+from godwitrudder.options import Options
+from godwitrudder.platform.settings import EntrySettings, load
 from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.request.queueing.admission import (
     DrainRate,
@@ -216,6 +222,23 @@
     assert not QueueBounds.for_memory(552_000_000).admits(32_000_001)
 
 
+@pytest.mark.parametrize(
+    ("limits", "most"), [({"memory_mb": 160}, 20_000_000), ({}, 32_000_000)]
+)
+def test_the_settings_state_the_memory_limit(
+    limits: dict[str, int], most: int, tmp_path: Path
+) -> None:
+    """A limit that is not read would let a small host run out of memory."""
+    listen = {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"}
+    store = {"address": "127.0.0.1:3"}
+    model = {"node": "a", "zone": "z", "listen": listen, "platform": store}
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps({**model, "limits": limits}))
+    loaded = load(path, Options())
+    assert isinstance(loaded, EntrySettings)
+    assert QueueBounds.for_memory(loaded.memory_bytes).max_bytes == most
+
+
 def test_those_who_waited_return_first() -> None:
     """Requests refused on arrival must not overtake those that have waited."""
     random = Random(1)
