--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -25,6 +25,7 @@
 from godwitrudder.process.forwarding.forwarder import Forwarder
 from godwitrudder.process.forwarding.responder import Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
@@ -112,6 +113,16 @@
             settings.failure_domain, self.directory, sender, limits, log, random
         )
         choice.host_count = self.reservations.host_count
+        self.second_attempts = SecondAttempts(
+            sender,
+            choice,
+            self.directory,
+            self.reservations,
+            quarantine,
+            log,
+            self._metrics,
+            lambda: self.settings.options.second_attempt_share,
+        )
         self.forwarder = Forwarder(
             self.directory,
             self.reservations,
@@ -122,6 +133,7 @@
             random,
             self._new_retry_window,
             quarantine,
+            self.second_attempts,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
@@ -160,6 +172,7 @@
         """Drain: finish the requests in flight within the grace period."""
         began = time.monotonic()
         self.draining = True
+        self.second_attempts.draining = True
         self._log.note("stop_begins", in_flight=self.forwarder.in_flight)
         for link in self._caller_links:
             link.closing = True
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -45,6 +45,18 @@
             buckets=LATENCY_BUCKETS_SECONDS,
             registry=self.registry,
         )
+        self.second_attempts = Counter(
+            "godwitrudder_second_attempts",
+            "Second attempts of slow requests that started, won, lost or failed",
+            ["target", "outcome"],
+            registry=self.registry,
+        )
+        self.second_attempts_not_started = Counter(
+            "godwitrudder_second_attempts_not_started",
+            "Slow requests without a second attempt by the rule against it",
+            ["target", "reason"],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "godwitrudder_in_flight", "Requests under way", registry=self.registry
         )
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -93,6 +93,14 @@
         """Return the ids of the prompt's parts that other requests may share."""
         return tuple(part.id for part in self.caller_headers.parts[:-1])
 
+    @property
+    def max_tokens(self) -> int:
+        """Return the most tokens that it can use; 0 if they are not counted."""
+        workspace, headers = self.workspace, self.caller_headers
+        if workspace is None or workspace.prepaid is None:
+            return 0
+        return headers.prompt_tokens + headers.output_tokens
+
     @property
     def seconds_left(self) -> float:
         """Return the seconds until the deadline."""
@@ -128,4 +136,11 @@
     reason: str
 
 
-AttemptResult = Whole | Streamed | NotRun | Lost
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Another attempt at the same request answered first, so this one was ended."""
+
+    reason: str = "another attempt answered first"
+
+
+AttemptResult = Whole | Streamed | NotRun | Lost | Overtaken
--- a/godwitrudder/process/forwarding/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -29,6 +29,7 @@
 )
 from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES, Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
+from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.reservations import (
@@ -86,6 +87,7 @@
         random: Random,
         new_retry_window: Callable[[], RetryWindow],
         quarantine: FleetQuarantine,
+        second_attempts: SecondAttempts,
     ) -> None:
         self._directory = directory
         self._reservations = reservations
@@ -96,6 +98,7 @@
         self._random = random
         self._new_retry_window = new_retry_window
         self._quarantine = quarantine
+        self._second_attempts = second_attempts
         self._retry_windows_by_target: dict[str, RetryWindow] = {}
         self.in_flight = 0
         self.started = Event()
@@ -183,13 +186,13 @@
 
     def _forward_with_reservation(self, forwarded: ForwardedRequest) -> bool:
         """Reserve tokens for a request of a prepaid workspace, then try runners."""
-        caller_headers, workspace = forwarded.caller_headers, forwarded.workspace
+        workspace = forwarded.workspace
         verdict = self._quarantine.check(forwarded.shared_parts)
         if isinstance(verdict, Quarantined):
             forwarded.quarantine_seconds = verdict.seconds
             return self._responder.give_up(forwarded)
-        max_tokens = caller_headers.prompt_tokens + caller_headers.output_tokens
-        if workspace is None or workspace.prepaid is None or not max_tokens:
+        max_tokens = forwarded.max_tokens
+        if workspace is None or not max_tokens:
             return self._try_runners(forwarded)
         max_wait = forwarded.route.latency_objective_seconds * TOKEN_WAIT_SHARE
         reservation = self._reservations.reserve(
@@ -254,6 +257,7 @@
         """Try runners until one answers or no further attempt is possible."""
         window = self._retry_window(forwarded.target.name)
         window.request(time.monotonic())
+        self._second_attempts.record_request(forwarded.target.name)
         while True:
             if forwarded.link.closed_by_caller:
                 raise CallerDisconnected
@@ -296,7 +300,12 @@
             candidate = self._choice.choose(forwarded)
             if candidate is None:
                 return None
-            return self._sender.send(forwarded, candidate)
+            if not self._second_attempts.may_have_one(forwarded):
+                return self._sender.send(forwarded, candidate)
+            window = self._retry_window(forwarded.target.name)
+            return self._second_attempts.send(
+                forwarded, candidate, window, self.host_count()
+            )
 
     def _should_retry(self, forwarded: ForwardedRequest, whole: Whole) -> bool:
         """Whether to retry a request that a runner answered with a server error."""
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -46,8 +46,18 @@
         self._random = random
         self.host_count: Callable[[], int] = lambda: 1
 
-    def choose(self, forwarded: ForwardedRequest) -> Candidate | None:
-        """Return the runner for the next attempt, None if there is none now."""
+    def choose(
+        self,
+        forwarded: ForwardedRequest,
+        accepts: Callable[[Candidate], bool] = lambda candidate: True,
+    ) -> Candidate | None:
+        """Return the runner for the next attempt, None if there is none now.
+
+        Parameters
+        ----------
+        accepts : callable
+            Returns whether a runner may be chosen.
+        """
         target = forwarded.target
         candidates = self._directory.candidates(target.name)
         share = (
@@ -55,7 +65,7 @@
             or MIN_CONNECTIONS_PER_RUNNER
         )
         now = time.monotonic()
-        permitted = self._limits.permitted(candidates)
+        permitted = list(filter(accepts, self._limits.permitted(candidates)))
         candidate = place(
             permitted,
             forwarded.caller_headers.parts,
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -8,33 +8,29 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
 from typing import Final
 
-from godwitrudder.connection.http import End, RunnerLink
+from godwitrudder.connection.http import End
 from godwitrudder.connection.messages import Headers, ResponseHead
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.entry_metrics import EntryMetrics
+from godwitrudder.process.forwarding.attempt import Attempt, Race
 from godwitrudder.process.forwarding.forwarded_request import (
     AttemptResult,
     ForwardedRequest,
     Lost,
     NotRun,
+    Overtaken,
     Streamed,
     Whole,
 )
+from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
-from godwitrudder.request.event_stream import EventReader
-from godwitrudder.request.evidence import (
-    AttemptEnd,
-    Evidence,
-    evidence_of,
-    is_answered,
-)
-from godwitrudder.request.placing.candidate import Candidate, Directives
+from godwitrudder.request.evidence import Evidence, is_answered
+from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.version.catalogue import RouteKind
 
 FIRST_BYTE_TIMEOUT_FACTOR: Final = 2.0
@@ -49,55 +45,6 @@
 of the route's longest gap between events."""
 
 
-@dataclass(slots=True)
-class Attempt:
-    """One attempt in progress.
-
-    Attributes
-    ----------
-    began_at : float
-        Monotonic seconds at which it began.
-    directives : Directives
-        What the instance that it was sent to has asked for.
-    pending_tokens : int
-        Prompt tokens that the runner still has to read; ``candidate`` counts them.
-    shared_parts : tuple of str
-        Parts of the prompt that other requests may share.
-    events : int
-        Events with content that this runner has sent.
-    aborted : bool
-        Whether it was ended here because its prompt is quarantined.
-    body_parts : list of bytes
-        Body of an answer that is not a stream.
-    """
-
-    candidate: Candidate
-    link: RunnerLink
-    began_at: float
-    directives: Directives
-    shared_parts: tuple[str, ...] = ()
-    pending_tokens: int = 0
-    events: int = 0
-    aborted: bool = False
-    head: ResponseHead | None = None
-    event_reader: EventReader = field(default_factory=EventReader)
-    body_parts: list[bytes] = field(default_factory=list)
-    result: AttemptResult = field(
-        default_factory=lambda: Lost("the caller disconnected")
-    )
-
-    @property
-    def evidence(self) -> Evidence:
-        """What it tells about the shared parts of its prompt."""
-        framed = self.head is not None and self.head.framed
-        return evidence_of(_end_of(self.result), self.events, framed)
-
-    def prompt_read(self) -> None:
-        """Stop counting the prompt as pending at the runner."""
-        self.candidate.pending_tokens -= self.pending_tokens
-        self.pending_tokens = 0
-
-
 class Sender:
     """Sends requests to runners; one per process.
 
@@ -130,8 +77,19 @@
         """Return the ids of runners with a connection that can be reused."""
         return self._pool.connected()
 
-    def send(self, forwarded: ForwardedRequest, candidate: Candidate) -> AttemptResult:
-        """Send the request to one runner and return the outcome."""
+    def send(
+        self,
+        forwarded: ForwardedRequest,
+        candidate: Candidate,
+        race: Race | None = None,
+    ) -> AttemptResult:
+        """Send the request to one runner and return the outcome.
+
+        Parameters
+        ----------
+        race : Race or None
+            The attempts that run at the same time; None if there is only this one.
+        """
         entry = candidate.entry
         forwarded.excluded.add(entry.id)
         link = self._pool.take(entry.id, entry.address)
@@ -140,7 +98,7 @@
             candidate.unreachable(now)
             self._log_attempt(forwarded, candidate, link, now, 0)
             return NotRun(link)
-        obstacle = self._obstacle(forwarded, candidate)
+        obstacle = self._obstacle(forwarded, candidate, race)
         if obstacle is not None:
             link.close()
             self._log_attempt(forwarded, candidate, obstacle, now, 0)
@@ -148,6 +106,9 @@
         attempt = Attempt(
             candidate, link, now, candidate.directives, forwarded.shared_parts
         )
+        if race is not None:
+            attempt.race = race
+            race.enter(attempt)
         self._count_at_runner(forwarded, attempt)
         try:
             self._exchange(forwarded, attempt)
@@ -157,9 +118,11 @@
         return attempt.result
 
     def _obstacle(
-        self, forwarded: ForwardedRequest, candidate: Candidate
+        self, forwarded: ForwardedRequest, candidate: Candidate, race: Race | None
     ) -> str | None:
         """Return what came up while the connection was opened, None if nothing."""
+        if race is not None and race.winner is not None:
+            return "another attempt answered first"
         if not candidate.may_be_used:
             return "the runner has left"
         if time.monotonic() < candidate.directives.backoff_until:
@@ -225,6 +188,8 @@
             request.body,
             forwarded.caller_headers.request,
         ):
+            if attempt.overtaken:
+                break
             if isinstance(event, ResponseHead):
                 attempt.head = event
                 self._apply_load_report(attempt.candidate, event)
@@ -234,6 +199,8 @@
                 self._handle_data(forwarded, attempt, event)
             elif isinstance(event, End):
                 attempt.result = self._classify_answer(forwarded, attempt)
+                if _is_usable(attempt.result):
+                    attempt.claim()
             else:
                 attempt.result = Lost(event.reason)
 
@@ -257,7 +224,10 @@
 
     def _finish(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Stop counting the request as load; keep or close the connection."""
+        if attempt.overtaken:
+            attempt.result = Overtaken()
         candidate, result, link = attempt.candidate, attempt.result, attempt.link
+        attempt.ended = True
         candidate.in_flight -= 1
         candidate.trials -= bool(forwarded.trial_parts)
         self._attempts.remove(attempt)
@@ -267,11 +237,14 @@
             if result.replaced:
                 candidate.replaced = True
                 self._on_replaced(candidate, result.instance)
-        if isinstance(result, Lost):
+        if isinstance(result, (Lost, Overtaken)):
             link.close()
             link.reusable = False
         failed = isinstance(result, Whole) and result.head.status >= 500
-        candidate.ended(not failed and not isinstance(result, Lost), time.monotonic())
+        if not isinstance(result, Overtaken):
+            candidate.ended(
+                not failed and not isinstance(result, Lost), time.monotonic()
+            )
         entry, head = candidate.entry, attempt.head
         idle = None if head is None else wire.idle_seconds(head)
         self._pool.give(entry.id, entry.address, link, idle)
@@ -378,6 +351,8 @@
             if event.comment:
                 ready.append(event.data)
                 continue
+            if not attempt.claim():
+                return False
             attempt.events += 1
             if event.id is not None:
                 last_id = forwarded.last_event_id
@@ -447,13 +422,8 @@
         return forwarded.route.rank
 
 
-def _end_of(result: AttemptResult) -> AttemptEnd:
-    match result:
-        case Streamed():
-            return AttemptEnd.STREAMED
-        case Whole(head) if head.status < 300:
-            return AttemptEnd.WHOLE
-        case Lost():
-            return AttemptEnd.LOST
-        case _:
-            return AttemptEnd.FAILED
+def _is_usable(result: AttemptResult) -> bool:
+    """Whether a result is a complete answer that the caller may get."""
+    if not isinstance(result, Whole):
+        return False
+    return result.head.status < 500 and result.head.status not in NOT_RUN_STATUSES
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -194,6 +194,17 @@
         )
         return refused
 
+    def reserve_now(self, workspace: str, tokens: int) -> Reservation | None:
+        """Reserve tokens if they can be spent at this moment.
+
+        The call neither waits nor borrows; requests that wait for tokens come first.
+        """
+        holding = self.host_holdings.holding(workspace)
+        awaited = any(waiter.workspace == workspace for waiter in self._waiters)
+        if awaited or not holding.reserve(tokens, self.now()):
+            return None
+        return Reservation(workspace, tokens)
+
     def settle(self, reservation: Reservation, used: int) -> None:
         """Return the tokens that a request did not use."""
         self.host_holdings.holding(reservation.workspace).settle(
