--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -28,6 +28,7 @@
 from godwitrudder.process.forwarding.responder import Responder
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
 from godwitrudder.process.forwarding.runner_queues import RunnerQueues
+from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
@@ -151,6 +152,17 @@
         self._gossip = HeadroomGossip(
             self.directory, self.reservations, queues, log, self._metrics, random
         )
+        self.second_attempts = SecondAttempts(
+            sender,
+            choice,
+            self.directory,
+            self.reservations,
+            quarantine,
+            log,
+            self._metrics,
+            lambda: self.settings.options.second_attempt_share,
+        )
+        self.second_attempts.queued = queues.queued
         self.forwarder = Forwarder(
             self.directory,
             self.reservations,
@@ -163,6 +175,7 @@
             quarantine,
             queues,
             self.processor,
+            self.second_attempts,
         )
         self.forwarder.host_count = self.reservations.host_count
         self.draining = False
@@ -203,6 +216,7 @@
         """Drain: finish the requests in flight within the grace period."""
         began = time.monotonic()
         self.draining = True
+        self.second_attempts.draining = True
         self._log.note("stop_begins", in_flight=self.forwarder.in_flight)
         for link in self._caller_links:
             link.closing = True
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -124,6 +124,14 @@
         headers = sum(len(name) + len(value) for name, value in self.request.headers)
         return headers + len(self.request.body)
 
+    @property
+    def prepaid_tokens(self) -> int:
+        """Return the tokens to reserve from its budget; 0 if it has none."""
+        workspace, headers = self.workspace, self.caller_headers
+        if workspace is None or workspace.prepaid is None:
+            return 0
+        return headers.prompt_tokens + headers.output_tokens
+
     @property
     def seconds_left(self) -> float:
         """Return the seconds until the deadline."""
@@ -159,4 +167,11 @@
     reason: str
 
 
-AttemptResult = Whole | Streamed | NotRun | Lost
+@dataclass(frozen=True, slots=True)
+class Overtaken:
+    """Another attempt at the same request answered first, so this one was ended."""
+
+    reason: str = "another attempt answered first"
+
+
+AttemptResult = Whole | Streamed | NotRun | Lost | Overtaken
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -125,6 +125,7 @@
         self,
         forwarded: ForwardedRequest,
         fits: Callable[[Candidate], bool] = lambda candidate: True,
+        accepts: Callable[[Candidate], bool] = lambda candidate: True,
     ) -> Candidate | None:
         """Return the runner for the next attempt, None if there is none now.
 
@@ -133,12 +134,16 @@
         fits : callable
             Whether a runner has memory for the request; one that has not is chosen only
             if none has.
+        accepts : callable
+            Returns whether a runner may be chosen at all.
         """
-        candidate, selection = self._choose_now(forwarded, fits)
+        candidate, selection = self._choose_now(forwarded, fits, accepts)
         if candidate is None and selection.cold:
             with self._eligibility.next_slot(forwarded, selection) as slot:
                 if slot is not None:
-                    candidate, selection = self._choose_now(forwarded, fits, slot)
+                    candidate, selection = self._choose_now(
+                        forwarded, fits, accepts, slot
+                    )
         if candidate is None:
             self._eligibility.note_no_runner(selection)
         return candidate
@@ -147,6 +152,7 @@
         self,
         forwarded: ForwardedRequest,
         fits: Callable[[Candidate], bool],
+        accepts: Callable[[Candidate], bool],
         reserved: Slot | None = None,
     ) -> tuple[Candidate | None, Selection]:
         """Choose without a wait; return also how the runners were separated.
@@ -161,7 +167,7 @@
         # Whether an unlisted runner may have left is told by all runners of the target.
         selection = self._eligibility.select(forwarded, trusted(candidates), reserved)
         now = time.monotonic()
-        permitted = self._limits.permitted(selection.usable)
+        permitted = list(filter(accepts, self._limits.permitted(selection.usable)))
         candidate = self._place(forwarded, permitted, now)
         if candidate is not None and not fits(candidate):
             fitting = [each for each in permitted if fits(each)]
--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -164,6 +164,11 @@
             queue.share.end(share_key)
             self._start_waiting(target, candidate)
 
+    def queued(self, target: str) -> int:
+        """Return the number of requests that wait for a target's runners."""
+        queue = self._queues_by_target.get(target)
+        return 0 if queue is None else len(queue.waiting)
+
     def is_on(self, target: str) -> bool:
         """Whether requests to a target queue."""
         return self._is_on(target, self._queue(target))
