--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -90,11 +90,7 @@
         ),
     ),
     "home": (Edit(PLACEMENT, "if is_home and parts:", "if is_home and not parts:"),),
-    "distance": (
-        Edit(
-            PLACEMENT, "DISTANCE_TOKENS: Final = 150.0", "DISTANCE_TOKENS: Final = 0.0"
-        ),
-    ),
+    "distance": (Edit(PLACEMENT, "== home else domain_tokens,", "== home else 0.0,"),),
     "connections": (
         Edit(PLACEMENT, "CONNECT_TOKENS: Final = 750.0", "CONNECT_TOKENS: Final = 0.0"),
     ),
--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -257,10 +257,13 @@
     ----------
     sent : bool
         Whether a byte of the request may have reached the runner.
+    timed_out : bool
+        Whether the runner was silent until the deadline for its next bytes.
     """
 
     reason: str
     sent: bool
+    timed_out: bool = False
 
 
 class RunnerLink:
@@ -341,6 +344,8 @@
             yield from self._read_response(request)
         except h11.RemoteProtocolError as error:
             yield Incomplete(f"invalid HTTP response: {error}", True)
+        except TimeoutError:
+            yield Incomplete("no response in time", True, timed_out=True)
         except OSError as error:
             yield Incomplete(
                 self._write_error or f"{type(error).__name__}: {error}", True
@@ -392,7 +397,7 @@
             if event is h11.NEED_DATA:
                 remaining_seconds = self.wait_until - time.monotonic()
                 if remaining_seconds <= 0:
-                    return Incomplete("no response in time", True)
+                    return Incomplete("no response in time", True, timed_out=True)
                 gevent.sleep(0)  # recv never blocks on a runner that sends endlessly
                 self._sock.settimeout(remaining_seconds)
                 data = self._sock.recv(READ_BYTES)
--- a/godwitrudder/options.py
+++ b/godwitrudder/options.py
@@ -16,6 +16,8 @@
 MAX_DOMAIN_TOKENS: Final = 100_000.0
 """Largest cost of another failure domain: above that of a runner without a free slot,
 so that more would change nothing."""
+DEFAULT_DOMAIN_TOKENS: Final = 150.0
+"""Cost of another failure domain where the operator names none."""
 MAX_SECOND_ATTEMPT_SHARE: Final = 0.2
 """Largest share of second attempts: the share of retries that targets allow."""
 
@@ -46,7 +48,9 @@
     """
 
     queueing: Queueing = Queueing.AUTO
-    domain_tokens: Annotated[float, msgspec.Meta(ge=0, le=MAX_DOMAIN_TOKENS)] = 150.0
+    domain_tokens: Annotated[float, msgspec.Meta(ge=0, le=MAX_DOMAIN_TOKENS)] = (
+        DEFAULT_DOMAIN_TOKENS
+    )
     second_attempt_share: Annotated[
         float, msgspec.Meta(ge=0, le=MAX_SECOND_ATTEMPT_SHARE)
     ] = 0.0
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -136,6 +136,7 @@
             self.eligibility,
             log,
             random,
+            lambda: self.settings.options,
         )
         choice.host_count = self.reservations.host_count
         queues = RunnerQueues(
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -57,6 +57,18 @@
             ["target", "reason"],
             registry=self.registry,
         )
+        self.attempt_timeouts = Counter(
+            "godwitrudder_attempt_timeouts",
+            "Attempts that ended because the runner was silent, by target",
+            ["target"],
+            registry=self.registry,
+        )
+        self.speed_changes = Counter(
+            "godwitrudder_runner_speed_changes",
+            "Logged changes of the estimated lasting speed of runners, by target",
+            ["target"],
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "godwitrudder_in_flight", "Requests under way", registry=self.registry
         )
--- a/godwitrudder/process/forwarding/attempt.py
+++ b/godwitrudder/process/forwarding/attempt.py
@@ -32,6 +32,11 @@
         What the instance that it was sent to has asked for.
     pending_tokens : int
         Prompt tokens that the runner still has to read; ``candidate`` counts them.
+    tokens_ahead : int
+        Prompt tokens that the runner had to read up to the first event, as far as this
+        host knew when it sent the request.
+    is_awaited : bool
+        Whether the runner has sent nothing yet.
     shared_parts : tuple of str
         Parts of the prompt that other requests may share.
     events : int
@@ -55,6 +60,8 @@
     directives: Directives
     shared_parts: tuple[str, ...] = ()
     pending_tokens: int = 0
+    tokens_ahead: int = 0
+    is_awaited: bool = False
     events: int = 0
     aborted: bool = False
     race: Race | None = None
@@ -73,6 +80,25 @@
         framed = self.head is not None and self.head.framed
         return evidence_of(_end_of(self.result), self.events, framed)
 
+    def sent(self, uncached_tokens: int) -> None:
+        """Count the prompt as pending at the runner, and the answer as awaited."""
+        self.pending_tokens = uncached_tokens
+        self.candidate.pending_tokens += uncached_tokens
+        self.tokens_ahead = self.candidate.pending_tokens
+        self.candidate.silence.sent(self.began_at)
+        self.is_awaited = True
+
+    def heard(self, now: float) -> None:
+        """Record that the runner has sent something."""
+        self.candidate.silence.heard(now)
+        self.stop_awaiting()
+
+    def stop_awaiting(self) -> None:
+        """Stop counting the answer as awaited."""
+        if self.is_awaited:
+            self.is_awaited = False
+            self.candidate.silence.stopped()
+
     def prompt_read(self) -> None:
         """Stop counting the prompt as pending at the runner."""
         self.candidate.pending_tokens -= self.pending_tokens
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -162,9 +162,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The runner may have run the request but gave no complete answer."""
+    """The runner may have run the request but gave no complete answer.
+
+    Attributes
+    ----------
+    timed_out : bool
+        Whether the runner was silent for too long.
+    """
 
     reason: str
+    timed_out: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -8,6 +8,7 @@
 from random import Random
 from typing import Final
 
+from godwitrudder.options import Options
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.directory import Directory
 from godwitrudder.process.forwarding.eligibility import Eligibility
@@ -39,6 +40,11 @@
 class RunnerChoice:
     """Chooses runners; one per process.
 
+    Parameters
+    ----------
+    options : callable
+        Returns the operator's options in force.
+
     Attributes
     ----------
     host_count : callable
@@ -54,6 +60,7 @@
         eligibility: Eligibility,
         log: DecisionLog,
         random: Random,
+        options: Callable[[], Options],
     ) -> None:
         self._failure_domain = failure_domain
         self._directory = directory
@@ -62,6 +69,7 @@
         self._eligibility = eligibility
         self._log = log
         self._random = random
+        self._options = options
         self.host_count: Callable[[], int] = lambda: 1
 
     def find_room(
@@ -210,6 +218,7 @@
             now,
             self._sender.connected_runners(),
             bool(forwarded.trial_parts),
+            self._options().domain_tokens,
         )
 
     def _most_connections(self, target: Target) -> int:
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -27,6 +27,7 @@
     Streamed,
     Whole,
 )
+from godwitrudder.process.forwarding.observer import Observer
 from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
@@ -81,6 +82,7 @@
         self.on_load_report: Callable[[Candidate], None] = lambda candidate: None
         self._log = log
         self._metrics = metrics
+        self._observer = Observer(log, metrics)
 
     def connected_runners(self) -> set[str]:
         """Return the ids of runners with a connection that can be reused."""
@@ -175,8 +177,7 @@
         """Count the request as load at its runner."""
         candidate, parts = attempt.candidate, forwarded.caller_headers.parts
         uncached = forwarded.caller_headers.prompt_tokens - candidate.cached(parts)
-        attempt.pending_tokens = max(0, uncached)
-        candidate.pending_tokens += attempt.pending_tokens
+        attempt.sent(max(0, uncached))
         candidate.in_flight += 1
         candidate.trials += bool(forwarded.trial_parts)
         self._attempts.append(attempt)
@@ -201,6 +202,7 @@
                 break
             if isinstance(event, ResponseHead):
                 attempt.head = event
+                attempt.heard(time.monotonic())
                 self._apply_load_report(attempt.candidate, event)
                 if not wire.is_other_instance(event):
                     self._apply_directives(attempt, event)
@@ -211,7 +213,7 @@
                 if _is_usable(attempt.result):
                     attempt.claim()
             else:
-                attempt.result = Lost(event.reason)
+                attempt.result = Lost(event.reason, event.timed_out)
 
     def _handle_data(
         self, forwarded: ForwardedRequest, attempt: Attempt, data: bytes
@@ -220,6 +222,7 @@
         head = attempt.head
         assert head is not None
         attempt.prompt_read()
+        attempt.heard(time.monotonic())
         if not self._is_stream(forwarded, head):
             attempt.body_parts.append(data)
             return
@@ -241,6 +244,7 @@
         candidate.trials -= bool(forwarded.trial_parts)
         self._attempts.remove(attempt)
         attempt.prompt_read()
+        attempt.stop_awaiting()
         if isinstance(result, NotRun):
             forwarded.possible_runs -= 1
             if result.replaced:
@@ -251,9 +255,10 @@
             link.reusable = False
         failed = isinstance(result, Whole) and result.head.status >= 500
         if not isinstance(result, Overtaken):
-            candidate.ended(
-                not failed and not isinstance(result, Lost), time.monotonic()
-            )
+            timed_out = isinstance(result, Lost) and result.timed_out
+            ok = not failed and not isinstance(result, Lost)
+            candidate.ended(ok, time.monotonic(), timed_out)
+            self._observer.record_end(forwarded.target.name, candidate, timed_out)
         entry, head = candidate.entry, attempt.head
         idle = None if head is None else wire.idle_seconds(head)
         self._pool.give(entry.id, entry.address, link, idle)
@@ -372,6 +377,8 @@
             if not attempt.claim():
                 return False
             attempt.events += 1
+            if attempt.events == 1:
+                self._observer.record_first_event(forwarded.target.name, attempt)
             if event.id is not None:
                 last_id = forwarded.last_event_id
                 if last_id is not None and event.id <= last_id:
--- a/godwitrudder/request/placing/candidate.py
+++ b/godwitrudder/request/placing/candidate.py
@@ -1,6 +1,7 @@
 """Candidates: the runners of a target as one host knows them.
 
 The load that a runner last reported decays with its age; so does its share of failures.
+How long work takes there is in ``speed``.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 from typing import Final
 
 from godwitrudder.request.places.cold_evidence import ColdEvidence
+from godwitrudder.request.placing.speed import Silence, Speed, WorkTime
 from godwitrudder.version.catalogue import ListedRunner
 
 REPORT_DECAY_SECONDS: Final = 1.0
@@ -83,6 +85,8 @@
     work_percent : float or None
         How long work took on its machine as of ``others_at``, 100 as usual; None if it
         has not said so.
+    work, speed, silence : WorkTime, Speed, Silence
+        How long work takes there; they count for targets whose runners report it.
     failures : float
         Weighted share of failures, 0 to 1, as of ``failed_at``.
     refused_at : float
@@ -114,6 +118,9 @@
     others_at: float = -math.inf
     reported_slots: int = 0
     work_percent: float | None = None
+    work: WorkTime = field(default_factory=WorkTime)
+    speed: Speed = field(default_factory=Speed)
+    silence: Silence = field(default_factory=Silence)
     failures: float = 0.0
     failed_at: float = 0.0
     refused_at: float = -math.inf
@@ -155,12 +162,21 @@
         self.reported_running = running
         self.reported_slots = slots
         self.work_percent = work_percent
+        if work_percent is not None:
+            self.work.report(work_percent, now)
         self.others = max(0.0, running + waiting - self.in_flight)
         self.waiting = waiting
         self.others_at = now
 
-    def ended(self, ok: bool, now: float) -> None:
-        """Record the outcome of a request."""
+    def ended(self, ok: bool, now: float, timed_out: bool = False) -> None:
+        """Record the outcome of a request.
+
+        Parameters
+        ----------
+        timed_out : bool
+            Whether the runner was silent for too long.
+        """
+        self.silence.ended(timed_out, now)
         decayed = self.failure_share(now)
         self.failures = decayed + FAILURE_GAIN * ((0.0 if ok else 1.0) - decayed)
         self.failed_at = now
@@ -201,6 +217,10 @@
             tokens += part.tokens
         return tokens
 
+    def slowness(self, now: float) -> float:
+        """Return the time that work takes as a multiple of the target's usual one."""
+        return self.work.factor(now) * self.speed.slowness
+
     def load(self, now: float) -> float:
         """Return the estimated number of requests that the runner works on."""
         weight = math.exp(-(now - self.others_at) / REPORT_DECAY_SECONDS)
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -6,6 +6,9 @@
 reported, which decays with age. Parts of prompts that no host may have sent yet have a
 home runner by rendezvous hashing. Hosts that have not exchanged any state therefore
 send a shared part to the same runner.
+
+Where runners report how long work takes on them, the work that waits at a runner and
+the work of the request itself are weighted by it, and silence and timeouts have a cost.
 """
 
 from __future__ import annotations
@@ -16,6 +19,7 @@
 
 import xxhash
 
+from godwitrudder.options import DEFAULT_DOMAIN_TOKENS
 from godwitrudder.request.placing.candidate import (
     REPORT_DECAY_SECONDS,
     Candidate,
@@ -34,8 +38,9 @@
 """Cost of a runner without a free slot."""
 FAILURE_TOKENS: Final = 60_000.0
 """Cost of a runner that fails every request."""
-DISTANCE_TOKENS: Final = 150.0
-"""Cost of another failure domain; traffic between domains has a price."""
+OWN_TOKENS: Final = 1000.0
+"""Work of a request beside its prompt; at a runner that takes 2.5 times as long, it
+must cost more than a new connection to another failure domain."""
 TRIAL_TOKENS: Final = 30_000.0
 """Cost of a runner with a request on trial, which may end all that it works on."""
 CONNECT_TOKENS: Final = 750.0
@@ -55,6 +60,7 @@
     now: float,
     connected: Collection[str] = (),
     on_trial: bool = False,
+    domain_tokens: float = DEFAULT_DOMAIN_TOKENS,
 ) -> Candidate | None:
     """Return the runner for a request, None if there is none.
 
@@ -73,14 +79,24 @@
         Ids of the runners with an idle connection.
     on_trial : bool
         Whether the prompt may end the runner.
+    domain_tokens : float
+        Cost of another failure domain; traffic between domains has a price.
     """
     usable = usable_runners(candidates, excluded, connections_most, now)
     if not usable:
         return None
     home_runner = _home_runner(usable, parts)
+    uneven = any(candidate.work_percent is not None for candidate in candidates)
     costs = [
         (
-            _cost(candidate, parts, home, candidate is home_runner, now)
+            _cost(
+                candidate,
+                parts,
+                candidate is home_runner,
+                0.0 if candidate.entry.failure_domain == home else domain_tokens,
+                now,
+                uneven,
+            )
             + (TRIAL_TOKENS if candidate.trials else 0.0)
             + (REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0)
             + (0.0 if candidate.entry.id in connected else CONNECT_TOKENS),
@@ -143,23 +159,46 @@
 
 
 def _cost(
-    candidate: Candidate, parts: tuple[Part, ...], home: str, is_home: bool, now: float
+    candidate: Candidate,
+    parts: tuple[Part, ...],
+    is_home: bool,
+    distance: float,
+    now: float,
+    uneven: bool,
 ) -> float:
-    """Return the cost of a request at a runner, in prompt tokens."""
+    """Return the cost of a request at a runner, in prompt tokens.
+
+    Parameters
+    ----------
+    distance : float
+        Cost of the runner's failure domain.
+    uneven : bool
+        Whether runners of the target report how long work takes on them. Then the work
+        that waits at the runner and that of the request itself are weighted by it, and
+        silence and timeouts have a cost.
+    """
     total = sum(part.tokens for part in parts)
     cached = float(candidate.cached(parts))
     if is_home and parts:
         cached = max(cached, HOME_CACHED_SHARE * (total - parts[-1].tokens))
     load = candidate.load(now)
+    is_recent = now - candidate.others_at < REPORT_DECAY_SECONDS
     cost = READ_WEIGHT * (total - cached) + candidate.pending_tokens
     cost += REQUEST_TOKENS * load
-    if now - candidate.others_at < REPORT_DECAY_SECONDS:
+    if is_recent:
         cost += WAITING_TOKENS * candidate.waiting
     if load >= candidate.entry.slots:
         cost += FULL_TOKENS
-    if candidate.entry.failure_domain != home:
-        cost += DISTANCE_TOKENS
-    return cost + FAILURE_TOKENS * candidate.failure_share(now)
+    cost += distance
+    failures = candidate.failure_share(now)
+    if uneven:
+        work = candidate.pending_tokens + REQUEST_TOKENS * load + OWN_TOKENS
+        work += (
+            total - cached + (WAITING_TOKENS * candidate.waiting if is_recent else 0)
+        )
+        cost += (candidate.slowness(now) - 1.0) * work + candidate.silence.tokens(now)
+        failures = max(failures, candidate.silence.timeout_share(now))
+    return cost + FAILURE_TOKENS * failures
 
 
 def _home_runner(usable: list[Candidate], parts: tuple[Part, ...]) -> Candidate | None:
