--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -91,6 +91,14 @@
     ),
     "home": (Edit(PLACEMENT, "if is_home and parts:", "if is_home and not parts:"),),
     "distance": (Edit(PLACEMENT, "== home else domain_tokens,", "== home else 0.0,"),),
+    "uneven-runners": (Edit(PLACEMENT, "uneven = any(", "uneven = False and any("),),
+    "unread-losses": (
+        Edit(
+            "godwitrudder/request/backpressure.py",
+            "return is_slow(blocked_seconds) and",
+            "return False and",
+        ),
+    ),
     "connections": (
         Edit(PLACEMENT, "CONNECT_TOKENS: Final = 750.0", "CONNECT_TOKENS: Final = 0.0"),
     ),
--- a/godwitrudder/connection/http.py
+++ b/godwitrudder/connection/http.py
@@ -9,7 +9,6 @@
 import math
 import time
 from collections.abc import Iterator
-from dataclasses import dataclass
 from typing import Final
 
 import gevent
@@ -20,11 +19,25 @@
 from godwitrudder.connection.messages import (
     HOP_BY_HOP,
     CallerRequest,
+    End,
     Headers,
+    Incomplete,
     Malformed,
     ResponseHead,
 )
 from godwitrudder.connection.traffic import Traffic
+from godwitrudder.connection.writers import (
+    CALLER_RECEIVE_BUFFER_BYTES,
+    CALLER_SEND_BUFFER_BYTES,
+    INLINE_BYTES,
+    RUNNER_RECEIVE_BUFFER_BYTES,
+    RUNNER_SEND_BUFFER_BYTES,
+    SEND_SECONDS,
+    USER_TIMEOUT_MILLIS,
+    CallerWriter,
+    RequestWriter,
+    bound_buffers,
+)
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import CallerLimits
 
@@ -34,14 +47,13 @@
 """Bytes of pipelined requests that a caller may send before it has its response."""
 BODY_SECONDS: Final = 10.0
 """Longest wait for the next bytes of a body; callers' deadlines are 1 to 15 s."""
-SEND_SECONDS: Final = 15.0
-"""Longest time that a send may block on a peer that does not read."""
+RUNNER_READ_BYTES: Final = 16_384
+"""Bytes per read from a runner: a read is held several times while its caller does not
+take it, and the largest response has 800 B."""
 MAX_UNFORWARDED_BYTES: Final = 262_144
 """Most bytes read from a runner without a forwarded event or a complete response: over
 300 times the largest response (800 B).  200 runners that send endlessly take 50 MB of
 a process's 200 MB."""
-TCP_USER_TIMEOUT_MILLIS: Final = 1500
-"""A runner that acknowledges no sent data for this long counts as unreachable."""
 
 
 class CallerDisconnected(gevent.GreenletExit):  # type: ignore[misc]
@@ -73,6 +85,8 @@
 
     Attributes
     ----------
+    writer : CallerWriter
+        Writes to the caller; knows how long it did not read.
     closing : bool
         Whether the connection closes after the current response.
     idle : bool
@@ -91,6 +105,8 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        bound_buffers(sock, CALLER_SEND_BUFFER_BYTES, CALLER_RECEIVE_BUFFER_BYTES)
+        self.writer = CallerWriter(sock, traffic)
         self.closing = False
         self.idle = True
         self.problem = ""
@@ -221,17 +237,12 @@
         data = self._http.send(h11.Response(status_code=status, headers=sent)) or b""
         data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
-        self._write(data)
+        self.writer.write(data)
 
     def _send(self, event: h11.Event) -> None:
         data = self._http.send(event)
         if data:
-            self._write(data)
-
-    def _write(self, data: bytes) -> None:
-        self._traffic.sent += len(data)
-        self._sock.settimeout(SEND_SECONDS)
-        self._sock.sendall(data)
+            self.writer.write(data)
 
     def reject(self, status: int) -> None:
         """Answer a malformed request with ``status`` and close after it."""
@@ -244,28 +255,6 @@
         self._sock.close()
 
 
-@dataclass(frozen=True, slots=True)
-class End:
-    """A runner's response is complete."""
-
-
-@dataclass(frozen=True, slots=True)
-class Incomplete:
-    """A runner's response did not arrive, or only in part.
-
-    Attributes
-    ----------
-    sent : bool
-        Whether a byte of the request may have reached the runner.
-    timed_out : bool
-        Whether the runner was silent until the deadline for its next bytes.
-    """
-
-    reason: str
-    sent: bool
-    timed_out: bool = False
-
-
 class RunnerLink:
     """One persistent connection to a runner.
 
@@ -298,14 +287,14 @@
         )
         self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MILLIS
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MILLIS
         )
+        bound_buffers(self._sock, RUNNER_SEND_BUFFER_BYTES, RUNNER_RECEIVE_BUFFER_BYTES)
         self._http = h11.Connection(h11.CLIENT)
         self.reusable = False
         self.requests = 0
         self.idle_until = 0.0
         self.wait_until = math.inf
-        self._write_error = ""
         self._unforwarded_bytes = 0
 
     def note_progress(self) -> None:
@@ -331,36 +320,38 @@
         self.requests += 1
         self._unforwarded_bytes = 0
         event = h11.Request(method=method, target=path, headers=headers)
-        data = self._http.send(event) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
-        self._traffic.sent += len(data)
-        sender = gevent.spawn(self._write, data) if len(data) > READ_BYTES else None
+        parts = [self._http.send(event) or b""]
+        if body:  # passed through without a copy
+            data = h11.Data(data=body)
+            parts += self._http.send_with_data_passthrough(data) or []
+        parts.append(self._http.send(h11.EndOfMessage()) or b"")
+        size = sum(len(part) for part in parts)
+        self._traffic.sent += size
+        writer = RequestWriter(self._sock, lambda: self.wait_until)
+        sender = gevent.spawn(writer.run, parts) if size > INLINE_BYTES else None
         try:
             if sender is None:
-                self._sock.settimeout(SEND_SECONDS)
-                self._sock.sendall(data)
+                self._sock.settimeout(self._seconds_left(SEND_SECONDS))
+                self._sock.sendall(b"".join(parts))
             yield from self._read_response(request)
         except h11.RemoteProtocolError as error:
             yield Incomplete(f"invalid HTTP response: {error}", True)
-        except TimeoutError:
-            yield Incomplete("no response in time", True, timed_out=True)
+        except TimeoutError as error:
+            # The kernel's own timeout has a number, that of a read or a write has none.
+            reason = "no response in time" if error.errno is None else str(error)
+            yield Incomplete(writer.error or reason, True, timed_out=True)
         except OSError as error:
-            yield Incomplete(
-                self._write_error or f"{type(error).__name__}: {error}", True
-            )
+            reason = writer.error or f"{type(error).__name__}: {error}"
+            yield Incomplete(reason, True)
         finally:
-            if sender is not None and not sender.ready():
-                self.reusable = False
+            if sender is not None:
+                self.reusable = self.reusable and writer.complete
                 sender.kill()
+                writer.restore()
 
-    def _write(self, data: bytes) -> None:
-        try:
-            self._sock.sendall(data)
-        except OSError as error:
-            self._write_error = f"sending: {type(error).__name__}: {error}"
-            self._sock.close()
+    def _seconds_left(self, most: float = math.inf) -> float:
+        """Return the time until the deadline, within what sockets accept."""
+        return max(0.001, min(most, self.wait_until - time.monotonic()))
 
     def _read_response(
         self, request: bytes
@@ -400,7 +391,7 @@
                     return Incomplete("no response in time", True, timed_out=True)
                 gevent.sleep(0)  # recv never blocks on a runner that sends endlessly
                 self._sock.settimeout(remaining_seconds)
-                data = self._sock.recv(READ_BYTES)
+                data = self._sock.recv(RUNNER_READ_BYTES)
                 self._traffic.received += len(data)
                 self._unforwarded_bytes += len(data)
                 if self._unforwarded_bytes > MAX_UNFORWARDED_BYTES:
--- a/godwitrudder/connection/messages.py
+++ b/godwitrudder/connection/messages.py
@@ -86,3 +86,25 @@
     def framed(self) -> bool:
         """Whether the body ends by its length or chunks, not with its connection."""
         return bool(self.header(b"content-length") or self.header(b"transfer-encoding"))
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """A runner's response is complete."""
+
+
+@dataclass(frozen=True, slots=True)
+class Incomplete:
+    """A runner's response did not arrive, or only in part.
+
+    Attributes
+    ----------
+    sent : bool
+        Whether a byte of the request may have reached the runner.
+    timed_out : bool
+        Whether the runner was silent until the deadline for its next bytes.
+    """
+
+    reason: str
+    sent: bool
+    timed_out: bool = False
--- a/godwitrudder/platform/engine_report.py
+++ b/godwitrudder/platform/engine_report.py
@@ -8,8 +8,8 @@
 import msgspec
 
 from godwitrudder import codec
-from godwitrudder.connection.http import End, Incomplete, RunnerLink
-from godwitrudder.connection.messages import ResponseHead
+from godwitrudder.connection.http import RunnerLink
+from godwitrudder.connection.messages import End, Incomplete, ResponseHead
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import names
 from godwitrudder.platform.documents import LoadedModel
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -16,6 +16,7 @@
 from godwitrudder.connection.messages import Malformed
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.connection.traffic import Traffic
+from godwitrudder.connection.writers import CallerNotReading
 from godwitrudder.platform import names
 from godwitrudder.platform.settings import EntrySettings
 from godwitrudder.platform.store import Store
@@ -343,6 +344,9 @@
                 self._log.note("caller_lost", why=link.problem)
         except CallerDisconnected:
             pass  # the forwarder has logged it with its request
+        except CallerNotReading as error:
+            self._metrics.callers_closed.inc()
+            self._log.note("caller_closed", why=str(error))
         except OSError as error:
             self._log.note("caller_lost", why=f"{type(error).__name__}: {error}")
         finally:
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -69,6 +69,23 @@
             ["target"],
             registry=self.registry,
         )
+        self.caller_stalls = Counter(
+            "godwitrudder_caller_stalls",
+            "Attempts whose caller did not read for a second or more, by target",
+            ["target"],
+            registry=self.registry,
+        )
+        self.unread_losses = Counter(
+            "godwitrudder_unread_losses",
+            "Answers lost because their caller did not read them, by target",
+            ["target"],
+            registry=self.registry,
+        )
+        self.callers_closed = Counter(
+            "godwitrudder_callers_closed",
+            "Callers' connections closed because they took nothing",
+            registry=self.registry,
+        )
         self.in_flight = Gauge(
             "godwitrudder_in_flight", "Requests under way", registry=self.registry
         )
--- a/godwitrudder/process/forwarding/attempt.py
+++ b/godwitrudder/process/forwarding/attempt.py
@@ -35,6 +35,8 @@
     tokens_ahead : int
         Prompt tokens that the runner had to read up to the first event, as far as this
         host knew when it sent the request.
+    blocked_before : float
+        Time for which writes to the caller were blocked before, in seconds.
     is_awaited : bool
         Whether the runner has sent nothing yet.
     shared_parts : tuple of str
@@ -61,6 +63,7 @@
     shared_parts: tuple[str, ...] = ()
     pending_tokens: int = 0
     tokens_ahead: int = 0
+    blocked_before: float = 0.0
     is_awaited: bool = False
     events: int = 0
     aborted: bool = False
@@ -158,6 +161,8 @@
             return AttemptEnd.STREAMED
         case Whole(head) if head.status < 300:
             return AttemptEnd.WHOLE
+        case Lost(by_caller=True):
+            return AttemptEnd.UNREAD
         case Lost():
             return AttemptEnd.LOST
         case _:
--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -168,10 +168,13 @@
     ----------
     timed_out : bool
         Whether the runner was silent for too long.
+    by_caller : bool
+        Whether it was lost because the caller did not read; no failure of the runner.
     """
 
     reason: str
     timed_out: bool = False
+    by_caller: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/process/forwarding/observer.py
+++ b/godwitrudder/process/forwarding/observer.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import time
+from typing import Final
 
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarding.attempt import Attempt
+from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest, Lost
+from godwitrudder.request.backpressure import is_ended_by_caller, is_slow
 from godwitrudder.request.placing.candidate import Candidate
 from godwitrudder.request.placing.speed import SILENT_SHARE, USUAL_PERCENT, Paces
 
+UNREAD: Final = "the caller did not read the answer"
+"""Beginning of the reason of an attempt that was lost through its caller."""
+
 
 class Observer:
     """Turns attempts into observations of their runners; one per process.
 
-    Only runners that report how long work takes on them are observed.
+    The speed is only observed of runners that report how long work takes on them.
     """
 
     def __init__(self, log: DecisionLog, metrics: EntryMetrics) -> None:
@@ -42,6 +48,26 @@
                 samples=round(speed.samples),
             )
 
+    def attribute_loss(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
+        """Tell an answer that was lost as its caller did not read from a failure."""
+        writer, result = forwarded.link.writer, attempt.result
+        blocked = writer.blocked_seconds - attempt.blocked_before
+        target, runner = forwarded.target.name, attempt.candidate.entry.id
+        if is_slow(blocked):
+            self._metrics.caller_stalls.labels(target).inc()
+            self._log.note(
+                "caller_slow",
+                forwarded.request_id,
+                runner=runner,
+                blocked=round(blocked, 3),
+                events=attempt.events,
+            )
+        if not isinstance(result, Lost) or result.by_caller:
+            return
+        if is_ended_by_caller(blocked, time.monotonic() - writer.blocked_at):
+            self._metrics.unread_losses.labels(target).inc()
+            attempt.result = Lost(f"{UNREAD}: {result.reason}", by_caller=True)
+
     def record_end(self, target: str, candidate: Candidate, timed_out: bool) -> None:
         """Record whether an attempt timed out; its share is already updated."""
         if timed_out:
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -10,8 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from godwitrudder.connection.http import End
-from godwitrudder.connection.messages import Headers, ResponseHead
+from godwitrudder.connection.messages import End, Headers, ResponseHead
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
@@ -115,7 +114,12 @@
             self._log_attempt(forwarded, candidate, obstacle, now, 0)
             return NotRun(obstacle)
         attempt = Attempt(
-            candidate, link, now, candidate.directives, forwarded.shared_parts
+            candidate,
+            link,
+            now,
+            candidate.directives,
+            forwarded.shared_parts,
+            blocked_before=forwarded.link.writer.blocked_seconds,
         )
         if race is not None:
             attempt.race = race
@@ -123,6 +127,10 @@
         self._count_at_runner(forwarded, attempt)
         try:
             self._exchange(forwarded, attempt)
+        except OSError as error:
+            reason = f"sending to the caller: {type(error).__name__}: {error}"
+            attempt.result = Lost(reason, by_caller=True)
+            raise
         finally:
             self._finish(forwarded, attempt)
         self._record_evidence(attempt)
@@ -227,17 +235,25 @@
             attempt.body_parts.append(data)
             return
         answered = is_answered(attempt.events)
+        blocked = forwarded.link.writer.blocked_seconds
         has_content = self._pass_on_events(forwarded, attempt, head, data)
         if not answered and is_answered(attempt.events):
             self._quarantine.record_answer(attempt.shared_parts)
         if has_content:
             attempt.link.note_progress()
             attempt.link.wait_until = self._next_event_deadline(forwarded)
+        else:
+            # The runner was not read meanwhile.
+            blocked = forwarded.link.writer.blocked_seconds - blocked
+            wait_until = attempt.link.wait_until + blocked
+            attempt.link.wait_until = min(forwarded.deadline, wait_until)
 
     def _finish(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Stop counting the request as load; keep or close the connection."""
         if attempt.overtaken:
             attempt.result = Overtaken()
+        else:
+            self._observer.attribute_loss(forwarded, attempt)
         candidate, result, link = attempt.candidate, attempt.result, attempt.link
         attempt.ended = True
         candidate.in_flight -= 1
@@ -254,7 +270,8 @@
             link.close()
             link.reusable = False
         failed = isinstance(result, Whole) and result.head.status >= 500
-        if not isinstance(result, Overtaken):
+        excused = isinstance(result, Lost) and result.by_caller
+        if not excused and not isinstance(result, Overtaken):
             timed_out = isinstance(result, Lost) and result.timed_out
             ok = not failed and not isinstance(result, Lost)
             candidate.ended(ok, time.monotonic(), timed_out)
--- a/godwitrudder/request/evidence.py
+++ b/godwitrudder/request/evidence.py
@@ -15,11 +15,12 @@
 
 
 class AttemptEnd(Enum):
-    """How an attempt ended."""
+    """How an attempt ended; ``UNREAD`` if its caller did not read."""
 
     WHOLE = auto()
     STREAMED = auto()
     LOST = auto()
+    UNREAD = auto()
     FAILED = auto()
 
 
@@ -50,6 +51,6 @@
         return Evidence.SOUND
     if end is AttemptEnd.STREAMED and (framed or is_answered(events)):
         return Evidence.SOUND
-    if end is AttemptEnd.FAILED or is_answered(events):
+    if end in (AttemptEnd.FAILED, AttemptEnd.UNREAD) or is_answered(events):
         return Evidence.NONE
     return Evidence.CRASH
--- a/standins/platform_runner.py
+++ b/standins/platform_runner.py
@@ -32,15 +32,24 @@
     """The runner closes the connection in an orderly way."""
 
 
-Step = bytes | float | Crash | Close | None
+@dataclass(frozen=True)
+class Impatient:
+    """Bytes to send; the connection is reset if they stay unread for too long."""
+
+    data: bytes
+    seconds: float
+
+
+Step = bytes | float | Crash | Close | Impatient | None
 Script = Callable[[ReceivedRequest, int], list[Step]]
 
 
 class PlatformRunner:
     """Executes a script for each request.
 
-    A step is bytes to send, seconds to wait, None to reset the connection, ``Close`` to
-    close it, or a crash of the whole runner.
+    A step is bytes to send, for some seconds at most if ``Impatient``, seconds to
+    wait, None to reset the connection, ``Close`` to close it, or a crash of the whole
+    runner.
 
     Parameters
     ----------
@@ -57,6 +66,8 @@
     caller_disconnects : int
         Number of connections that the caller closed or reset during a script, or
         reset between two requests.
+    cut_off : int
+        Number of answers that were cut off as they stayed unread.
     crashes : int
         Number of crashes so far.
     """
@@ -67,6 +78,7 @@
         self.received_requests: list[ReceivedRequest] = []
         self.caller_disconnects = 0
         self.crashes = 0
+        self.cut_off = 0
         self._open_sockets: set[socket.socket] = set()
         self._restart: Greenlet | None = None
         self._server = StreamServer((ip, 0), self._serve)
@@ -121,6 +133,8 @@
                 return
             self.received_requests.append(request)
             for step in self.script(request, len(self.received_requests) - 1):
+                if isinstance(step, Impatient):
+                    step = self._send_impatiently(sock, step)
                 if step is None:
                     sock.setsockopt(
                         socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0"
@@ -143,6 +157,18 @@
                     self.caller_disconnects += 1
                     return
 
+    def _send_impatiently(self, sock: socket.socket, step: Impatient) -> bytes | None:
+        """Return what is left to send, or None if it was not read in time."""
+        sock.settimeout(step.seconds)
+        try:
+            sock.sendall(step.data)
+        except TimeoutError:
+            self.cut_off += 1
+            return None
+        finally:
+            sock.settimeout(None)
+        return b""
+
     def _caller_closed(self, sock: socket.socket, seconds: float) -> bool:
         """Wait; return whether the caller closed the connection meanwhile."""
         sock.settimeout(seconds)
