--- a/godwitrudder/process/forwarding/forwarded_request.py
+++ b/godwitrudder/process/forwarding/forwarded_request.py
@@ -162,9 +162,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Lost:
-    """The runner may have run the request but gave no complete answer."""
+    """The runner may have run the request but gave no complete answer.
+
+    Attributes
+    ----------
+    timed_out : bool
+        Whether the runner was silent for too long.
+    by_caller : bool
+        Whether it was lost because the caller did not read; no failure of the runner.
+    """
 
     reason: str
+    timed_out: bool = False
+    by_caller: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/godwitrudder/process/forwarding/sender.py
+++ b/godwitrudder/process/forwarding/sender.py
@@ -10,8 +10,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from godwitrudder.connection.http import End
-from godwitrudder.connection.messages import Headers, ResponseHead
+from godwitrudder.connection.messages import End, Headers, ResponseHead
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.platform import headers as wire
 from godwitrudder.process.decisions import DecisionLog
@@ -27,6 +26,7 @@
     Streamed,
     Whole,
 )
+from godwitrudder.process.forwarding.observer import Observer
 from godwitrudder.process.forwarding.responder import NOT_RUN_STATUSES
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
@@ -81,6 +81,7 @@
         self.on_load_report: Callable[[Candidate], None] = lambda candidate: None
         self._log = log
         self._metrics = metrics
+        self._observer = Observer(log, metrics)
 
     def connected_runners(self) -> set[str]:
         """Return the ids of runners with a connection that can be reused."""
@@ -113,7 +114,12 @@
             self._log_attempt(forwarded, candidate, obstacle, now, 0)
             return NotRun(obstacle)
         attempt = Attempt(
-            candidate, link, now, candidate.directives, forwarded.shared_parts
+            candidate,
+            link,
+            now,
+            candidate.directives,
+            forwarded.shared_parts,
+            blocked_before=forwarded.link.writer.blocked_seconds,
         )
         if race is not None:
             attempt.race = race
@@ -121,6 +127,10 @@
         self._count_at_runner(forwarded, attempt)
         try:
             self._exchange(forwarded, attempt)
+        except OSError as error:
+            reason = f"sending to the caller: {type(error).__name__}: {error}"
+            attempt.result = Lost(reason, by_caller=True)
+            raise
         finally:
             self._finish(forwarded, attempt)
         self._record_evidence(attempt)
@@ -175,8 +185,7 @@
         """Count the request as load at its runner."""
         candidate, parts = attempt.candidate, forwarded.caller_headers.parts
         uncached = forwarded.caller_headers.prompt_tokens - candidate.cached(parts)
-        attempt.pending_tokens = max(0, uncached)
-        candidate.pending_tokens += attempt.pending_tokens
+        attempt.sent(max(0, uncached))
         candidate.in_flight += 1
         candidate.trials += bool(forwarded.trial_parts)
         self._attempts.append(attempt)
@@ -201,6 +210,7 @@
                 break
             if isinstance(event, ResponseHead):
                 attempt.head = event
+                attempt.heard(time.monotonic())
                 self._apply_load_report(attempt.candidate, event)
                 if not wire.is_other_instance(event):
                     self._apply_directives(attempt, event)
@@ -211,7 +221,7 @@
                 if _is_usable(attempt.result):
                     attempt.claim()
             else:
-                attempt.result = Lost(event.reason)
+                attempt.result = Lost(event.reason, event.timed_out)
 
     def _handle_data(
         self, forwarded: ForwardedRequest, attempt: Attempt, data: bytes
@@ -220,27 +230,37 @@
         head = attempt.head
         assert head is not None
         attempt.prompt_read()
+        attempt.heard(time.monotonic())
         if not self._is_stream(forwarded, head):
             attempt.body_parts.append(data)
             return
         answered = is_answered(attempt.events)
+        blocked = forwarded.link.writer.blocked_seconds
         has_content = self._pass_on_events(forwarded, attempt, head, data)
         if not answered and is_answered(attempt.events):
             self._quarantine.record_answer(attempt.shared_parts)
         if has_content:
             attempt.link.note_progress()
             attempt.link.wait_until = self._next_event_deadline(forwarded)
+        else:
+            # The runner was not read meanwhile.
+            blocked = forwarded.link.writer.blocked_seconds - blocked
+            wait_until = attempt.link.wait_until + blocked
+            attempt.link.wait_until = min(forwarded.deadline, wait_until)
 
     def _finish(self, forwarded: ForwardedRequest, attempt: Attempt) -> None:
         """Stop counting the request as load; keep or close the connection."""
         if attempt.overtaken:
             attempt.result = Overtaken()
+        else:
+            self._observer.attribute_loss(forwarded, attempt)
         candidate, result, link = attempt.candidate, attempt.result, attempt.link
         attempt.ended = True
         candidate.in_flight -= 1
         candidate.trials -= bool(forwarded.trial_parts)
         self._attempts.remove(attempt)
         attempt.prompt_read()
+        attempt.stop_awaiting()
         if isinstance(result, NotRun):
             forwarded.possible_runs -= 1
             if result.replaced:
@@ -250,10 +270,12 @@
             link.close()
             link.reusable = False
         failed = isinstance(result, Whole) and result.head.status >= 500
-        if not isinstance(result, Overtaken):
-            candidate.ended(
-                not failed and not isinstance(result, Lost), time.monotonic()
-            )
+        excused = isinstance(result, Lost) and result.by_caller
+        if not excused and not isinstance(result, Overtaken):
+            timed_out = isinstance(result, Lost) and result.timed_out
+            ok = not failed and not isinstance(result, Lost)
+            candidate.ended(ok, time.monotonic(), timed_out)
+            self._observer.record_end(forwarded.target.name, candidate, timed_out)
         entry, head = candidate.entry, attempt.head
         idle = None if head is None else wire.idle_seconds(head)
         self._pool.give(entry.id, entry.address, link, idle)
@@ -372,6 +394,8 @@
             if not attempt.claim():
                 return False
             attempt.events += 1
+            if attempt.events == 1:
+                self._observer.record_first_event(forwarded.target.name, attempt)
             if event.id is not None:
                 last_id = forwarded.last_event_id
                 if last_id is not None and event.id <= last_id:
