--- a/godwitrudder/connection/shape.py
+++ b/godwitrudder/connection/shape.py
@@ -33,6 +33,7 @@
     Reason.NO_RUNNER: 503,
     Reason.QUARANTINED: 503,
     Reason.DRAINING: 503,
+    Reason.HOST_OVERLOADED: 503,
     Reason.TOO_MANY_CONNECTIONS: 503,
     Reason.CALLER_GONE: CALLER_GONE_STATUS,
     Reason.RUNNER_FAILED: 502,
--- a/godwitrudder/ctl/causes.py
+++ b/godwitrudder/ctl/causes.py
@@ -47,6 +47,7 @@
     CUT_SPENT = "cut: budget spent"
     NO_RUNNER = "no runner"
     NO_HEADROOM = "no headroom"
+    HOST_OVERLOADED = "host overloaded"
     RATE_LIMITED = "runners at their rate limits"
     QUARANTINED = "prompt quarantined"
     OTHER_REFUSAL = "refused otherwise"
@@ -57,6 +58,7 @@
 CAUSE_BY_REASON: Final = {
     "no_runner": Cause.NO_RUNNER,
     "overloaded": Cause.NO_HEADROOM,
+    "host_overloaded": Cause.HOST_OVERLOADED,
     "prompt_quarantined": Cause.QUARANTINED,
 }
 
--- a/godwitrudder/error_messages.py
+++ b/godwitrudder/error_messages.py
@@ -23,6 +23,7 @@
         "Runners ended under a part of this prompt; it is not sent for now."
     ),
     "draining": "This process is shutting down.",
+    "host_overloaded": "This host has too much work; another one may serve you.",
     "caller_gone": "The caller closed the connection.",
     "runner_failed": "The runner did not finish: {problem}.",
     "already_claimed": (
--- a/godwitrudder/platform/headers.py
+++ b/godwitrudder/platform/headers.py
@@ -40,6 +40,7 @@
     Reason.QUARANTINED: 503,
     Reason.OVERLOADED: 503,
     Reason.DRAINING: 503,
+    Reason.HOST_OVERLOADED: 503,
     Reason.DEADLINE: 504,
 }
 # A whole number below 2**53.
--- a/godwitrudder/process/forwarding/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -186,8 +186,7 @@
         seconds = retry_delay.jitter(
             retry_delay.OVERLOADED_HOST_RETRY_SECONDS, self._random
         )
-        target = forwarded.target.name
-        refused = refuse(Reason.OVERLOADED, seconds, target=target)
+        refused = refuse(Reason.HOST_OVERLOADED, seconds)
         return self._responder.refuse(
             forwarded.link, forwarded.request_id, refused, forwarded.seconds_left
         )
--- a/godwitrudder/process/forwarding/target_queue.py
+++ b/godwitrudder/process/forwarding/target_queue.py
@@ -11,11 +11,11 @@
 from godwitrudder.request.queueing.admission import (
     DrainRate,
     RecentRate,
-    ServiceTimes,
 )
 from godwitrudder.request.queueing.headroom import MeanSize, Memory
 from godwitrudder.request.queueing.share import HostShare
 from godwitrudder.request.queueing.wait_queue import QueuedRequest, WaitQueue
+from godwitrudder.request.service_times import ServiceTimes
 
 
 @dataclass(slots=True, eq=False)
--- a/godwitrudder/process/forwarding/token_desk.py
+++ b/godwitrudder/process/forwarding/token_desk.py
@@ -15,9 +15,9 @@
 from godwitrudder.request import retry_delay
 from godwitrudder.request.charge import charged_tokens
 from godwitrudder.request.outcome import Reason, Refused, refuse
+from godwitrudder.request.service_times import ServiceTimes
 from godwitrudder.request.tokens.reservation import Reservation, ReservationRefused
 from godwitrudder.request.tokens.waiting import (
-    ServiceTimes,
     longest_wait_seconds,
     retry_seconds,
 )
--- a/godwitrudder/request/outcome.py
+++ b/godwitrudder/request/outcome.py
@@ -37,6 +37,7 @@
     NO_RUNNER = "no_runner"
     QUARANTINED = "prompt_quarantined"
     DRAINING = "draining"
+    HOST_OVERLOADED = "host_overloaded"
     CALLER_GONE = "caller_gone"
     RUNNER_FAILED = "runner_failed"
     ALREADY_CLAIMED = "already_claimed"
--- a/godwitrudder/request/queueing/admission.py
+++ b/godwitrudder/request/queueing/admission.py
@@ -15,8 +15,6 @@
 runners' speed and one slow answer does not change it much."""
 MIN_RATE_SECONDS: Final = 0.5
 """Least time over which a rate is taken; a shorter one would be mostly chance."""
-SERVICE_GAIN: Final = 0.1
-"""Weight of the newest answer in the mean time of service."""
 WAITED_SHARE: Final = 0.5
 """Upper end of the retry delays of requests that have waited, relative to the time in
 which the queue drains. Delays of requests refused on arrival begin there."""
@@ -76,22 +74,6 @@
         return ahead / max(rate, 1 / RATE_WINDOW_SECONDS)
 
 
-@dataclass(slots=True)
-class ServiceTimes:
-    """Mean time from the start of a request to the end of its answer, by route."""
-
-    _seconds_by_route: dict[str, float] = field(default_factory=dict)
-
-    def record(self, route: str, seconds: float) -> None:
-        """Record a complete answer."""
-        mean = self._seconds_by_route.get(route, seconds)
-        self._seconds_by_route[route] = mean + SERVICE_GAIN * (seconds - mean)
-
-    def expected(self, route: str, objective: float) -> float:
-        """Return the time of service; the latency objective if none is known."""
-        return self._seconds_by_route.get(route, objective)
-
-
 def may_wait(wait: float, service: float, left: float) -> bool:
     """Whether a request ends before its deadline; all times in seconds."""
     return wait + service <= left
--- a/godwitrudder/request/tokens/waiting.py
+++ b/godwitrudder/request/tokens/waiting.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -20,24 +20,6 @@
 the first 20 ms came within 0.24 s on a hard day with 86 hosts."""
 WAITED_RETRY_SHARE: Final = 0.5
 """Share of the usual ``Retry-After`` for a request that waited the longest time."""
-SERVICE_GAIN: Final = 0.1
-"""Weight of the newest sample in the mean time of service."""
-
-
-@dataclass(slots=True)
-class ServiceTimes:
-    """Mean time of service by route, as this host has seen it."""
-
-    _mean_by_route: dict[str, float] = field(default_factory=dict)
-
-    def record(self, route: str, seconds: float) -> None:
-        """Record the time from a request's tokens to the end of its answer."""
-        mean = self._mean_by_route.get(route, seconds)
-        self._mean_by_route[route] = mean + SERVICE_GAIN * (seconds - mean)
-
-    def expected(self, route: str, objective_seconds: float) -> float:
-        """Return the mean, or the latency objective while there is none."""
-        return self._mean_by_route.get(route, objective_seconds)
 
 
 def longest_wait_seconds(
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -14,6 +14,7 @@
 from godwitrudder.request.holding import Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import Lending
+from godwitrudder.request.service_times import ServiceTimes
 from godwitrudder.request.tokens.lenders import (
     KnownLender,
     choose_questions,
@@ -30,7 +31,6 @@
     ASK_AGAIN_SECONDS,
     Outlook,
     Prospects,
-    ServiceTimes,
     longest_wait_seconds,
     retry_seconds,
     worth_waiting,
