--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -49,6 +49,10 @@
 """Least time between the starts of calls to a store that does not answer."""
 STORE_SILENT_AFTER_SECONDS: Final = 1.0
 """Time between answers after which entries may have expired in the store."""
+EXPIRY_SECONDS: Final = 2.5
+"""Time between answers after which entries may have expired although no read failed: a
+runner's entry expires after three heartbeats of 1.2 s.  A read on a full link takes a
+second and says nothing about the store."""
 RELIST_SECONDS: Final = 2.0
 """Time in which live runners are listed again after the store's first answer, or its
 first one after a silence."""
@@ -128,6 +132,7 @@
         self._unlisted_instances: set[str] = set()
         self._former_by_id: OrderedDict[str, Candidate] = OrderedDict()
         self.answered_at = 0.0
+        self._read_failed = False
         self._store_returned_at = 0.0
 
     def current(self) -> Catalogue | None:
@@ -179,10 +184,10 @@
                 restored = True
                 continue
             if isinstance(page, Page):
-                if now - self.answered_at > STORE_SILENT_AFTER_SECONDS:
+                if self._read_failed or now - self.answered_at > EXPIRY_SECONDS:
                     self._store_returned_at = now
                     self._expect_entries_of_instances(now)
-                self.answered_at = now
+                self.answered_at, self._read_failed = now, False
                 if cursor.offset is None:
                     self._remove_unlisted({record.key for record in page.records}, now)
                 cursor.offset = page.next if page.whole else None
@@ -197,7 +202,8 @@
             elif isinstance(page, Forgotten):
                 cursor.offset = None
                 continue
-            self._drop_overdue(now)
+            else:
+                self._read_failed = True
             gevent.sleep(self._runners_poll_seconds)
 
     def _check_ready(self) -> None:
@@ -396,7 +402,7 @@
     def _expect_entries_of_instances(self, now: float) -> None:
         """Drop the added instances that the store does not list by a deadline."""
         for runner in self._unlisted_instances & self._target_by_id.keys():
-            self._relist_deadline_by_id.setdefault(runner, now + RELIST_SECONDS)
+            self._expect_entry(runner, now + RELIST_SECONDS, now)
         self._unlisted_instances.clear()
 
     def _remove_unlisted(self, listed: set[str], now: float) -> None:
@@ -410,16 +416,21 @@
             return
         deadline = self._store_returned_at + RELIST_SECONDS
         if self.runners_read and now < deadline:
-            self._relist_deadline_by_id.setdefault(runner, deadline)
+            self._expect_entry(runner, deadline, now)
             target = self._target_by_id[runner]
             self.candidates_by_target[target][runner].unlisted = True
             return
         self._drop(runner, "entry removed")
 
-    def _drop_overdue(self, now: float) -> None:
-        for runner, deadline in list(self._relist_deadline_by_id.items()):
-            if now >= deadline:
-                self._drop(runner, "not listed again")
+    def _expect_entry(self, runner: str, deadline: float, now: float) -> None:
+        """Drop a runner at the deadline unless it is listed again by then."""
+        if runner not in self._relist_deadline_by_id:
+            self._relist_deadline_by_id[runner] = deadline
+            gevent.spawn_later(deadline - now, self._drop_if_overdue, runner, deadline)
+
+    def _drop_if_overdue(self, runner: str, deadline: float) -> None:
+        if self._relist_deadline_by_id.get(runner) == deadline:
+            self._drop(runner, "not listed again")
 
     def _drop(self, runner: str, why: str) -> None:
         self._relist_deadline_by_id.pop(runner, None)
--- a/tests/test_runner_entries.py
+++ b/tests/test_runner_entries.py
@@ -132,3 +132,25 @@
         # The first read counts as a return of the store; removals wait RELIST_SECONDS.
         gevent.sleep(RELIST_SECONDS + 1.0)
         assert setup.entry.pool.idle == 0
+
+
+def test_a_slow_read_does_not_keep_a_runner_that_has_left() -> None:
+    """DRAIN: reads of 0.7 s on a full link counted as outages of the store."""
+    with run_entry(good, good) as setup:
+        gevent.sleep(RELIST_SECONDS + 0.2)  # the first read counts as a return
+        setup.store.faults.set({"delay_seconds": 0.7})
+        gevent.sleep(2.5)
+        setup.store.put(names.RUNNERS_TOPIC, "i-1", None)
+        gevent.sleep(1.5)
+        assert [c.entry.id for c in setup.entry.directory.candidates("s")] == ["i-0"]
+
+
+def test_a_missing_runner_is_dropped_in_time_though_the_next_read_is_late() -> None:
+    """DRAIN: it got requests for 0.8 s longer, until the next read had ended."""
+    with run_entry(good, good) as setup:
+        setup.store.put(names.RUNNERS_TOPIC, "i-1", None)
+        gevent.sleep(0.6)
+        assert len(setup.entry.directory.candidates("s")) == 2
+        setup.store.faults.set({"delay_seconds": 30.0})
+        gevent.sleep(RELIST_SECONDS)
+        assert [c.entry.id for c in setup.entry.directory.candidates("s")] == ["i-0"]
