--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -228,20 +228,19 @@
             Whether the records are a complete list, so that others have ended.
         """
         now = time.monotonic()
-        for record in records:
-            prefix, _, domain = record.key.partition(names.EVACUATION_PREFIX)
-            if prefix or not domain:
-                continue
-            if not record.value:
+        value_by_domain = {
+            record.key.removeprefix(names.EVACUATION_PREFIX): record.value
+            for record in records
+            if record.key.startswith(names.EVACUATION_PREFIX)
+        }
+        if complete:
+            for domain in self.evacuations.missing_from(value_by_domain):
+                self._end_evacuation(domain, now)
+        for domain, value in value_by_domain.items():
+            if not value:
                 self._end_evacuation(domain, now)
             elif self.evacuations.begin(domain):
                 self._log.note("evacuation", failure_domain=domain, in_force=True)
-        if complete:
-            listed = {
-                record.key.removeprefix(names.EVACUATION_PREFIX) for record in records
-            }
-            for domain in self.evacuations.missing_from(listed):
-                self._end_evacuation(domain, now)
         self._note_unknown_domains()
 
     def _end_evacuation(self, domain: str, now: float) -> None:
--- a/tests/test_constraints.py
+++ b/tests/test_constraints.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import json
 import math
+from pathlib import Path
 
 import pytest
 
 from godwitrudder.codec import Malformed
-from godwitrudder.platform import documents
+from godwitrudder.connection.messages import ResponseHead
+from godwitrudder.options import Options
+from godwitrudder.platform import documents, headers, settings
 from godwitrudder.request.places.cold_evidence import ColdEvidence
 from godwitrudder.request.places.cold_slots import ColdSlots
 from godwitrudder.request.places.constraints import Bound, Constraints, Exclusion
 from godwitrudder.request.places.evacuations import Evacuations
 from godwitrudder.request.places.regions import Regions
 from godwitrudder.request.placing.candidate import Candidate
-from godwitrudder.validation import Address
+from godwitrudder.validation import Address, Problem
 from godwitrudder.version.catalogue import ListedRunner, Target
 
 TARGET = Target("s", 100, None, cold_start_seconds=10.0, cold_per_second=4.0)
@@ -116,3 +120,36 @@
     assert catalogue.workspaces_by_key["k"].homes == {"west"}
     target = catalogue.targets_by_name["s"]
     assert (target.cold_start_seconds, target.cold_per_second) == (8.0, 2.5)
+
+
+def test_fields_of_the_settings(tmp_path: Path) -> None:
+    path = tmp_path / "settings.json"
+    fields = {
+        "node": "front-1",
+        "zone": "a",
+        "listen": {"front": "127.0.0.1:1", "ready": "127.0.0.1:2"},
+        "platform": {"address": "127.0.0.1:3"},
+    }
+    path.write_text(json.dumps(fields))
+    plain = settings.load(path, Options())
+    assert not isinstance(plain, Problem)
+    assert plain.region_by_failure_domain == {}
+    assert (plain.cold_over, plain.cold_slack) == (1.5, 5.0)
+    assert plain.evacuation_seconds == 5.0
+    bounds = {"cold_over": 2, "cold_slack": 1, "evac_ms": 3000}
+    more = {"region": "east", "zones": {"b": "west"}, "bounds": bounds}
+    path.write_text(json.dumps(fields | more))
+    found = settings.load(path, Options())
+    assert not isinstance(found, Problem)
+    assert found.region_by_failure_domain == {"a": "east", "b": "west"}
+    assert (found.cold_over, found.cold_slack) == (2.0, 1.0)
+    assert found.evacuation_seconds == 3.0
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b"1500", 1.5), (b"-2", 0.0), (b"", None), (b"soon", "soon"), (b"nan", "nan")],
+)
+def test_the_cold_time_of_an_answer(value: bytes, expected: float | str | None) -> None:
+    fields = [(b"x-godwitrudder-cold-ms", value)] if value else []
+    assert headers.cold_seconds(ResponseHead(200, fields)) == expected
