--- a/soak/callers.py
+++ b/soak/callers.py
@@ -15,7 +15,7 @@
 from soak.deployment import Deployment
 from soak.hosts import Host
 from soak.oracle import ReceivedResponse, SentRequest
-from soak.runners import LEAVING_HEADER, LIMIT_HEADER, RUNNER_HEADER
+from soak.runners import COLD_HEADER, LEAVING_HEADER, LIMIT_HEADER, RUNNER_HEADER
 
 REQUEST_KINDS: Final = ("safe", "unsafe", "stream", "stream", "fixed")
 # Maximum number of events and of prompt tokens of a streamed request.
@@ -111,6 +111,7 @@
                 request.process,
                 response.getheader(LIMIT_HEADER) is not None,
                 response.getheader(LEAVING_HEADER) is not None,
+                response.getheader(COLD_HEADER) is not None,
             )
 
 
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,7 +13,7 @@
 from godwitrudder.validation import Address
 from soak.hosts import Host
 from soak.oracle import TOKENS_PER_EVENT, Oracle
-from soak.runner_rules import RunnerRules
+from soak.runner_rules import COLD_PER_SECOND, RunnerRules
 from soak.runners import SoakRunner
 from standins.store import Store
 from tests.ports import free_port
@@ -24,6 +24,11 @@
 """Initial prepaid amount of a workspace; its callers use it up in some seconds."""
 TOPUP_TOKENS: Final = 4_000
 
+EVACUATED_DOMAIN: Final = "xiyu"
+"""Failure domain of the last runner, which is evacuated at times."""
+COLD: Final = {"cold_per_s": COLD_PER_SECOND, "cold_start_s": 0.5}
+"""The cold time after a crash is short, so that other faults get enough requests."""
+
 
 class Deployment:
     """Hosts, store and runners; a context manager that starts and ends them.
@@ -39,6 +44,8 @@
 
     Attributes
     ----------
+    evacuated : bool
+        Whether ``EVACUATED_DOMAIN`` is evacuated now.
     poison_part : str
         Prompt part of some requests now that ends their runner; empty for none.
     """
@@ -47,6 +54,7 @@
         self.oracle = Oracle()
         self.store = Store(Address(IP, free_port()))
         self.poison_part = ""
+        self.evacuated = False
         self._version = 0
         self._stack = ExitStack()
         self.hosts = [
@@ -102,7 +110,7 @@
         configuration = {
             "version": self._version,
             "routes": [_route(kind) for kind in ("safe", "unsafe", "stream", "fixed")],
-            "services": [{"name": "s", "max_conns": 400, "engine": engine}],
+            "services": [{"name": "s", "max_conns": 400, "engine": engine} | COLD],
             "tenants": [
                 {"name": name, "api_keys": [f"key-{name}"], "prepaid": prepaid}
                 for name, prepaid in prepaid_by_workspace.items()
@@ -118,9 +126,15 @@
             "state": "ready",
             "slots": 16,
             "born": runner.born,
+            "zone": EVACUATED_DOMAIN if runner is self.runners[-1] else "magong",
         }
         self.store.put(names.RUNNERS_TOPIC, runner.name, record)
 
+    def write_evacuation(self) -> None:
+        """Write or delete the record of the evacuation."""
+        key = names.EVACUATION_PREFIX + EVACUATED_DOMAIN
+        self.store.put(names.OPERATOR_TOPIC, key, True if self.evacuated else None)
+
 
 def _route(kind: str) -> dict[str, Any]:
     is_stream = kind in ("stream", "fixed")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import signal
+import time
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -29,6 +30,8 @@
 """Shortest and longest time for which a runner names a limit, or requests have a poison
 part: hosts have 3 s to adapt."""
 BACKOFF_RANGE_SECONDS: Final = (0.6, 3.0)
+EVACUATION_RANGE_SECONDS: Final = (6.0, 9.0)
+"""Shortest and longest evacuation: hosts have 5 s to read it."""
 # Limits that a runner may name, in requests per second.
 LIMITS_PER_SECOND: Final = (0.5, 1.0, 4.0, 10.0)
 MAX_SERIES: Final = 6
@@ -79,6 +82,8 @@
             self._limit_runner,
             self._back_off_runner,
             self._replace_runner,
+            self._cool_runner,
+            self._evacuate,
             self._send_poison_parts,
         ]
 
@@ -177,6 +182,7 @@
         gevent.sleep(self._random.uniform(*STORE_AWAY_RANGE_SECONDS))
         store.restore(copied)
         self._deployment.configure()
+        self._deployment.write_evacuation()
         for runner in self._deployment.runners:
             self._deployment.list_runner(runner)
         store.faults.set({"down": False})
@@ -247,6 +253,28 @@
             self._deployment.rules.instance_replaced(runner.name)
             self._deployment.list_runner(runner)
 
+    def _cool_runner(self) -> None:
+        """Let a runner say for a while that it is cold."""
+        runner = self._runner()
+        if runner.cold_until < time.monotonic():
+            seconds = self._random.uniform(*LIMIT_RANGE_SECONDS)
+            runner.cold_until = time.monotonic() + seconds
+            gevent.sleep(seconds)
+            self._deployment.rules.cold_ended(runner.name)
+
+    def _evacuate(self) -> None:
+        """Evacuate the failure domain of the last runner for a while."""
+        deployment = self._deployment
+        if not deployment.evacuated:
+            deployment.evacuated = True
+            deployment.write_evacuation()
+            runner = deployment.runners[-1].name
+            deployment.rules.evacuation_begun(runner)
+            gevent.sleep(self._random.uniform(*EVACUATION_RANGE_SECONDS))
+            deployment.rules.evacuation_ended(runner)
+            deployment.evacuated = False
+            deployment.write_evacuation()
+
     def _send_poison_parts(self) -> None:
         if not self._deployment.poison_part:
             self._deployment.poison_part = f"poison-{len(self.injected)}"
--- a/soak/runner_rules.py
+++ b/soak/runner_rules.py
@@ -20,6 +20,12 @@
 """Requests that are allowed, as a multiple of what the limit allows."""
 LIMIT_SLACK_REQUESTS: Final = 5
 MAX_REQUESTS_IN_BACKOFF: Final = 2
+COLD_PER_SECOND: Final = 4.0
+"""Requests per second that a cold runner tolerates."""
+MAX_COLD_REQUESTS: Final = COLD_PER_SECOND * 1.5 + 5
+"""Requests in any second that it may get, with the platform's default bounds."""
+EVACUATION_SECONDS: Final = 5.0
+"""Time within which an evacuation must be in force."""
 FREE_CRASHES: Final = 5
 MAX_POISON_REQUESTS: Final = 3
 
@@ -51,6 +57,9 @@
         self._sent_in_backoff: dict[tuple[str, Process], int] = {}
         self._crash_times: dict[str, list[float]] = defaultdict(list)
         self._poison_requests: dict[str, int] = defaultdict(int)
+        self._told_cold_at: dict[tuple[str, Process], float] = {}
+        self._cold_arrivals: dict[str, deque[float]] = defaultdict(deque)
+        self._evacuated_at: dict[str, float] = {}
 
     def limit_named(self, runner: str, process: Process) -> None:
         """Record an answer that names a limit."""
@@ -65,6 +74,24 @@
         for key in [key for key in self._told_limit_at if key[0] == runner]:
             del self._told_limit_at[key]
 
+    def cold_said(self, runner: str, process: Process) -> None:
+        """Record an answer that says that the runner is cold."""
+        self._told_cold_at.setdefault((runner, process), time.monotonic())
+
+    def cold_ended(self, runner: str) -> None:
+        """Record that a runner is not cold any more."""
+        self._cold_arrivals.pop(runner, None)
+        for key in [key for key in self._told_cold_at if key[0] == runner]:
+            del self._told_cold_at[key]
+
+    def evacuation_begun(self, runner: str) -> None:
+        """Record that the store has the evacuation of a runner's failure domain."""
+        self._evacuated_at[runner] = time.monotonic()
+
+    def evacuation_ended(self, runner: str) -> None:
+        """Record that the evacuation is about to end."""
+        del self._evacuated_at[runner]
+
     def leaving_said(self, runner: str, process: Process) -> None:
         """Record an answer that says that the runner leaves."""
         self._leaving_at.setdefault((runner, process), time.monotonic())
@@ -103,6 +130,10 @@
         told = now - self._told_limit_at.get(key, now) > TOLD_AFTER_SECONDS
         if limit is not None and told:
             self._check_limit(runner, limit, now)
+        if now - self._told_cold_at.get(key, now) > TOLD_AFTER_SECONDS:
+            self._check_cold(runner, now)
+        if now - self._evacuated_at.get(runner, now) > EVACUATION_SECONDS:
+            self._report(f"{runner}: got a request of {process} while evacuated")
 
     def poison_arrived(self, part: str, process: Process) -> None:
         """Check a request whose prompt part ends runners."""
@@ -123,3 +154,11 @@
             arrivals.popleft()
         if len(arrivals) > LIMIT_FACTOR * limit * WINDOW_SECONDS + LIMIT_SLACK_REQUESTS:
             self._report(f"{runner}: {len(arrivals)} requests in 4 s, limit {limit}/s")
+
+    def _check_cold(self, runner: str, now: float) -> None:
+        arrivals = self._cold_arrivals[runner]
+        arrivals.append(now)
+        while arrivals[0] <= now - 1.0:
+            arrivals.popleft()
+        if len(arrivals) > MAX_COLD_REQUESTS:
+            self._report(f"{runner}: {len(arrivals)} requests in 1 s while cold")
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from random import Random
 from typing import Final
 
@@ -24,6 +25,7 @@
 RESPONSE_DELAY_SECONDS: Final = 0.02
 RUNNER_HEADER: Final = "X-Soak-Runner"
 LIMIT_HEADER: Final = "Server-Limit"
+COLD_HEADER: Final = "X-Godwitrudder-Cold-Ms"
 LEAVING_HEADER: Final = "Server-Leaving"
 DOWN_SECONDS: Final = 0.6
 """Time until a crashed runner listens again."""
@@ -40,6 +42,8 @@
         Whether it says in its answers that it leaves.
     backoff_seconds : float
         Time that it names when it rejects requests; 0 while it accepts them.
+    cold_until : float
+        Monotonic seconds until which it says that it is cold.
     born : int
         Number of its instance.
     """
@@ -52,6 +56,7 @@
         self.limit: float | None = None
         self.leaving = False
         self.backoff_seconds = 0.0
+        self.cold_until = 0.0
         self.born = 1
         self._oracle = oracle
         self._rules = rules
@@ -101,14 +106,21 @@
             extra += (f"{LIMIT_HEADER}: {self.limit}",)
         if self.leaving:
             extra += (f"{LEAVING_HEADER}: 1",)
+        cold_seconds = self.cold_until - time.monotonic()
+        if cold_seconds > 0:
+            extra += (f"{COLD_HEADER}: {round(cold_seconds * 1000)}",)
         return extra
 
-    def passed_on(self, process: Process, limited: bool, leaving: bool) -> None:
+    def passed_on(
+        self, process: Process, limited: bool, leaving: bool, cold: bool
+    ) -> None:
         """Record that a host has passed on an answer of this runner."""
         if limited and self.limit is not None:
             self._rules.limit_named(self.name, process)
         if leaving and self.leaving:
             self._rules.leaving_said(self.name, process)
+        if cold and time.monotonic() < self.cold_until:
+            self._rules.cold_said(self.name, process)
 
     def _maybe_break(self, request_id: str, steps: list[Step]) -> list[Step]:
         """Inject a fault into some answers.
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -149,6 +149,40 @@
     assert len(found) == 1
 
 
+def test_too_many_requests_to_a_cold_runner_are_a_violation(
+    rules: runner_rules.RunnerRules, found: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock(monkeypatch)
+    rules.cold_said("i-0", PROCESS)
+    clock.now += 0.6
+    for _ in range(11):
+        rules.arrived("i-0", PROCESS, None)
+        rules.arrived("i-0", ("front-0", 2), None)
+    assert not found
+    rules.arrived("i-0", PROCESS, None)
+    assert found == ["i-0: 12 requests in 1 s while cold"]
+    rules.cold_ended("i-0")
+    rules.arrived("i-0", PROCESS, None)
+    assert len(found) == 1
+
+
+def test_a_request_to_an_evacuated_runner_is_a_violation(
+    rules: runner_rules.RunnerRules, found: list[str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    clock = Clock(monkeypatch)
+    rules.evacuation_begun("i-0")
+    clock.now += 4.9
+    rules.arrived("i-0", PROCESS, None)
+    assert not found
+    clock.now += 0.2
+    rules.arrived("i-0", PROCESS, None)
+    rules.arrived("i-0", ("cut", 1), None)
+    assert len(found) == 1
+    rules.evacuation_ended("i-0")
+    rules.arrived("i-0", PROCESS, None)
+    assert len(found) == 1
+
+
 def test_a_third_request_during_a_backoff_is_a_violation(
     rules: runner_rules.RunnerRules, found: list[str], monkeypatch: pytest.MonkeyPatch
 ) -> None:
