--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -126,6 +126,7 @@
         forwarded: ForwardedRequest,
         fits: Callable[[Candidate], bool] = lambda candidate: True,
         accepts: Callable[[Candidate], bool] = lambda candidate: True,
+        may_wait: bool = True,
     ) -> Candidate | None:
         """Return the runner for the next attempt, None if there is none now.
 
@@ -136,9 +137,11 @@
             if none has.
         accepts : callable
             Returns whether a runner may be chosen at all.
+        may_wait : bool
+            Whether to wait for a slot at a cold runner.
         """
         candidate, selection = self._choose_now(forwarded, fits, accepts)
-        if candidate is None and selection.cold:
+        if candidate is None and selection.cold and may_wait:
             with self._eligibility.next_slot(forwarded, selection) as slot:
                 if slot is not None:
                     candidate, selection = self._choose_now(
--- a/godwitrudder/process/forwarding/second_attempts.py
+++ b/godwitrudder/process/forwarding/second_attempts.py
@@ -244,8 +244,11 @@
                 yield None
                 return
             now = time.monotonic()
+            # What was checked for the attempt would not hold after a wait.
             second = self._choice.choose(
-                forwarded, accepts=lambda candidate: not would_wait(candidate, now)
+                forwarded,
+                accepts=lambda candidate: not would_wait(candidate, now),
+                may_wait=False,
             )
             if second is None:
                 self._count_obstacle(forwarded, Obstacle.NO_RUNNER)
--- a/tests/test_placement_constraints.py
+++ b/tests/test_placement_constraints.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from dataclasses import replace
 from typing import Any
 
 import gevent
@@ -127,6 +128,29 @@
         assert "godwitrudder_cold_runners 1.0" in metrics
 
 
+def test_a_choice_for_a_second_attempt_does_not_wait_for_a_slot() -> None:
+    """The first attempt could be answered, and the headroom be gone, meanwhile."""
+    with run_entry(good) as setup:
+        configure(setup, with_cold_runners())
+        gevent.sleep(JOIN_SECONDS)
+        list_runner(setup.store, 0, setup.runners[0], seq=5, cold_remaining_ms=9000)
+        gevent.sleep(0.6)
+        choice, seen = setup.entry.forwarder._choice, []
+        choose = choice.choose
+
+        def observed(forwarded: Any, *more: Any, **named: Any) -> Any:
+            seen.append(forwarded)
+            return choose(forwarded, *more, **named)
+
+        choice.choose = observed  # type: ignore[method-assign]
+        setup.ask()
+        began = time.monotonic()
+        fresh = [replace(seen[0], started_at=began, excluded=set()) for _ in range(9)]
+        chosen = [choose(each, may_wait=False) for each in fresh]
+        assert chosen.count(None) >= 8
+        assert time.monotonic() - began < 0.1
+
+
 def test_an_evacuation_holds_while_the_store_is_away_and_until_the_list_is_read() -> (
     None
 ):
