--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -30,6 +30,7 @@
 from godwitrudder.process.forwarding.runner_queues import RunnerQueues
 from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
+from godwitrudder.process.forwarding.token_desk import TokenDesk
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import ReservationTask
@@ -165,7 +166,7 @@
         self.second_attempts.queued = queues.queued
         self.forwarder = Forwarder(
             self.directory,
-            self.reservations,
+            TokenDesk(self.reservations, queues.is_on, log, self._metrics, random),
             choice,
             sender,
             Responder(log, self._metrics, random),
--- a/godwitrudder/process/entry_metrics.py
+++ b/godwitrudder/process/entry_metrics.py
@@ -5,6 +5,8 @@
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
 from prometheus_client.exposition import generate_latest
 
+from godwitrudder.request.tokens.reservation import Reservation, ReservationRefused
+
 LATENCY_BUCKETS_SECONDS = (0.01, 0.03, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0)
 
 
@@ -173,6 +175,39 @@
             registry=self.registry,
         )
 
+        self.token_waits = Counter(
+            "godwitrudder_token_waits",
+            "Requests of prepaid workspaces that waited for tokens, by outcome",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self.token_wait_seconds = Histogram(
+            "godwitrudder_token_wait_seconds",
+            "Time that requests waited for tokens, by outcome",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=self.registry,
+        )
+        self.token_shortages = Counter(
+            "godwitrudder_token_shortages",
+            "Requests without tokens, by the reason and the answer of lenders",
+            ["shortage", "lenders"],
+            registry=self.registry,
+        )
+
+    def record_token_wait(self, reservation: Reservation | ReservationRefused) -> None:
+        """Record how a reservation ended, if it was not made at once."""
+        waited = reservation.waited_seconds
+        if isinstance(reservation, ReservationRefused):
+            self.token_shortages.labels(reservation.shortage, reservation.lenders).inc()
+            outcome = "refused"
+        elif waited:
+            outcome = "served"
+        else:
+            return
+        self.token_waits.labels(outcome).inc()
+        self.token_wait_seconds.labels(outcome).observe(waited)
+
     def render(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
         return bytes(generate_latest(self.registry))
--- a/godwitrudder/process/forwarding/forwarder.py
+++ b/godwitrudder/process/forwarding/forwarder.py
@@ -8,8 +8,7 @@
 
 import math
 import time
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+from collections.abc import Callable
 from functools import partial
 from random import Random
 from typing import Final
@@ -33,14 +32,9 @@
 from godwitrudder.process.forwarding.runner_queues import RunnerQueues
 from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
+from godwitrudder.process.forwarding.token_desk import TokenDesk
 from godwitrudder.process.quarantine import FleetQuarantine
-from godwitrudder.process.reservations import (
-    Reservation,
-    ReservationRefused,
-    ReservationTask,
-)
 from godwitrudder.request import retry_delay
-from godwitrudder.request.charge import charged_tokens
 from godwitrudder.request.outcome import (
     Reason,
     Refused,
@@ -53,8 +47,6 @@
 
 MAX_REJECTIONS: Final = 3
 """Runners that may reject a request before the caller gets a refusal."""
-TOKEN_WAIT_SHARE: Final = 0.7
-"""Share of the route's latency objective that a request may wait for tokens."""
 STREAM_DRAIN_SECONDS: Final = 4.5
 """Time reserved for a stream that begins while this process drains: over twice what one
 takes at a busy engine (55 events of 7 tokens, from the users' specification)."""
@@ -84,7 +76,7 @@
     def __init__(
         self,
         directory: Directory,
-        reservations: ReservationTask,
+        tokens: TokenDesk,
         choice: RunnerChoice,
         sender: Sender,
         responder: Responder,
@@ -97,7 +89,7 @@
         second_attempts: SecondAttempts,
     ) -> None:
         self._directory = directory
-        self._reservations = reservations
+        self._tokens = tokens
         self._choice = choice
         self._sender = sender
         self._responder = responder
@@ -225,64 +217,16 @@
         max_tokens = forwarded.prepaid_tokens
         if workspace is None or not max_tokens:
             return self._try_runners(forwarded)
-        max_wait = forwarded.route.latency_objective_seconds * TOKEN_WAIT_SHARE
-        reservation = self._reservations.reserve(
-            forwarded.request_id,
-            workspace.name,
-            max_tokens,
-            min(max_wait, forwarded.seconds_left),
-        )
-        forwarded.token_wait_seconds = time.monotonic() - forwarded.started_at
-        if isinstance(reservation, ReservationRefused):
-            left = forwarded.seconds_left
-            refused = self._token_refusal(reservation, workspace.name, max_tokens, left)
+        reservation = self._tokens.reserve(forwarded, workspace.name, max_tokens)
+        if isinstance(reservation, Refused):
             return self._responder.refuse(
-                forwarded.link, forwarded.request_id, refused, left
-            )
-        with self._settling(forwarded, reservation):
-            return self._try_runners(forwarded)
-
-    @contextmanager
-    def _settling(
-        self, forwarded: ForwardedRequest, reservation: Reservation
-    ) -> Iterator[None]:
-        """Return unused tokens when the request ends, also on errors."""
-        try:
-            yield
-        finally:
-            engine = forwarded.target.engine
-            used = charged_tokens(
-                forwarded.caller_headers.prompt_tokens,
-                forwarded.caller_headers.output_tokens,
-                forwarded.events,
-                1 if engine is None else engine.tokens_per_event,
-                forwarded.succeeded_whole,
-            )
-            self._reservations.settle(reservation, used)
-            self._log.note(
-                "settled",
+                forwarded.link,
                 forwarded.request_id,
-                workspace=reservation.workspace,
-                reserved=reservation.tokens,
-                used=used,
-                events=forwarded.events,
-            )
-
-    def _token_refusal(
-        self, refusal: ReservationRefused, workspace: str, needed: int, left: float
-    ) -> Refused:
-        if refusal.exhausted:
-            return refuse(
-                Reason.BUDGET_EXHAUSTED,
-                None,
-                budget=workspace,
-                needed=needed,
-                left=max(0, refusal.remaining),
+                reservation,
+                forwarded.seconds_left,
             )
-        seconds = retry_delay.token_retry_seconds(
-            refusal.silent_seconds, left, self._random
-        )
-        return refuse(Reason.BUDGET_UNREACHABLE, seconds, budget=workspace)
+        with self._tokens.settling(forwarded, reservation):
+            return self._try_runners(forwarded)
 
     def _try_runners(self, forwarded: ForwardedRequest) -> bool:
         """Try runners until one answers or no further attempt is possible."""
--- a/godwitrudder/process/lending.py
+++ b/godwitrudder/process/lending.py
@@ -7,8 +7,8 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from itertools import count
 from random import Random
 from typing import Final
@@ -41,8 +41,16 @@
     TrialReport,
 )
 from godwitrudder.process.decisions import DecisionLog
+from godwitrudder.process.loan_records import (
+    PeerEndpoint,
+    UnacknowledgedLoan,
+    loan_outcome,
+    peer_endpoint,
+)
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import Lending
+from godwitrudder.request.tokens.lenders import Question
+from godwitrudder.request.tokens.shortage import AskTally
 from godwitrudder.validation import Address
 from godwitrudder.version.statements import Statement
 
@@ -68,34 +76,6 @@
 after a socket error."""
 
 
-@dataclass(slots=True)
-class UnacknowledgedLoan:
-    """A loan without a receipt.
-
-    Attributes
-    ----------
-    datagram : bytes
-        The loan as it was sealed; only one incarnation of the borrower accepts it.
-    resend_rounds : int
-        Rounds of the resend loop in which it was still without a receipt.
-    """
-
-    host: str
-    loan: Loan
-    datagram: bytes
-    address: tuple[str, int]
-    resend_rounds: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class PeerEndpoint:
-    """Address and key of one incarnation of a host."""
-
-    epoch: int
-    address: tuple[str, int]
-    key: bytes
-
-
 class LendingTask:
     """Lends and borrows tokens for one process.
 
@@ -210,45 +190,86 @@
                     continue
                 self._send_datagram(pending.host, pending.datagram, pending.address)
 
-    def borrow(self, request: str, workspace: str, needed: int) -> bool:
+    def borrow(
+        self, request: str, workspace: str, needed: int, tally: AskTally | None = None
+    ) -> bool:
         """Ask hosts in turn for a loan; return whether one lent what is needed."""
+        tally = AskTally(MAX_LENDERS_ASKED) if tally is None else tally
         asked: list[str] = []
-        holding = self._host_holdings.holding(workspace)
         while len(asked) < MAX_LENDERS_ASKED:
             now = self._clock()
             found = self.lending.choose_lender(workspace, needed, asked, now)
             if found is None:
                 break
-            lender, believed = found
-            asked.append(lender)
-            wanted = self.lending.wanted(holding, needed, now)
-            number = next(self._message_numbers)
-            ask = Ask(
-                self._host_holdings.host,
-                self.epoch,
-                number,
-                workspace,
-                needed,
-                wanted,
-                round(holding.demand.per_second(now), 1),
-            )
-            loan = self._ask_host(lender, ask)
-            self.loans_by_outcome[_loan_outcome(loan)] += 1
-            self._log.note(
-                "loan",
-                request,
-                workspace=workspace,
-                lender=lender,
-                needed=needed,
-                believed=believed,
-                tokens=None if loan is None else loan.tokens,
-                left=None if loan is None else loan.left,
-                seconds=round(self._clock() - now, 4),
-            )
+            question = Question(found[0], needed, found[1], True)
+            asked.append(question.host)
+            with self.asking(workspace, question) as answer:
+                loan: Loan | None = answer.wait(ANSWER_TIMEOUT_SECONDS)
+            self.record_answer(request, workspace, question, loan, now, tally)
             if loan is not None and loan.tokens:
+                tally.lent = True
                 return True
         return False
 
+    @contextmanager
+    def asking(self, workspace: str, question: Question) -> Iterator[AsyncResult]:
+        """Ask a host for a loan; the result gets its ``Loan``.
+
+        A loan that arrives after the block has ended is credited as well.
+        """
+        now = self._clock()
+        holding = self._host_holdings.holding(workspace)
+        wanted = question.tokens
+        if question.whole:
+            wanted = self.lending.wanted(holding, question.tokens, now)
+        number = next(self._message_numbers)
+        ask = Ask(
+            self._host_holdings.host,
+            self.epoch,
+            number,
+            workspace,
+            question.tokens,
+            wanted,
+            round(holding.demand.per_second(now), 1),
+        )
+        answer = self._answer_by_number[number] = AsyncResult()
+        try:
+            self._send(question.host, ask)
+            yield answer
+        finally:
+            del self._answer_by_number[number]
+
+    def record_answer(
+        self,
+        request: str,
+        workspace: str,
+        question: Question,
+        loan: Loan | None,
+        asked_at: float,
+        tally: AskTally,
+    ) -> None:
+        """Record what a host answered, or that it did not in time."""
+        now = self._clock()
+        outcome = loan_outcome(loan)
+        tally.asked += 1
+        tally.silent += outcome == "silent"
+        tally.had_none += outcome == "nothing"
+        if loan is None:
+            self.lending.record_timeout(question.host, now)
+        self.loans_by_outcome[outcome] += 1
+        self._log.note(
+            "loan",
+            request,
+            workspace=workspace,
+            lender=question.host,
+            needed=question.tokens,
+            believed=question.believed,
+            whole=question.whole,
+            tokens=None if loan is None else loan.tokens,
+            left=None if loan is None else loan.left,
+            seconds=round(now - asked_at, 4),
+        )
+
     def former_statement_age(self, statement: Statement) -> float | None:
         """Ask other hosts for the age of a former statement of this host.
 
@@ -289,19 +310,6 @@
         age = Age(self._host_holdings.host, ask.number, seconds)
         self._send_datagram(ask.host, seal(age, self._key), address)
 
-    def _ask_host(self, host: str, ask: Ask) -> Loan | None:
-        """Ask one host for a loan; return None if it does not answer in time."""
-        answer: AsyncResult = AsyncResult()
-        self._answer_by_number[ask.number] = answer
-        try:
-            self._send(host, ask)
-            loan: Loan | None = answer.wait(ANSWER_TIMEOUT_SECONDS)
-        finally:
-            del self._answer_by_number[ask.number]
-        if loan is None:
-            self.lending.record_timeout(host, self._clock())
-        return loan
-
     def _handle(self, message: Message, address: tuple[str, int]) -> None:
         match message:
             case Ask():
@@ -378,7 +386,6 @@
         if tokens:
             pending = UnacknowledgedLoan(ask.host, loan, datagram, endpoint.address)
             self._unacknowledged_by_number[number] = pending
-        if tokens:
             self.loans_by_outcome["lent"] += 1
         self._log.note(
             "lend",
@@ -418,13 +425,8 @@
 
     def _endpoint(self, host: str) -> PeerEndpoint | None:
         """Return a host's endpoint, or None if it has stated no usable address."""
-        statement = self._host_holdings.statements.statements_by_host.get(host)
-        if statement is None:
-            return None
-        ip, _, port = statement.peer.rpartition(":")
-        if not ip or not port.isdecimal():
-            return None
-        return PeerEndpoint(statement.epoch, (ip, int(port)), statement.key)
+        statements = self._host_holdings.statements.statements_by_host
+        return peer_endpoint(statements.get(host))
 
     def _send_datagram(
         self, host: str, datagram: bytes, address: tuple[str, int]
@@ -435,10 +437,3 @@
             self._socket.sendto(datagram, address)
         except (OSError, OverflowError) as error:
             self._log.note("peer_send", to=host, why=str(error))
-
-
-def _loan_outcome(loan: Loan | None) -> str:
-    """Return the outcome of an ask, as a counter label."""
-    if loan is None:
-        return "silent"
-    return "borrowed" if loan.tokens else "nothing"
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -4,27 +4,31 @@
 
 import secrets
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Final
 
 import gevent
-from gevent import Greenlet
-from gevent.event import AsyncResult, Event
+from gevent.event import Event
 
 from godwitrudder.connection.loans import KEY_BYTES
 from godwitrudder.platform.store import Store
+from godwitrudder.process.borrowing import PartBorrower
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
 from godwitrudder.process.statement_exchange import StatementExchange, boot_seconds
+from godwitrudder.process.token_queue import TokenQueue, Waiter
 from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.request.tokens.reservation import Reservation, ReservationRefused
+from godwitrudder.request.tokens.shortage import (
+    STORE_SILENT_AFTER_SECONDS,
+    LenderOutcome,
+    find_shortage,
+)
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import Catalogue
 from godwitrudder.version.statements import NamedLimit
 
-STORE_SILENT_AFTER_SECONDS: Final = 1.2
-"""Time without an answer after which the store is treated as unreachable."""
 JOIN_SECONDS: Final = 3.0
 """Time after its first opening in which a new host can't know all others, as hosts that
 start together read each other's first statements only one or two intervals later."""
@@ -32,54 +36,6 @@
 """Delay between statements, so that requests that wait share one."""
 
 
-@dataclass(frozen=True, slots=True)
-class ReservationRefused:
-    """The reason why tokens could not be reserved.
-
-    Attributes
-    ----------
-    exhausted : bool
-        Whether the prepaid amount does not cover the request; True only if the
-        store answered recently.
-    remaining : int
-        Tokens left of the budget, as far as this host knows.
-    silent_seconds : float
-        Time since the store last answered, the age of this host's knowledge.
-    """
-
-    exhausted: bool
-    remaining: int
-    silent_seconds: float
-
-
-@dataclass(slots=True)
-class Reservation:
-    """Tokens reserved for one request: the most that it can use."""
-
-    workspace: str
-    tokens: int
-
-
-@dataclass(slots=True)
-class Waiter:
-    """A request in the queue for tokens.
-
-    Attributes
-    ----------
-    deadline : float
-        Time at which it stops waiting, in seconds since boot.
-    result : AsyncResult of bool
-        True once the tokens are reserved; False if no host lent them while the store
-        was silent.
-    """
-
-    request: str
-    workspace: str
-    tokens: int
-    deadline: float
-    result: AsyncResult
-
-
 class ReservationTask:
     """Reserves tokens for requests and states what this host holds.
 
@@ -128,14 +84,24 @@
                 peers,
                 key,
                 boot_seconds,
-                self._serve_waiters,
+                lambda: self._queue.serve(),
                 log,
                 random,
             )
-        self._borrower_by_workspace: dict[str, Greenlet] = {}
         self._configured_version = -1
         self._statement_wanted = Event()
-        self._waiters: list[Waiter] = []
+        parts = None
+        if self.lending is not None:
+            parts = PartBorrower(self.lending, boot_seconds, random)
+        self._queue = TokenQueue(
+            self.host_holdings,
+            self.lending,
+            parts,
+            boot_seconds,
+            lambda: self._store_silent,
+            self._exhausted,
+            self._statement_wanted.set,
+        )
         self.exchange = StatementExchange(
             store, self.host_holdings, self.lending, log, self._configure
         )
@@ -169,6 +135,7 @@
         workspace: str,
         tokens: int,
         max_wait_seconds: float,
+        long_wait_rank: int | None = None,
     ) -> Reservation | ReservationRefused:
         """Reserve tokens, waiting up to ``max_wait_seconds`` for more of them.
 
@@ -176,32 +143,68 @@
         ----------
         tokens : int
             The most that the request can use.
+        long_wait_rank : int or None
+            Rank of a request for which lenders are asked again while it waits; None
+            for one that waits only for the next statement and one round of lenders.
+            The latter goes first, since it waits for less time.
         """
         self._configure()
         holding = self.host_holdings.holding(workspace)
         now = self.now()
         self.host_holdings.record_demand(workspace, tokens, now)
-        queue_empty = all(waiter.workspace != workspace for waiter in self._waiters)
-        if queue_empty and holding.reserve(tokens, now):
+        rank = long_wait_rank or 0
+        if not self._queue.must_wait(workspace, rank) and holding.reserve(tokens, now):
             return Reservation(workspace, tokens)
-        refused = self._refusal(workspace, tokens)
+        long_wait = long_wait_rank is not None
         deadline = now + max_wait_seconds
-        waiter = Waiter(request, workspace, tokens, deadline, AsyncResult())
-        if not refused.exhausted and self._wait_in_queue(waiter, holding):
-            return Reservation(workspace, tokens)
-        refused = self._refusal(workspace, tokens)
+        waiter = Waiter(request, workspace, tokens, now, deadline, rank, long_wait)
+        if not self._exhausted(workspace, tokens) and self._queue.wait(waiter):
+            return Reservation(workspace, tokens, self.now() - now)
+        return self._refuse(waiter, holding)
+
+    def _refuse(self, waiter: Waiter, holding: Holding) -> ReservationRefused:
+        """Return why a request got no tokens, and log it."""
+        now = self.now()
+        workspace, tokens = waiter.workspace, waiter.tokens
+        remainder = self.host_holdings.remainder(workspace)
+        tally = self._queue.last_tally(workspace, waiter.arrived_at)
+        refused = ReservationRefused(
+            self._exhausted(workspace, tokens),
+            remainder.tokens,
+            self.silent_seconds,
+            now - waiter.arrived_at,
+            find_shortage(
+                holding,
+                tokens,
+                remainder.tokens,
+                remainder.held_elsewhere,
+                self._store_silent,
+            ),
+            LenderOutcome.NOT_ASKED if tally is None else tally.outcome,
+            waiter.long_wait and self.host_holdings.stopping,
+        )
+        stated = holding.stated
         self._log.note(
             "no_tokens",
-            request,
+            waiter.request,
             workspace=workspace,
             tokens=tokens,
             spent=holding.spent,
             granted=holding.granted,
-            spendable=holding.spendable(self.now()),
+            limit=None if stated is None else stated.limit,
+            known_limit=holding.known_limit,
+            spendable=holding.spendable(now),
             exhausted=refused.exhausted,
+            shortage=refused.shortage,
             free=refused.remaining,
+            held_elsewhere=remainder.held_elsewhere,
             prepaid=self.host_holdings.prepaid(workspace),
             silent=round(refused.silent_seconds, 3),
+            waited=round(refused.waited_seconds, 4),
+            long_wait=waiter.long_wait,
+            lenders=refused.lenders,
+            asked=0 if tally is None else tally.asked,
+            lenders_silent=0 if tally is None else tally.silent,
         )
         return refused
 
@@ -211,8 +214,9 @@
         The call neither waits nor borrows; requests that wait for tokens come first.
         """
         holding = self.host_holdings.holding(workspace)
-        awaited = any(waiter.workspace == workspace for waiter in self._waiters)
-        if awaited or not holding.reserve(tokens, self.now()):
+        if self._queue.has_waiting(workspace) or not holding.reserve(
+            tokens, self.now()
+        ):
             return None
         return Reservation(workspace, tokens)
 
@@ -221,6 +225,7 @@
         self.host_holdings.holding(reservation.workspace).settle(
             reservation.tokens, used
         )
+        self._queue.serve_returned(reservation.workspace)
 
     def run(self) -> None:
         """Publish and read statements until the process ends."""
@@ -239,7 +244,8 @@
             self.exchange.publish()
             if not self.exchange.read():
                 self._statement_wanted.set()
-            self._serve_waiters()
+            self._queue.serve()
+            self._queue.end_hopeless()
             gevent.sleep(STATEMENT_BATCH_SECONDS)
 
     def want_statement(self) -> None:
@@ -260,6 +266,7 @@
     def stop_holding_ahead(self) -> None:
         """Stop holding tokens ahead of demand; requests get only what they need."""
         self.host_holdings.stopping = True
+        self._queue.end_hopeless()
         self._statement_wanted.set()
 
     def all_released(self) -> bool:
@@ -279,104 +286,12 @@
         )
         return True
 
-    def _wait_in_queue(self, waiter: Waiter, holding: Holding) -> bool:
-        """Wait in the queue for tokens; return whether they were reserved."""
-        opens_at = holding.opens_at(waiter.tokens)
-        opens = opens_at is not None and opens_at <= waiter.deadline
-        if self._store_silent and self.lending is None and not opens:
-            return False
-        self._waiters.append(waiter)
-        holding.waiting_tokens += waiter.tokens
-        self._statement_wanted.set()
-        self._start_borrowing(waiter.workspace)
-        try:
-            self._wait_until_served(waiter, holding)
-        except BaseException:
-            if waiter.result.ready() and waiter.result.value:
-                holding.settle(waiter.tokens, 0)
-            raise
-        finally:
-            if waiter in self._waiters:
-                self._waiters.remove(waiter)
-                holding.waiting_tokens -= waiter.tokens
-        if waiter.result.ready():
-            return bool(waiter.result.value)
-        return holding.reserve(waiter.tokens, self.now())
-
     @property
     def _store_silent(self) -> bool:
         return self.opened.is_set() and self.silent_seconds > STORE_SILENT_AFTER_SECONDS
 
-    def _start_borrowing(self, workspace: str) -> None:
-        """Start borrowing for a workspace's waiting requests, if not yet started."""
-        if self.lending is None or workspace in self._borrower_by_workspace:
-            return
-        self._borrower_by_workspace[workspace] = gevent.spawn(
-            self._borrow_for_waiters, workspace
-        )
-
-    def _borrow_for_waiters(self, workspace: str) -> None:
-        assert self.lending is not None
-        try:
-            while waiter := self._first_waiter(workspace):
-                holding = self.host_holdings.holding(workspace)
-                missing = holding.lacks(waiter.tokens, self.now())
-                if missing <= 0:
-                    self._serve_waiters()
-                    if self._first_waiter(workspace) is waiter:
-                        break
-                    continue
-                if not self.lending.borrow(waiter.request, workspace, missing):
-                    break
-        finally:
-            del self._borrower_by_workspace[workspace]
-        if self._store_silent:
-            self._refuse_waiters(workspace)
-
-    def _first_waiter(self, workspace: str) -> Waiter | None:
-        """Return the request of a workspace that has waited longest, if any."""
-        return next(
-            (each for each in self._waiters if each.workspace == workspace), None
-        )
-
-    def _refuse_waiters(self, workspace: str) -> None:
-        """Refuse waiting requests that only an answer of the store could serve."""
-        holding = self.host_holdings.holding(workspace)
-        for waiter in [each for each in self._waiters if each.workspace == workspace]:
-            opens_at = holding.opens_at(waiter.tokens)
-            if opens_at is not None and opens_at <= waiter.deadline:
-                continue
-            self._waiters.remove(waiter)
-            holding.waiting_tokens -= waiter.tokens
-            waiter.result.set(False)
-
-    def _wait_until_served(self, waiter: Waiter, holding: Holding) -> None:
-        """Wait for tokens, or until enough are spendable without a new statement."""
-        deadline = waiter.deadline
-        opens_at = holding.opens_at(waiter.tokens)
-        if opens_at is not None:
-            waiter.result.wait(max(0.0, min(opens_at, deadline) - self.now()))
-        if waiter.result.ready() or holding.spendable(self.now()) >= waiter.tokens:
-            return
-        waiter.result.wait(max(0.0, deadline - self.now()))
-
-    def _serve_waiters(self) -> None:
-        """Reserve tokens for waiting requests; each workspace is served in order."""
-        now = self.now()
-        blocked: set[str] = set()
-        for waiter in list(self._waiters):
-            workspace = waiter.workspace
-            holding = self.host_holdings.holding(workspace)
-            next_in_line = workspace not in blocked
-            if not next_in_line or not holding.reserve(waiter.tokens, now):
-                blocked.add(workspace)
-                continue
-            self._waiters.remove(waiter)
-            holding.waiting_tokens -= waiter.tokens
-            waiter.result.set(True)
-
-    def _refusal(self, workspace: str, tokens: int) -> ReservationRefused:
-        free = self.host_holdings.remainder(workspace).tokens
-        silent = self.silent_seconds
-        known = silent < STORE_SILENT_AFTER_SECONDS and self.opened.is_set()
-        return ReservationRefused(known and free < tokens, free, silent)
+    def _exhausted(self, workspace: str, tokens: int) -> bool:
+        """Whether the budget is known not to cover these tokens, by fresh knowledge."""
+        if self._store_silent or not self.opened.is_set():
+            return False
+        return self.host_holdings.remainder(workspace).tokens < tokens
--- a/godwitrudder/request/lending.py
+++ b/godwitrudder/request/lending.py
@@ -21,6 +21,7 @@
 from godwitrudder.connection.loans import Ask, Loan
 from godwitrudder.request.holding import Holding
 from godwitrudder.request.host_holdings import HostHoldings
+from godwitrudder.request.tokens.lenders import KnownLender, estimate_lendable
 from godwitrudder.version.statements import Statement
 
 BORROW_AHEAD_SECONDS: Final = 1.5
@@ -155,6 +156,46 @@
         index = self._random.choices(range(len(names)), weights)[0]
         return names[index], weights[index]
 
+    def known_lenders(self, workspace: str, now: float) -> list[KnownLender]:
+        """Return the hosts that may lend, with what each can lend as far as known.
+
+        Hosts that did not answer lately are left out.
+        """
+        known = []
+        table = self._host_holdings.statements
+        for name, statement in table.statements_by_host.items():
+            if name == self._host_holdings.host or not statement.peer:
+                continue
+            if self._avoid_until.get(name, 0.0) > now:
+                continue
+            read_at = table.read_at_by_host[name]
+            tokens = self._reported_by(name, workspace, read_at, now)
+            if tokens is not None:
+                known.append(KnownLender(name, tokens, True))
+                continue
+            row = statement.rows_by_workspace.get(workspace)
+            if row is not None:
+                tokens = estimate_lendable(row, now - read_at)
+                known.append(KnownLender(name, tokens, False))
+        return known
+
+    def lendable_until(self, workspace: str, now: float, until: float) -> int:
+        """Return the tokens that hosts which answer can lend until then, as known.
+
+        What opens counts less what their own callers are expected to use.
+        """
+        total = 0
+        table = self._host_holdings.statements
+        for lender in self.known_lenders(workspace, now):
+            total += lender.tokens
+            row = table.statements_by_host[lender.host].rows_by_workspace.get(workspace)
+            if row is not None:
+                read_at = table.read_at_by_host[lender.host]
+                opens = row.spendable_at(until - read_at)
+                opens -= row.spendable_at(now - read_at)
+                total += max(0, int(opens - row.demand * (until - now)))
+        return total
+
     def wanted(self, holding: Holding, needed: int, now: float) -> int:
         """Return the tokens that a borrower asks for."""
         return needed + int(holding.demand.per_second(now) * BORROW_AHEAD_SECONDS)
@@ -164,19 +205,26 @@
     ) -> int:
         """Return the tokens that a host can lend, as far as is known here.
 
-        A recent report counts if it is newer than the host's statement. Otherwise the
-        estimate is limit minus cap of the statement.
+        Without a recent report, the estimate is limit minus cap of the statement.
         """
-        report = self._reports.get((host, workspace))
         read_at = self._host_holdings.statements.read_at_by_host[host]
-        if report is not None and (report.at > read_at or now < report.at):
-            if now - report.at < REPORT_VALID_SECONDS:
-                return report.tokens
+        reported = self._reported_by(host, workspace, read_at, now)
+        if reported is not None:
+            return reported
         row = statement.rows_by_workspace.get(workspace)
         if row is None:
             return 0
         return max(0, row.limit - row.cap)
 
+    def _reported_by(
+        self, host: str, workspace: str, read_at: float, now: float
+    ) -> int | None:
+        """Return what a host has reported lately, after its statement was read."""
+        report = self._reports.get((host, workspace))
+        if report is None or (report.at <= read_at and now >= report.at):
+            return None
+        return report.tokens if now - report.at < REPORT_VALID_SECONDS else None
+
 
 def lendable(holding: Holding, now: float) -> int:
     """Return the tokens that a holding may lend."""
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -31,10 +31,11 @@
 from godwitrudder.process import lending as task
 from godwitrudder.process.decisions import DecisionLog
 from godwitrudder.process.lending import LendingTask
-from godwitrudder.process.reservations import Reservation, ReservationTask
+from godwitrudder.process.reservations import ReservationTask
 from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import KNOWN_LOANS, Lending, Receipts
+from godwitrudder.request.tokens.reservation import Reservation
 from godwitrudder.validation import Address
 from godwitrudder.version.statements import Row, Statement
 from tests.ports import free_datagram_port
