--- a/godwitrudder/ctl/causes.py
+++ b/godwitrudder/ctl/causes.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from itertools import chain
 from pathlib import Path
-from typing import ClassVar, Final
+from typing import Any, ClassVar, Final
 
 from cleo.helpers import argument, option
 from cleo.io.inputs.argument import Argument
@@ -24,6 +24,7 @@
     read_decisions,
 )
 from godwitrudder.ctl.settings import CtlSettings
+from godwitrudder.ctl.token_waits import TokenWaits, summarize_waits
 
 DEFAULT_SPAN_SECONDS: Final = 10.0
 
@@ -36,7 +37,12 @@
     NOT_ALLOWED = "not allowed"
     SPENT = "budget spent"
     ELSEWHERE = "tokens elsewhere"
+    UNHELD = "tokens held by no host"
+    HELD_NOT_OPEN = "held, not open"
+    NOT_GRANTED = "stated, not granted"
     NOT_OPEN = "cut: held, not open"
+    CUT_NOT_GRANTED = "cut: stated, not granted"
+    CUT_UNHELD = "cut: tokens held by no host"
     CUT_ELSEWHERE = "cut: tokens elsewhere"
     CUT_SPENT = "cut: budget spent"
     NO_RUNNER = "no runner"
@@ -54,6 +60,16 @@
     "prompt_quarantined": Cause.QUARANTINED,
 }
 
+CAUSES_BY_SHORTAGE: Final = {
+    "spent": (Cause.ELSEWHERE, Cause.CUT_SPENT),
+    "not_open": (Cause.HELD_NOT_OPEN, Cause.NOT_OPEN),
+    "not_granted": (Cause.NOT_GRANTED, Cause.CUT_NOT_GRANTED),
+    "elsewhere": (Cause.ELSEWHERE, Cause.CUT_ELSEWHERE),
+    "unheld": (Cause.UNHELD, Cause.CUT_UNHELD),
+}
+"""Causes by the shortage that a host logs, while the store answers and in a cut.  A
+budget that is too small by stale knowledge counts as held elsewhere."""
+
 
 def request_causes(
     decisions: Iterable[Decision], late_seconds: float
@@ -100,13 +116,22 @@
 
 def _shortage_cause(shortage: Decision) -> Cause:
     inputs = shortage.inputs
-    asked = int(inputs.get("tokens", 0))
     if inputs.get("exhausted"):
         return Cause.SPENT
-    if float(inputs.get("silent", 0.0)) <= SLOW_SECONDS:
-        return Cause.ELSEWHERE
+    cut = float(inputs.get("silent", 0.0)) > SLOW_SECONDS
+    known = CAUSES_BY_SHORTAGE.get(str(inputs.get("shortage")))
+    if known is not None:
+        return known[cut]
+    return _cause_without_shortage(inputs, cut)
+
+
+def _cause_without_shortage(inputs: dict[str, Any], cut: bool) -> Cause:
+    """Return the cause by the figures of a log that does not name the shortage."""
+    asked = int(inputs.get("tokens", 0))
     if int(inputs.get("granted", 0)) - int(inputs.get("spent", 0)) >= asked:
-        return Cause.NOT_OPEN
+        return Cause.NOT_OPEN if cut else Cause.HELD_NOT_OPEN
+    if not cut:
+        return Cause.ELSEWHERE
     if int(inputs.get("free", 0)) >= asked:
         return Cause.CUT_ELSEWHERE
     return Cause.CUT_SPENT
@@ -155,25 +180,29 @@
         except OSError as error:
             self.print_error(f"{error.filename}: {error.strerror}")
             return ExitCode.USAGE
-        by_start = count_by_span(
-            request_causes(read_decisions(lines, counts), late), span
-        )
-        self._print(by_start)
+        decisions = list(read_decisions(lines, counts))
+        by_start = count_by_span(request_causes(decisions, late), span)
+        self._print(by_start, summarize_waits(decisions))
         return ExitCode.DONE if by_start else ExitCode.UNKNOWN
 
     def run_command(self, settings: CtlSettings, client: OperatorClient) -> ExitCode:
         """Not used: the command reads files only."""
         raise AssertionError("causes reads log files only")
 
-    def _print(self, by_start: dict[float, Counter[Cause]]) -> None:
+    def _print(self, by_start: dict[float, Counter[Cause]], waits: TokenWaits) -> None:
         if self.json_output:
-            self.print_json({str(start): row for start, row in by_start.items()})
+            rows: dict[str, object] = {
+                str(start): row for start, row in by_start.items()
+            }
+            self.print_json(rows | waits.as_json())
             return
         total = sum(by_start.values(), Counter[Cause]())
         for start, row in [*by_start.items(), (None, total)]:
             label = "all" if start is None else f"{start:.0f}"
             cells = (f"{cause} {number}" for cause, number in row.most_common())
             self.print_text(f"{label}: {', '.join(cells)}")
+        for line in waits.lines():
+            self.print_text(line)
 
 
 def _read_lines(name: str) -> Iterator[bytes]:
--- a/godwitrudder/ctl/decision_log.py
+++ b/godwitrudder/ctl/decision_log.py
@@ -17,6 +17,24 @@
 # Kinds of the decisions that end a request.
 FINAL_KINDS: Final = ("answered", "refused", "failed")
 
+SHORTAGES_IN_WORDS: Final = {
+    "spent": "the rest of the budget was too small",
+    "not_open": "this host held enough tokens that were not spendable yet",
+    "not_granted": "this host had stated enough tokens but might not use them yet",
+    "elsewhere": "other hosts held the rest of the budget",
+    "unheld": "no host held enough tokens",
+}
+"""Values of ``shortage`` in lines ``no_tokens``."""
+LENDERS_IN_WORDS: Final = {
+    "not_asked": "no other host was asked for a loan",
+    "none_known": "no other host was known to have enough to lend",
+    "silent": "the hosts asked for a loan did not answer in time",
+    "had_none": "the hosts asked for a loan had too few tokens",
+    "asked_too_many": "as many hosts as allowed were asked for a loan in vain",
+    "lent": "a loan came but was too late or not enough",
+}
+"""Values of ``lenders`` in lines ``no_tokens``."""
+
 
 @dataclass(frozen=True, slots=True)
 class Decision:
@@ -127,14 +145,22 @@
         if place is not None and at_rate_limits(place):
             return Explanation("all its runners were at their rate limits", place)
         return Explanation(f"refused: {reason}", attempt or end)
-    inputs = shortage.inputs
+    return Explanation(_explain_shortage(shortage.inputs), shortage)
+
+
+def _explain_shortage(inputs: dict[str, Any]) -> str:
+    """Return why a request got no tokens, and why other hosts lent none."""
     if inputs.get("exhausted"):
-        cause = "the budget was exhausted"
-    elif float(inputs.get("silent", 0.0)) > SLOW_SECONDS:
-        cause = "the store was unreachable and this host held too few tokens"
-    else:
-        cause = "other hosts held the rest of the budget"
-    return Explanation(cause, shortage)
+        return "the budget was exhausted"
+    cut = float(inputs.get("silent", 0.0)) > SLOW_SECONDS
+    reason = SHORTAGES_IN_WORDS.get(str(inputs.get("shortage")))
+    if reason is None and cut:
+        return "the store was unreachable and this host held too few tokens"
+    cause = reason or "other hosts held the rest of the budget"
+    if cut:
+        cause = f"the store was unreachable and {cause}"
+    lenders = LENDERS_IN_WORDS.get(str(inputs.get("lenders")))
+    return cause if lenders is None else f"{cause}; {lenders}"
 
 
 def _explain_failed(decisions: list[Decision], end: Decision) -> Explanation:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -39,6 +39,20 @@
         ],
         "the budget was exhausted",
     ),
+    (
+        [
+            log_line(
+                1.0,
+                "no_tokens",
+                **{**SHORTAGE, "silent": 4.0},
+                shortage="elsewhere",
+                lenders="silent",
+            ),
+            log_line(1.1, "refused"),
+        ],
+        "the store was unreachable and other hosts held the rest of the budget; "
+        "the hosts asked for a loan did not answer in time",
+    ),
     (
         [
             PLACED,
