--- a/godwitrudder/process/borrowing.py
+++ b/godwitrudder/process/borrowing.py
@@ -33,7 +33,12 @@
         self._random = random
 
     def borrow(
-        self, request: str, workspace: str, missing: Callable[[], int], seconds: float
+        self,
+        request: str,
+        workspace: str,
+        missing: Callable[[], int],
+        seconds: float,
+        again: bool,
     ) -> AskTally:
         """Ask hosts until no token is missing, nobody is left to ask, or time is up.
 
@@ -43,6 +48,10 @@
             Returns the tokens that are missing now.
         seconds : float
             Longest time to wait for answers.
+        again : bool
+            Whether lenders were asked for the request before.  Then only one batch of
+            hosts is asked that are not believed to have enough, which bounds the
+            messages of hosts that wait for tokens that nobody has.
         """
         tally = AskTally(MAX_LENDERS_ASKED)
         ends_at = self._clock() + min(seconds, ASK_AGAIN_SECONDS)
@@ -55,6 +64,8 @@
                 break
             self._ask(request, workspace, questions, ends_at - now, tally)
             tally.lent = missing() <= 0
+            if again and any(each.believed < each.tokens for each in questions):
+                break
         return tally
 
     def _ask(
--- a/godwitrudder/process/reservations.py
+++ b/godwitrudder/process/reservations.py
@@ -99,7 +99,7 @@
             parts,
             boot_seconds,
             lambda: self._store_silent,
-            self._exhausted,
+            self._known_remainder,
             self._statement_wanted.set,
         )
         self.exchange = StatementExchange(
@@ -291,7 +291,12 @@
         return self.opened.is_set() and self.silent_seconds > STORE_SILENT_AFTER_SECONDS
 
     def _exhausted(self, workspace: str, tokens: int) -> bool:
-        """Whether the budget is known not to cover these tokens, by fresh knowledge."""
+        """Whether the budget is known not to cover these tokens."""
+        remainder = self._known_remainder(workspace)
+        return remainder is not None and remainder < tokens
+
+    def _known_remainder(self, workspace: str) -> int | None:
+        """Return what is left of a budget; None if that is not known freshly."""
         if self._store_silent or not self.opened.is_set():
-            return False
-        return self.host_holdings.remainder(workspace).tokens < tokens
+            return None
+        return self.host_holdings.remainder(workspace).tokens
--- a/godwitrudder/process/token_queue.py
+++ b/godwitrudder/process/token_queue.py
@@ -24,6 +24,7 @@
 from godwitrudder.request.tokens.waiting import (
     ASK_AGAIN_SECONDS,
     Outlook,
+    Prospects,
     worth_waiting,
 )
 
@@ -69,9 +70,10 @@
     ----------
     clock : callable
         Returns the seconds since boot.
-    store_silent, exhausted : callable
-        Whether the store is unreachable, and whether a workspace's budget is known not
-        to cover these tokens.
+    store_silent : callable
+        Whether the store is unreachable.
+    known_remainder : callable
+        Returns what is left of a workspace's budget, None if that is not known freshly.
     want_statement : callable
         Asks for a statement soon.
     """
@@ -83,7 +85,7 @@
         parts: PartBorrower | None,
         clock: Callable[[], float],
         store_silent: Callable[[], bool],
-        exhausted: Callable[[str, int], bool],
+        known_remainder: Callable[[str], int | None],
         want_statement: Callable[[], None],
     ) -> None:
         self._holdings = holdings
@@ -91,7 +93,7 @@
         self._parts = parts
         self._clock = clock
         self._store_silent = store_silent
-        self._exhausted = exhausted
+        self._known_remainder = known_remainder
         self._want_statement = want_statement
         self._line: WaitingLine[Waiter] = WaitingLine()
         self._borrower_by_workspace: dict[str, Greenlet] = {}
@@ -114,7 +116,9 @@
         """Wait for tokens; return whether they were reserved."""
         holding = self._holdings.holding(waiter.workspace)
         if waiter.long_wait:
-            if waiter.deadline <= self._clock() or not self._worth_waiting(waiter):
+            if waiter.deadline <= self._clock() or not self._worth_waiting(
+                waiter, self._prospects(waiter.workspace, waiter.deadline)
+            ):
                 return False
         elif self._lending is None and not self._may_be_served(waiter):
             return False
@@ -140,24 +144,33 @@
 
     def serve(self) -> None:
         """Reserve tokens for waiting requests; each workspace is served in order."""
-        now = self._clock()
         for workspace in self._line.workspaces():
-            holding = self._holdings.holding(workspace)
-            for waiter in self._line.of(workspace):
-                if not holding.reserve(waiter.tokens, now):
-                    break
-                self._end(waiter, True)
+            self._serve_workspace(workspace)
 
     def serve_returned(self, workspace: str) -> None:
         """Serve long waits with tokens that another request has returned."""
         if any(each.long_wait for each in self._line.of(workspace)):
-            self.serve()
+            self._serve_workspace(workspace)
+
+    def _serve_workspace(self, workspace: str) -> None:
+        now = self._clock()
+        holding = self._holdings.holding(workspace)
+        while waiter := self._line.first(workspace):
+            if not holding.reserve(waiter.tokens, now):
+                return
+            self._end(waiter, True)
 
     def end_hopeless(self) -> None:
         """End long waits for which tokens can't come any more."""
-        for waiter in list(self._line):
-            if waiter.long_wait and not self._worth_waiting(waiter):
-                self._end(waiter, False)
+        for workspace in self._line.workspaces():
+            waiters = [each for each in self._line.of(workspace) if each.long_wait]
+            if not waiters:
+                continue
+            until = max(waiter.deadline for waiter in waiters)
+            prospects = self._prospects(workspace, until)
+            for waiter in waiters:
+                if not self._worth_waiting(waiter, prospects):
+                    self._end(waiter, False)
 
     def _leave(self, waiter: Waiter) -> None:
         self._line.remove(waiter)
@@ -175,26 +188,34 @@
         """Whether a request may be served without another host."""
         return not self._store_silent() or self._opens_in_time(waiter)
 
-    def _worth_waiting(self, waiter: Waiter) -> bool:
-        now = self._clock()
-        workspace = waiter.workspace
-        lendable, asked = 0, True
-        if self._lending is not None:
-            asked = self.last_tally(workspace, waiter.arrived_at) is not None
-            lendable = self._lending.lending.lendable_until(
-                workspace, now, waiter.deadline
-            )
-        return worth_waiting(
-            Outlook(
-                self._exhausted(workspace, waiter.tokens),
-                self._holdings.stopping,
-                not self._store_silent(),
-                self._opens_in_time(waiter),
-                asked,
-                self._holdings.holding(workspace).lacks(waiter.tokens, now),
-                lendable,
-            )
+    def _prospects(self, workspace: str, until: float) -> Prospects:
+        """Return what all waiting requests of a workspace may get tokens from."""
+        store_answers = not self._store_silent()
+        lendable = 0
+        if not store_answers and self._lending is not None:
+            lending = self._lending.lending
+            lendable = lending.lendable_until(workspace, self._clock(), until)
+        return Prospects(
+            self._known_remainder(workspace),
+            self._holdings.stopping,
+            store_answers,
+            lendable,
+        )
+
+    def _worth_waiting(self, waiter: Waiter, prospects: Prospects) -> bool:
+        asked = self._lending is None or self._asked_for(waiter)
+        holding = self._holdings.holding(waiter.workspace)
+        outlook = Outlook(
+            waiter.tokens,
+            holding.lacks(waiter.tokens, self._clock()),
+            self._opens_in_time(waiter),
+            asked,
         )
+        return worth_waiting(outlook, prospects)
+
+    def _asked_for(self, waiter: Waiter) -> bool:
+        """Whether a round of questions has ended since a request came."""
+        return self.last_tally(waiter.workspace, waiter.arrived_at) is not None
 
     def _wait_long(self, waiter: Waiter, holding: Holding) -> None:
         """Wait until the result is set; look whenever tokens may have opened here."""
@@ -207,8 +228,8 @@
             if opens_at is not None and now < opens_at < until:
                 until = opens_at
             waiter.result.wait(until - now)
-            if not waiter.result.ready():
-                self.serve()
+            if self._line.first(waiter.workspace) is waiter:
+                self._serve_workspace(waiter.workspace)
 
     def _wait_until_served(self, waiter: Waiter, holding: Holding) -> None:
         """Wait for tokens, or until enough are spendable without a new statement."""
@@ -252,14 +273,21 @@
             return self._parts.borrow(
                 waiter.request,
                 waiter.workspace,
-                lambda: holding.lacks(waiter.tokens, self._clock()),
+                lambda: self._missing(waiter, holding),
                 waiter.deadline - self._clock(),
+                self._asked_for(waiter),
             )
         tally = AskTally(MAX_LENDERS_ASKED)
         missing = holding.lacks(waiter.tokens, self._clock())
         self._lending.borrow(waiter.request, waiter.workspace, missing, tally)
         return tally
 
+    def _missing(self, waiter: Waiter, holding: Holding) -> int:
+        """Return the tokens that a request lacks; 0 if it does not wait any more."""
+        if waiter not in self._line:
+            return 0
+        return holding.lacks(waiter.tokens, self._clock())
+
     def _ask_again(self, workspace: str) -> bool:
         """Wait for the next round; return False if no long wait is left."""
         self._refuse_short_waits(workspace)
--- a/godwitrudder/request/tokens/waiting.py
+++ b/godwitrudder/request/tokens/waiting.py
@@ -50,44 +50,58 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Outlook:
-    """What a waiting request may still get its tokens from.
+class Prospects:
+    """What the waiting requests of a workspace may get tokens from.
 
     Attributes
     ----------
-    exhausted : bool
-        Whether the budget is exhausted by fresh knowledge.
+    remainder : int or None
+        Tokens left of the budget; None if that is not known freshly.
     draining : bool
         Whether the host drains.
     store_answers : bool
         Whether a statement may reach the store.
+    lendable : int
+        Tokens that other hosts which answer can lend until the waits end, as far as
+        known.  Needed only while the store does not answer.
+    """
+
+    remainder: int | None
+    draining: bool
+    store_answers: bool
+    lendable: int
+
+
+@dataclass(frozen=True, slots=True)
+class Outlook:
+    """What one waiting request needs.
+
+    Attributes
+    ----------
+    tokens, missing : int
+        Tokens that it can use at most, and those of them that are missing.
     opens_in_time : bool
-        Whether enough of what is held here opens before the wait ends.
+        Whether enough of what is held here opens before its wait ends.
     lenders_asked : bool
         Whether lenders were asked since the request came, or there are none to ask.
         What is known about them without that is too uncertain to refuse a request.
-    missing : int
-        Tokens that are missing.
-    lendable : int
-        Tokens that other hosts which answer can lend until then, as far as known.
     """
 
-    exhausted: bool
-    draining: bool
-    store_answers: bool
+    tokens: int
+    missing: int
     opens_in_time: bool
     lenders_asked: bool
-    missing: int
-    lendable: int
 
 
-def worth_waiting(outlook: Outlook) -> bool:
+def worth_waiting(outlook: Outlook, prospects: Prospects) -> bool:
     """Whether tokens may come in time."""
-    if outlook.exhausted or outlook.draining:
+    if prospects.draining:
+        return False
+    if prospects.remainder is not None and prospects.remainder < outlook.tokens:
         return False
-    if outlook.store_answers or outlook.opens_in_time:
+    if prospects.store_answers or outlook.opens_in_time or not outlook.lenders_asked:
         return True
-    return not outlook.lenders_asked or outlook.lendable >= outlook.missing
+    return prospects.lendable >= outlook.missing
 
 
 def retry_seconds(silent: float, left: float, waited: float, random: Random) -> float:
--- a/tests/test_token_waits.py
+++ b/tests/test_token_waits.py
@@ -29,6 +29,7 @@
 from godwitrudder.request.tokens.waiting import (
     ASK_AGAIN_SECONDS,
     Outlook,
+    Prospects,
     ServiceTimes,
     longest_wait_seconds,
     retry_seconds,
@@ -64,21 +65,25 @@
 
 
 @pytest.mark.parametrize(
-    ("outlook", "worth"),
+    ("outlook", "prospects", "worth"),
     [
-        (Outlook(True, False, True, True, True, 5, 9), False),  # exhausted
-        (Outlook(False, True, True, True, True, 5, 9), False),  # draining
-        (Outlook(False, False, True, False, True, 5, 0), True),  # the store may open
-        (Outlook(False, False, False, True, True, 5, 0), True),  # opens here
-        (Outlook(False, False, False, False, False, 5, 0), True),  # nobody asked yet
-        (Outlook(False, False, False, False, True, 5, 5), True),  # others have enough
-        (Outlook(False, False, False, False, True, 5, 4), False),  # nobody lends
+        (Outlook(9, 5, True, True), Prospects(8, False, True, 9), False),  # exhausted
+        (Outlook(9, 5, True, True), Prospects(9, True, True, 9), False),  # draining
+        (Outlook(9, 5, False, True), Prospects(9, False, True, 0), True),  # the store
+        (Outlook(9, 5, True, True), Prospects(None, False, False, 0), True),  # opens
+        (
+            Outlook(9, 5, False, False),
+            Prospects(None, False, False, 0),
+            True,
+        ),  # unasked
+        (Outlook(9, 5, False, True), Prospects(None, False, False, 5), True),  # lenders
+        (Outlook(9, 5, False, True), Prospects(None, False, False, 4), False),  # nobody
     ],
 )
 def test_a_request_waits_only_while_tokens_may_come(
-    outlook: Outlook, worth: bool
+    outlook: Outlook, prospects: Prospects, worth: bool
 ) -> None:
-    assert worth_waiting(outlook) == worth
+    assert worth_waiting(outlook, prospects) == worth
 
 
 def test_a_request_that_waited_comes_back_sooner() -> None:
@@ -304,16 +309,12 @@
         """Whether a request goes on waiting; short waits do while time is left."""
         holding = self.hosts[number].holding(W)
         opens_at = holding.opens_at(request.tokens)
-        outlook = Outlook(
-            exhausted=False,
-            draining=False,
-            store_answers=number >= self.load.cut,
-            opens_in_time=opens_at is not None and opens_at <= request.until,
-            lenders_asked=True,
-            missing=holding.lacks(request.tokens, now),
-            lendable=self.lending[number].lendable_until(W, now, request.until),
-        )
-        return not self.long_waits or worth_waiting(outlook)
+        opens = opens_at is not None and opens_at <= request.until
+        missing = holding.lacks(request.tokens, now)
+        lendable = self.lending[number].lendable_until(W, now, request.until)
+        prospects = Prospects(None, False, number >= self.load.cut, lendable)
+        outlook = Outlook(request.tokens, missing, opens, lenders_asked=True)
+        return not self.long_waits or worth_waiting(outlook, prospects)
 
     def run(self) -> float:
         """Play the load; return the share of requests that got tokens."""
