--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -35,7 +35,7 @@
 from godwitrudder.request.holding import Holding, Policy
 from godwitrudder.request.host_holdings import HostHoldings
 from godwitrudder.request.lending import KNOWN_LOANS, Lending, Receipts
-from godwitrudder.request.tokens.reservation import Reservation
+from godwitrudder.request.tokens.reservation import Reservation, ReservationRefused
 from godwitrudder.validation import Address
 from godwitrudder.version.statements import Row, Statement
 from tests.ports import free_datagram_port
@@ -359,3 +359,17 @@
     reserved = reservations_without_store(rate).reserve("r-1", "w", 500, 0.3)
     assert isinstance(reserved, Reservation) == had
     assert time.monotonic() - began < 0.25
+
+
+def test_a_wait_ends_when_the_budget_turns_out_to_be_spent() -> None:
+    """Guards against waits for tokens that by fresh knowledge nobody can have."""
+    reservations = reservations_without_store(0.0)
+    reservations.host_holdings.configure({"w": 1000})
+    reservations.exchange.answered_at = reservations.now()
+    waits = gevent.spawn(reservations.reserve, "r-1", "w", 500, 2.0, 1)
+    gevent.sleep(0.05)
+    assert not waits.ready()
+    reservations.host_holdings.configure({"w": 100})
+    reservations._queue.end_hopeless()
+    refused = waits.get(timeout=0.5)
+    assert isinstance(refused, ReservationRefused) and refused.exhausted
--- a/tests/test_token_waits_fleet.py
+++ b/tests/test_token_waits_fleet.py
@@ -187,3 +187,13 @@
         status, seconds = ask(fleet.hosts[1])
         assert shortages(fleet.hosts[1])[0]["shortage"] == "spent"
     assert status == 402 and seconds < 0.2
+
+
+def test_a_wait_is_served_once_the_store_is_back() -> None:
+    with waiting_fleet() as fleet:
+        cut_store(fleet, 1.7, 0)
+        waits = gevent.spawn(ask, fleet.hosts[1])
+        gevent.sleep(0.2)
+        fleet.store.faults.set({"down": False})
+        status, seconds = waits.get()
+    assert status == 200 and seconds < 1.6
