--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -166,8 +166,8 @@
     "intake": (
         Edit(
             "godwitrudder/process/entry.py",
-            "not self.draining and self.intake.open",
-            "not self.draining",
+            "self.intake.open and not self._processor_full",
+            "not self._processor_full",
         ),
     ),
 }
