--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -127,8 +127,8 @@
     "unlisted": (
         Edit(
             PLACEMENT,
-            "return listed if 2 * len(listed) > len(usable) else usable",
-            "return usable if listed else usable",
+            "return 2 * len(listed) <= len(usable)",
+            "return len(listed) <= len(usable)",
         ),
     ),
     "retry-delay": (
--- a/godwitrudder/ctl/main.py
+++ b/godwitrudder/ctl/main.py
@@ -18,6 +18,7 @@
     store,
     timeline,
     verify,
+    where,
 )
 from godwitrudder.ctl.command import BaseCommand
 
@@ -30,6 +31,7 @@
     *explain.COMMANDS,
     *causes.COMMANDS,
     *store.COMMANDS,
+    *where.COMMANDS,
 )
 
 
--- a/godwitrudder/process/entry.py
+++ b/godwitrudder/process/entry.py
@@ -13,7 +13,7 @@
 from gevent.server import StreamServer
 
 from godwitrudder.connection.http import CallerDisconnected, CallerLink
-from godwitrudder.connection.messages import Malformed
+from godwitrudder.connection.messages import CallerRequest, Malformed
 from godwitrudder.connection.runner_pool import LinkPool
 from godwitrudder.connection.traffic import Traffic
 from godwitrudder.platform import names
@@ -27,6 +27,7 @@
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice
 from godwitrudder.process.forwarding.second_attempts import SecondAttempts
 from godwitrudder.process.forwarding.sender import Sender
+from godwitrudder.process.placement_query import PATH, PlacementQuery
 from godwitrudder.process.quarantine import FleetQuarantine
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.process.reservations import ReservationTask
@@ -49,6 +50,9 @@
 """Interval between samples of the link's utilization: a twentieth of the load
 balancer's check interval."""
 
+TEXT: Final = b"text/plain"
+JSON: Final = b"application/json"
+
 logger = logging.getLogger(__name__)
 
 
@@ -136,6 +140,14 @@
             self.second_attempts,
         )
         self.forwarder.host_count = self.reservations.host_count
+        self._placement_query = PlacementQuery(
+            settings.host,
+            self.directory,
+            self.reservations,
+            choice,
+            quarantine,
+            self.second_attempts.queued,
+        )
         self.draining = False
         self._caller_links: set[CallerLink] = set()
         self._tasks: list[Greenlet] = []
@@ -298,8 +310,8 @@
 
     def _serve_ready(self, sock: socket.socket, _address: Any) -> None:
         """Answer the load balancer's readiness check."""
-        self._serve_plain_text(
-            sock, lambda: (200, b"ok\n") if self.ready else (503, b"no\n")
+        self._serve_plain(
+            sock, lambda _: (200, TEXT, b"ok\n") if self.ready else (503, TEXT, b"no\n")
         )
 
     def render_metrics(self) -> bytes:
@@ -321,20 +333,30 @@
         return metrics.render()
 
     def _serve_metrics(self, sock: socket.socket, _address: Any) -> None:
-        """Serve the metrics."""
-        self._serve_plain_text(sock, lambda: (200, self.render_metrics()))
+        """Serve the metrics and answer placement queries."""
+        self._serve_plain(sock, self._answer_operator)
+
+    def _answer_operator(self, request: CallerRequest) -> tuple[int, bytes, bytes]:
+        path, _, query = request.path.partition(b"?")
+        if path == PATH:
+            status, body = self._placement_query.answer(query)
+            return status, JSON, body
+        return 200, TEXT, self.render_metrics()
 
-    def _serve_plain_text(
-        self, sock: socket.socket, answer: Callable[[], tuple[int, bytes]]
+    def _serve_plain(
+        self,
+        sock: socket.socket,
+        answer: Callable[[CallerRequest], tuple[int, bytes, bytes]],
     ) -> None:
+        """Serve a connection; ``answer`` returns status, content type and body."""
         link = CallerLink(sock, CallerLimits(), self._traffic)
         try:
             while True:
                 request = link.receive()
                 if request is None or isinstance(request, Malformed):
                     return
-                status, body = answer()
-                link.answer(status, [(b"content-type", b"text/plain")], body)
+                status, content_type, body = answer(request)
+                link.answer(status, [(b"content-type", content_type)], body)
                 if not link.next():
                     return
         except OSError as error:
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Final
 
@@ -12,8 +12,9 @@
 from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
 from godwitrudder.process.forwarding.sender import Sender
 from godwitrudder.process.rate_limits import FleetLimits
-from godwitrudder.request.placing.candidate import Candidate
-from godwitrudder.request.placing.placement import place
+from godwitrudder.request.placing.candidate import Candidate, Part
+from godwitrudder.request.placing.placement import Weighed, cheapest, weigh
+from godwitrudder.version.catalogue import Target
 
 MIN_CONNECTIONS_PER_RUNNER: Final = 4
 """Least limit on this host's requests at one runner, however many hosts share the
@@ -60,23 +61,17 @@
         """
         target = forwarded.target
         candidates = self._directory.candidates(target.name)
-        share = (
-            target.max_connections // max(1, self.host_count())
-            or MIN_CONNECTIONS_PER_RUNNER
-        )
         now = time.monotonic()
-        permitted = list(filter(accepts, self._limits.permitted(candidates)))
-        candidate = place(
-            permitted,
+        permitted = self._limits.permitted(candidates)
+        weighed = self._weigh(
+            list(filter(accepts, permitted)),
+            target,
             forwarded.caller_headers.parts,
-            self._failure_domain,
             forwarded.excluded,
-            max(MIN_CONNECTIONS_PER_RUNNER, share),
-            self._random,
-            now,
-            self._sender.connected_runners(),
             bool(forwarded.trial_parts),
+            now,
         )
+        candidate = cheapest(weighed, self._random)
         if candidate is not None:
             self._limits.take(candidate.entry.id)
         else:
@@ -99,3 +94,42 @@
             left=round(forwarded.seconds_left, 3),
         )
         return candidate
+
+    def preview(
+        self, target: Target, parts: tuple[Part, ...], on_trial: bool
+    ) -> list[Weighed]:
+        """Return all runners of a target as ``choose`` weighs them for a new request.
+
+        Nothing changes: no slot of a rate limit is taken and no chance drawn.
+        """
+        candidates = self._directory.candidates(target.name)
+        permitted = self._limits.permitted(candidates)
+        ids = {each.entry.id for each in permitted}
+        limited = [each for each in candidates if each.entry.id not in ids]
+        now = time.monotonic()
+        weighed = self._weigh(permitted, target, parts, (), on_trial, now)
+        return [*weighed, *(Weighed(each, None, "rate_limit") for each in limited)]
+
+    def _weigh(
+        self,
+        permitted: list[Candidate],
+        target: Target,
+        parts: tuple[Part, ...],
+        excluded: Collection[str],
+        on_trial: bool,
+        now: float,
+    ) -> list[Weighed]:
+        share = (
+            target.max_connections // max(1, self.host_count())
+            or MIN_CONNECTIONS_PER_RUNNER
+        )
+        return weigh(
+            permitted,
+            parts,
+            self._failure_domain,
+            excluded,
+            max(MIN_CONNECTIONS_PER_RUNNER, share),
+            now,
+            self._sender.connected_runners(),
+            on_trial,
+        )
--- a/godwitrudder/process/quarantine.py
+++ b/godwitrudder/process/quarantine.py
@@ -72,6 +72,10 @@
         """Return whether a request with these parts may be sent to a runner."""
         return self._quarantine.admit(parts, time.time())
 
+    def preview(self, parts: Collection[str]) -> Verdict:
+        """Return what ``check`` returns, without any change of state."""
+        return self._quarantine.verdict(parts, time.time())
+
     def is_held(self, parts: Collection[str]) -> bool:
         """Return whether not even a trial with these parts is allowed now."""
         return self._quarantine.seconds_held(parts, time.time()) > 0
--- a/godwitrudder/request/hedging/headroom.py
+++ b/godwitrudder/request/hedging/headroom.py
@@ -23,6 +23,12 @@
 
     A target whose slots are not known has no headroom.
     """
+    used, slots = slots_in_use(candidates, now)
+    return slots > 0 and used <= MAX_USED_SHARE * slots
+
+
+def slots_in_use(candidates: Collection[Candidate], now: float) -> tuple[float, float]:
+    """Return how many slots of a target are in use, and how many there are."""
     usable = [
         candidate
         for candidate in candidates
@@ -30,7 +36,7 @@
     ]
     slots = sum(_slots(candidate, now) for candidate in usable)
     used = sum(candidate.load(now) for candidate in usable)
-    return slots > 0 and used <= MAX_USED_SHARE * slots
+    return used, slots
 
 
 def would_wait(candidate: Candidate, now: float) -> bool:
--- a/godwitrudder/request/host_holdings.py
+++ b/godwitrudder/request/host_holdings.py
@@ -293,7 +293,8 @@
     def remainder(self, workspace: str) -> BudgetRemainder:
         """Return what is left of a workspace's prepaid tokens."""
         others = self.statements.totals_excluding(self.host, workspace)
-        spent = self.holding(workspace).spent
+        holding = self.holdings.get(workspace)
+        spent = 0 if holding is None else holding.spent
         tokens = self.prepaid(workspace) - others.cap - spent
         return BudgetRemainder(tokens, others.limit - others.cap)
 
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -45,6 +46,66 @@
 """Share of a shared prompt part that is assumed to be cached at its home runner."""
 
 
+@dataclass(slots=True)
+class Cost:
+    """The terms of a request's cost at a runner, in prompt tokens.
+
+    Attributes
+    ----------
+    prompt : float
+        The tokens of its prompt that are not cached there, weighted.
+    pending : float
+        Tokens of other prompts that the runner reads first.
+    running, waiting : float
+        For the requests that run or wait at the runner.
+    full : float
+        For having no free slot.
+    distance : float
+        For another failure domain.
+    failures : float
+        For the share of failures.
+    trials : float
+        For requests on trial at the runner.
+    on_trial : float
+        For the requests that this one may end, if it is on trial.
+    connection : float
+        For a new connection.
+    """
+
+    prompt: float = 0.0
+    pending: float = 0.0
+    running: float = 0.0
+    waiting: float = 0.0
+    full: float = 0.0
+    distance: float = 0.0
+    failures: float = 0.0
+    trials: float = 0.0
+    on_trial: float = 0.0
+    connection: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Return the sum of all terms."""
+        known = self.prompt + self.pending + self.connection + self.distance
+        load = self.running + self.waiting + self.full
+        return known + load + self.failures + self.trials + self.on_trial
+
+
+@dataclass(slots=True)
+class Weighed:
+    """A runner with its cost, or why it may not get the request.
+
+    Attributes
+    ----------
+    exclusion : str
+        Empty if it may get the request.
+    """
+
+    candidate: Candidate
+    cost: Cost | None
+    exclusion: str = ""
+
+
 def place(
     candidates: Collection[Candidate],
     parts: tuple[Part, ...],
@@ -56,7 +117,34 @@
     connected: Collection[str] = (),
     on_trial: bool = False,
 ) -> Candidate | None:
-    """Return the runner for a request, None if there is none.
+    """Return the runner for a request, None if there is none; see ``weigh``."""
+    weighed = weigh(
+        candidates, parts, home, excluded, connections_most, now, connected, on_trial
+    )
+    return cheapest(weighed, random)
+
+
+def cheapest(weighed: Collection[Weighed], random: Random) -> Candidate | None:
+    """Return the runner of the least cost; chance decides between equal ones."""
+    found = [
+        (each.cost.total, random.random(), index)
+        for index, each in enumerate(weighed)
+        if each.cost is not None
+    ]
+    return [*weighed][min(found)[2]].candidate if found else None
+
+
+def weigh(
+    candidates: Collection[Candidate],
+    parts: tuple[Part, ...],
+    home: str,
+    excluded: Collection[str],
+    connections_most: int,
+    now: float,
+    connected: Collection[str] = (),
+    on_trial: bool = False,
+) -> list[Weighed]:
+    """Return the cost of a request at each runner that may get it, and the others.
 
     Parameters
     ----------
@@ -74,34 +162,56 @@
     on_trial : bool
         Whether the prompt may end the runner.
     """
-    eligible = [
-        candidate
-        for candidate in _trusted(candidates)
-        if candidate.entry.id not in excluded
-        and candidate.in_flight < connections_most
-        and now >= candidate.directives.backoff_until
-    ]
-    usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
-    usable = usable or eligible
-    if not usable:
-        return None
-    home_runner = _home_runner(usable, parts)
-    costs = [
-        (
-            _cost(candidate, parts, home, candidate is home_runner, now)
-            + (TRIAL_TOKENS if candidate.trials else 0.0)
-            + (REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0)
-            + (0.0 if candidate.entry.id in connected else CONNECT_TOKENS),
-            random.random(),
-            index,
+    trusts_unlisted = _trusts_unlisted(candidates)
+    weighed = [
+        Weighed(
+            each,
+            None,
+            _exclusion(each, trusts_unlisted, excluded, connections_most, now),
         )
-        for index, candidate in enumerate(usable)
+        for each in candidates
     ]
-    return usable[min(costs)[2]]
+    eligible = [each for each in weighed if not each.exclusion]
+    usable = [each for each in eligible if now >= each.candidate.ejected_until]
+    if usable and len(usable) < len(eligible):
+        for each in eligible:
+            if now < each.candidate.ejected_until:
+                each.exclusion = "ejected"
+    usable = usable or eligible
+    home_runner = _home_runner([each.candidate for each in usable], parts)
+    for each in usable:
+        candidate = each.candidate
+        cost = _cost(candidate, parts, home, candidate is home_runner, now)
+        cost.trials = TRIAL_TOKENS if candidate.trials else 0.0
+        cost.on_trial = REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0
+        cost.connection = 0.0 if candidate.entry.id in connected else CONNECT_TOKENS
+        each.cost = cost
+    return weighed
+
+
+def _exclusion(
+    candidate: Candidate,
+    trusts_unlisted: bool,
+    excluded: Collection[str],
+    connections_most: int,
+    now: float,
+) -> str:
+    """Return why a runner may not get a request, empty if it may."""
+    if not candidate.may_be_used:
+        return "left"
+    if candidate.unlisted and not trusts_unlisted:
+        return "unlisted"
+    if candidate.entry.id in excluded:
+        return "tried"
+    if candidate.in_flight >= connections_most:
+        return "connections"
+    if now < candidate.directives.backoff_until:
+        return "backoff"
+    return ""
 
 
-def _trusted(candidates: Collection[Candidate]) -> list[Candidate]:
-    """Return the runners that may get requests.
+def _trusts_unlisted(candidates: Collection[Candidate]) -> bool:
+    """Whether runners whose entries were removed may get requests.
 
     An outage of the store lets the entries of most runners expire; a runner that leaves
     is one of few. So while more than half of the runners are listed, the others count
@@ -109,32 +219,33 @@
     """
     usable = [candidate for candidate in candidates if candidate.may_be_used]
     listed = [candidate for candidate in usable if not candidate.unlisted]
-    return listed if 2 * len(listed) > len(usable) else usable
+    return 2 * len(listed) <= len(usable)
 
 
 def _cost(
     candidate: Candidate, parts: tuple[Part, ...], home: str, is_home: bool, now: float
-) -> float:
-    """Return the cost of a request at a runner, in prompt tokens."""
+) -> Cost:
+    """Return the cost of a request at a runner, for what the runner knows and does."""
     total = sum(part.tokens for part in parts)
     cached = float(candidate.cached(parts))
     if is_home and parts:
         cached = max(cached, HOME_CACHED_SHARE * (total - parts[-1].tokens))
     load = candidate.load(now)
-    cost = READ_WEIGHT * (total - cached) + candidate.pending_tokens
-    cost += REQUEST_TOKENS * load
+    cost = Cost(READ_WEIGHT * (total - cached), candidate.pending_tokens)
+    cost.running = REQUEST_TOKENS * load
     if now - candidate.others_at < REPORT_DECAY_SECONDS:
-        cost += WAITING_TOKENS * candidate.waiting
+        cost.waiting = WAITING_TOKENS * candidate.waiting
     if load >= candidate.entry.slots:
-        cost += FULL_TOKENS
+        cost.full = FULL_TOKENS
     if candidate.entry.failure_domain != home:
-        cost += DISTANCE_TOKENS
-    return cost + FAILURE_TOKENS * candidate.failure_share(now)
+        cost.distance = DISTANCE_TOKENS
+    cost.failures = FAILURE_TOKENS * candidate.failure_share(now)
+    return cost
 
 
 def _home_runner(usable: list[Candidate], parts: tuple[Part, ...]) -> Candidate | None:
     """Return the home runner of the last shared part."""
-    if len(parts) < 2:
+    if len(parts) < 2 or not usable:
         return None
     part = parts[-2].id
     return max(
--- a/godwitrudder/request/quarantine.py
+++ b/godwitrudder/request/quarantine.py
@@ -181,6 +181,10 @@
         if not self._evidence.crashes:
             return Free()
         self._forget(now)
+        return self.verdict(parts, now)
+
+    def verdict(self, parts: Collection[str], now: float) -> Verdict:
+        """Return what ``admit`` decides, without forgetting old evidence."""
         blamed = [part for part in parts if part in self._blame_by_part]
         if blamed:
             return self._admit_blamed(parts, blamed, now)
