--- a/tests/test_second_attempts.py
+++ b/tests/test_second_attempts.py
@@ -155,6 +155,19 @@
         assert_nothing_left(setup)
 
 
+def test_an_overtaken_attempt_says_neither_good_nor_bad_of_its_runner() -> None:
+    """Nor is it free: it takes from the share and from the retries of all hosts."""
+    with hedging(*[in_order(silent, good)] * 2) as setup:
+        candidates = setup.entry.directory.candidates("s")
+        for candidate in candidates:
+            candidate.failures, candidate.failed_at = 0.5, time.monotonic()
+        assert setup.ask().endswith(b"hello")
+        first, second = sorted(candidates, key=lambda each: -each.failures)
+        assert first.failures == 0.5 > second.failures
+        assert setup.entry.second_attempts._bucket("s")._saved == pytest.approx(3.2)
+        assert len(setup.entry.forwarder._retry_window("s")._retries) == 1
+
+
 def test_a_stream_comes_from_the_second_runner_whole() -> None:
     with hedging(*[in_order(silent, streaming(0, 1))] * 2) as setup:
         before = spent(setup)
@@ -312,6 +325,18 @@
         assert not_started(setup, "share") == 1
 
 
+def test_a_runner_at_which_requests_wait_gets_none() -> None:
+    slow = after(0.45, good)
+    with hedging(slow, slow) as setup:
+        asked = gevent.spawn(setup.ask)
+        wait_until(lambda: received(setup) == 1, 1.0)
+        for candidate in setup.entry.directory.candidates("s"):
+            candidate.reported(1, 1, time.monotonic(), 4)
+        assert asked.get().endswith(b"hello")
+        assert received(setup) == 1
+        assert not_started(setup, "no_runner") == 1
+
+
 def test_a_suspect_prompt_gets_none() -> None:
     """It may end both runners."""
     slow = after(0.45, streaming(0, 1))
