--- a/bench/ablate.py
+++ b/bench/ablate.py
@@ -131,8 +131,8 @@
     "unlisted": (
         Edit(
             PLACEMENT,
-            "return listed if 2 * len(listed) > len(usable) else usable",
-            "return usable if listed else usable",
+            "return 2 * len(listed) <= len(usable)",
+            "return len(listed) <= len(usable)",
         ),
     ),
     "retry-delay": (
@@ -166,8 +166,8 @@
     "intake": (
         Edit(
             "godwitrudder/process/entry.py",
-            "not self.draining and self.intake.open",
-            "not self.draining",
+            "open_for_callers = self.intake.open and not",
+            "open_for_callers = not",
         ),
     ),
 }
--- a/godwitrudder/process/forwarding/eligibility.py
+++ b/godwitrudder/process/forwarding/eligibility.py
@@ -20,9 +20,9 @@
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
 from godwitrudder.request.places.cold_slots import Slot
-from godwitrudder.request.places.constraints import Constraints, Selection
+from godwitrudder.request.places.constraints import Constraints, Exclusion, Selection
 from godwitrudder.request.placing.candidate import Candidate
-from godwitrudder.version.catalogue import Homes, Target
+from godwitrudder.version.catalogue import Homes, Route, Target, Workspace
 
 SLOT_WAIT_SHARE: Final = 0.5
 """Share of the latency objective, counted from a request's arrival, by which a slot
@@ -77,6 +77,17 @@
             candidates, target, _homes(forwarded), self._hosts(target), now, reserved
         )
 
+    def preview(
+        self, target: Target, homes: tuple[Homes, ...], candidates: list[Candidate]
+    ) -> dict[str, Exclusion]:
+        """Return why ``select`` would separate runners, by id; nothing changes."""
+        hosts, now = self._hosts(target), time.monotonic()
+        found = {
+            each.entry.id: self._constraints.preview(each, target, homes, hosts, now)
+            for each in candidates
+        }
+        return {runner: why for runner, why in found.items() if why is not None}
+
     @contextmanager
     def next_slot(
         self, forwarded: ForwardedRequest, selection: Selection
@@ -178,8 +189,11 @@
 
 
 def _homes(forwarded: ForwardedRequest) -> tuple[Homes, ...]:
-    """Return the homes of the request's route and workspace."""
-    workspace = forwarded.workspace
+    return homes_of(forwarded.route, forwarded.workspace)
+
+
+def homes_of(route: Route, workspace: Workspace | None) -> tuple[Homes, ...]:
+    """Return the homes of a request's route and workspace."""
     if workspace is None:
-        return (forwarded.route.homes,)
-    return forwarded.route.homes, workspace.homes
+        return (route.homes,)
+    return route.homes, workspace.homes
--- a/godwitrudder/process/forwarding/runner_choice.py
+++ b/godwitrudder/process/forwarding/runner_choice.py
@@ -4,7 +4,7 @@
 
 import enum
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 from typing import Final
 
@@ -17,14 +17,17 @@
 from godwitrudder.process.rate_limits import FleetLimits
 from godwitrudder.request.places.cold_slots import Slot
 from godwitrudder.request.places.constraints import Selection
-from godwitrudder.request.placing.candidate import Candidate
+from godwitrudder.request.placing.candidate import Candidate, Part
 from godwitrudder.request.placing.placement import (
+    Weighed,
+    cheapest,
+    distrust,
     is_usable,
-    place,
     trusted,
     usable_runners,
+    weigh,
 )
-from godwitrudder.version.catalogue import Target
+from godwitrudder.version.catalogue import Homes, Target
 
 MIN_CONNECTIONS_PER_RUNNER: Final = 4
 """Least limit on this host's requests at one runner, however many hosts share the
@@ -176,10 +179,16 @@
         selection = self._eligibility.select(forwarded, trusted(candidates), reserved)
         now = time.monotonic()
         permitted = list(filter(accepts, self._limits.permitted(selection.usable)))
-        candidate = self._place(forwarded, permitted, now)
-        if candidate is not None and not fits(candidate):
-            fitting = [each for each in permitted if fits(each)]
-            candidate = self._place(forwarded, fitting, now) or candidate
+        parts, on_trial = forwarded.caller_headers.parts, bool(forwarded.trial_parts)
+
+        def weigh_for_request(runners: list[Candidate]) -> list[Weighed]:
+            return self._weigh(
+                runners, target, parts, forwarded.excluded, on_trial, now
+            )
+
+        candidate = _cheapest_fitting(
+            weigh_for_request(permitted), fits, weigh_for_request, self._random
+        )
         if candidate is not None:
             self._limits.take(candidate.entry.id)
             self._eligibility.take(forwarded, candidate, selection)
@@ -205,19 +214,74 @@
         )
         return candidate, selection
 
-    def _place(
-        self, forwarded: ForwardedRequest, candidates: list[Candidate], now: float
-    ) -> Candidate | None:
-        return place(
+    def preview(
+        self,
+        target: Target,
+        homes: tuple[Homes, ...],
+        parts: tuple[Part, ...],
+        on_trial: bool,
+        fits: Callable[[Candidate], bool],
+        random: Random,
+    ) -> tuple[list[Weighed], Candidate | None]:
+        """Return all runners of a target as ``choose`` weighs them, and its choice.
+
+        It is the choice for a new request that doesn't wait. Nothing changes: no slot
+        of a rate limit or of a cold runner is taken and no chance of ``choose`` drawn.
+
+        Parameters
+        ----------
+        homes : tuple
+            Homes of the route and of the workspace.
+        fits : callable
+            Whether a runner has memory for the request.
+        random : Random
+            Not the one of requests, whose choices the query would change.
+        """
+        now = time.monotonic()
+        candidates = self._directory.candidates(target.name)
+        reasons = dict(
+            zip(
+                (each.entry.id for each in candidates),
+                distrust(candidates),
+                strict=True,
+            )
+        )
+        constrained = self._eligibility.preview(target, homes, trusted(candidates))
+        reasons.update((runner, str(why)) for runner, why in constrained.items())
+        usable = [each for each in candidates if not reasons[each.entry.id]]
+        permitted = self._limits.permitted(usable)
+        ids = {each.entry.id for each in permitted}
+        reasons.update(
+            (each.entry.id, "rate_limit") for each in usable if each.entry.id not in ids
+        )
+
+        def weigh_for_query(runners: list[Candidate]) -> list[Weighed]:
+            return self._weigh(runners, target, parts, (), on_trial, now)
+
+        weighed = weigh_for_query(permitted)
+        chosen = _cheapest_fitting(weighed, fits, weigh_for_query, random)
+        others = [each for each in candidates if each.entry.id not in ids]
+        weighed += [Weighed(each, None, reasons[each.entry.id]) for each in others]
+        return weighed, chosen
+
+    def _weigh(
+        self,
+        candidates: list[Candidate],
+        target: Target,
+        parts: tuple[Part, ...],
+        excluded: Collection[str],
+        on_trial: bool,
+        now: float,
+    ) -> list[Weighed]:
+        return weigh(
             candidates,
-            forwarded.caller_headers.parts,
+            parts,
             self._failure_domain,
-            forwarded.excluded,
-            self._most_connections(forwarded.target),
-            self._random,
+            excluded,
+            self._most_connections(target),
             now,
             self._sender.connected_runners(),
-            bool(forwarded.trial_parts),
+            on_trial,
             self._options().domain_tokens,
         )
 
@@ -227,6 +291,20 @@
         return max(MIN_CONNECTIONS_PER_RUNNER, share)
 
 
+def _cheapest_fitting(
+    weighed: list[Weighed],
+    fits: Callable[[Candidate], bool],
+    weigh_runners: Callable[[list[Candidate]], list[Weighed]],
+    random: Random,
+) -> Candidate | None:
+    """Return the cheapest runner that fits; the cheapest of all if none fits."""
+    chosen = cheapest(weighed, random)
+    if chosen is None or fits(chosen):
+        return chosen
+    fitting = [each.candidate for each in weighed if fits(each.candidate)]
+    return cheapest(weigh_runners(fitting), random) or chosen
+
+
 def _constraints_for_log(selection: Selection) -> dict[str, dict[str, int]]:
     """Return how many runners were excluded by which constraint, if any were."""
     excluded = {str(reason): count for reason, count in selection.exclusions.items()}
--- a/godwitrudder/process/forwarding/target_queue.py
+++ b/godwitrudder/process/forwarding/target_queue.py
@@ -16,6 +16,7 @@
 from godwitrudder.request.queueing.headroom import MeanSize, Memory
 from godwitrudder.request.queueing.share import HostShare
 from godwitrudder.request.queueing.wait_queue import QueuedRequest, WaitQueue
+from godwitrudder.version.catalogue import Target
 
 
 @dataclass(slots=True, eq=False)
@@ -74,5 +75,16 @@
 
     def memory(self, forwarded: ForwardedRequest) -> Memory:
         """Return the memory of each of the target's engines."""
-        engine = forwarded.target.engine
-        return Memory(engine.memory_tokens if engine else 0, self.mean_size.tokens)
+        return engine_memory(forwarded.target, self.mean_size.tokens)
+
+
+def engine_memory(target: Target, mean: float) -> Memory:
+    """Return the memory of each engine of a target.
+
+    Parameters
+    ----------
+    mean : float
+        Mean size of other hosts' requests, in tokens.
+    """
+    engine = target.engine
+    return Memory(engine.memory_tokens if engine else 0, mean)
--- a/godwitrudder/request/places/cold_slots.py
+++ b/godwitrudder/request/places/cold_slots.py
@@ -132,13 +132,30 @@
         if hosts is None or rate <= 0.0:
             return None
         slots = self._slots(runner, rate, hosts)
-        first = math.floor((now - VALID_SECONDS) * rate) + 1
-        last = math.floor(until * rate)
+        first, last = _span(rate, now, until)
         slots.determine(runner, self._own, first, last)
         if not slots.free or slots.free[0] > last:
             return None
         return Slot(runner, slots.free[0], slots.free[0] / rate)
 
+    def has_free(
+        self, runner: str, rate: float, hosts: tuple[str, ...] | None, now: float
+    ) -> bool:
+        """Whether ``find`` would return a slot that may be used now.
+
+        Nothing changes: a runner that was only asked about displaces no other one from
+        those whose slots are remembered.
+        """
+        if hosts is None or rate <= 0.0:
+            return False
+        known = self._slots_by_runner.get(runner)
+        taken = known.taken if known is not None and known.rate == rate else ()
+        first, last = _span(rate, now, now)
+        return any(
+            number not in taken and owner_of(runner, number, hosts) == self._own
+            for number in range(first, last + 1)
+        )
+
     def take(self, slot: Slot) -> None:
         """Mark a slot that ``find`` has returned as taken."""
         slots = self._slots_by_runner.get(slot.runner)
@@ -167,6 +184,11 @@
         return known
 
 
+def _span(rate: float, now: float, until: float) -> tuple[int, int]:
+    """Return the first and the last slot that may be used from ``now`` to ``until``."""
+    return math.floor((now - VALID_SECONDS) * rate) + 1, math.floor(until * rate)
+
+
 def owner_of(runner: str, number: int, hosts: tuple[str, ...]) -> str:
     """Return the host to which a slot belongs."""
     seed = xxhash.xxh64_intdigest(f"{runner}/{number}".encode())
--- a/godwitrudder/request/places/constraints.py
+++ b/godwitrudder/request/places/constraints.py
@@ -120,6 +120,22 @@
                 selection.slots_by_runner[runner] = slot
         return selection
 
+    def preview(
+        self,
+        candidate: Candidate,
+        target: Target,
+        homes: tuple[Homes, ...],
+        hosts: tuple[str, ...] | None,
+        now: float,
+    ) -> Exclusion | None:
+        """Return why ``select`` would separate a runner, without a change of state."""
+        exclusion = self.exclusion(candidate, homes)
+        if exclusion is not None or not self.is_cold(candidate, target, now):
+            return exclusion
+        runner, rate = candidate.entry.id, self._rate(target)
+        is_free = self._slots.has_free(runner, rate, hosts, now + self._clock_offset)
+        return None if is_free else Exclusion.COLD
+
     def exclusion(
         self, candidate: Candidate, homes: tuple[Homes, ...]
     ) -> Exclusion | None:
@@ -186,6 +202,9 @@
         now: float,
         until: float,
     ) -> Slot | None:
-        bound, offset = self._bound, self._clock_offset
-        rate = slots_per_second(target.cold_per_second, bound.over, bound.slack)
+        rate, offset = self._rate(target), self._clock_offset
         return self._slots.find(runner, rate, hosts, now + offset, until + offset)
+
+    def _rate(self, target: Target) -> float:
+        bound = self._bound
+        return slots_per_second(target.cold_per_second, bound.over, bound.slack)
--- a/tests/test_cold_slots.py
+++ b/tests/test_cold_slots.py
@@ -162,6 +162,27 @@
     assert slots.find(RUNNER, 2.0, hosts, BEGIN, BEGIN + 1.0) == first
 
 
+def test_asking_for_a_free_slot_tells_what_a_search_finds_and_changes_nothing() -> None:
+    """A query that moved the slots would change which requests are sent."""
+    random, hosts = Random(3), names_of(3)
+    slots = ColdSlots("front-0")
+    answers = set()
+    for step in range(400):
+        now = BEGIN + step * 0.11
+        if step == 200:
+            hosts = names_of(4)
+        before = repr(slots._slots_by_runner)
+        is_free = slots.has_free(RUNNER, 4.0, hosts, now)
+        assert repr(slots._slots_by_runner) == before
+        found = slots.find(RUNNER, 4.0, hosts, now, now)
+        assert is_free is (found is not None)
+        answers.add(is_free)
+        if found is not None and random.random() < 0.8:
+            slots.take(found)
+    assert answers == {True, False}
+    assert not ColdSlots("front-0").has_free(RUNNER, 4.0, None, BEGIN)
+
+
 def test_without_room_for_one_request_there_is_no_slot() -> None:
     assert slots_per_second(0.0, OVER, SLACK) == 0.0
     assert slots_per_second(0.2, OVER, 0.0) == 0.0
