--- a/godwitrudder/process/forwarding/runner_queues.py
+++ b/godwitrudder/process/forwarding/runner_queues.py
@@ -23,7 +23,11 @@
 from godwitrudder.process.entry_metrics import EntryMetrics
 from godwitrudder.process.forwarding.forwarded_request import ForwardedRequest
 from godwitrudder.process.forwarding.runner_choice import RunnerChoice, Waits
-from godwitrudder.process.forwarding.target_queue import TargetQueue, Waiter
+from godwitrudder.process.forwarding.target_queue import (
+    TargetQueue,
+    Waiter,
+    engine_memory,
+)
 from godwitrudder.request import retry_delay
 from godwitrudder.request.outcome import Reason, Refused, refuse
 from godwitrudder.request.placing.candidate import Candidate
@@ -46,6 +50,7 @@
     QueuedRequest,
     WaitQueue,
 )
+from godwitrudder.version.catalogue import Target
 
 RECHECK_SECONDS: Final = 0.05
 """Interval between checks of the queues without an event: reports age and runners are
@@ -146,6 +151,20 @@
         memory = queue.memory(forwarded)
         return fits_memory(candidate, forwarded.max_tokens, memory, time.monotonic())
 
+    def would_fit(self, target: Target, tokens: int, candidate: Candidate) -> bool:
+        """Return what ``fits`` returns for a request, without any change of state.
+
+        Parameters
+        ----------
+        tokens : int
+            Tokens of the request's prompt and of its largest output.
+        """
+        queue = self._queues_by_target.get(target.name)
+        if not self.would_queue(target.name):
+            return True
+        memory = engine_memory(target, 0.0 if queue is None else queue.mean_size.tokens)
+        return fits_memory(candidate, tokens, memory, time.monotonic())
+
     @contextmanager
     def sending(
         self, forwarded: ForwardedRequest, candidate: Candidate
@@ -173,6 +192,14 @@
         """Whether requests to a target queue."""
         return self._is_on(target, self._queue(target))
 
+    def would_queue(self, target: str) -> bool:
+        """Return what ``is_on`` returns, without any change of state."""
+        queue = self._queues_by_target.get(target)
+        option = self._queueing()
+        if option is not Queueing.AUTO or queue is None:
+            return option is Queueing.ON
+        return self._reporting_now(target, queue) is not None
+
     def any_on(self) -> bool:
         """Whether requests to any target queue."""
         return any(queue.is_on for queue in self._queues_by_target.values())
@@ -238,15 +265,23 @@
         """Whether requests to a target queue; a change is logged."""
         option = self._queueing()
         is_on = option is Queueing.ON
-        if option is Queueing.AUTO and queue.reporting is not None:
-            if queue.reporting.gone or queue.reporting.work_percent is None:
-                queue.reporting = self._reporting(target)
+        if option is Queueing.AUTO:
+            queue.reporting = self._reporting_now(target, queue)
             is_on = queue.reporting is not None
         if is_on is not queue.is_on:
             queue.is_on = is_on
             self._log.note("queueing", target=target, on=is_on, option=option.value)
         return is_on
 
+    def _reporting_now(self, target: str, queue: TargetQueue) -> Candidate | None:
+        """Return the runner that keeps the queue on, None if none does."""
+        reporting = queue.reporting
+        if reporting is None or (
+            not reporting.gone and reporting.work_percent is not None
+        ):
+            return reporting
+        return self._reporting(target)
+
     def _reporting(self, target: str) -> Candidate | None:
         """Return a listed runner that says how long work takes, None if none does."""
         candidates = self._directory.candidates(target)
--- a/godwitrudder/request/placing/placement.py
+++ b/godwitrudder/request/placing/placement.py
@@ -14,6 +14,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from dataclasses import dataclass
 from random import Random
 from typing import Final
 
@@ -50,6 +51,73 @@
 """Share of a shared prompt part that is assumed to be cached at its home runner."""
 
 
+@dataclass(slots=True)
+class Cost:
+    """The terms of a request's cost at a runner, in prompt tokens.
+
+    Attributes
+    ----------
+    prompt : float
+        The tokens of its prompt that are not cached there, weighted.
+    pending : float
+        Tokens of other prompts that the runner reads first.
+    running, waiting : float
+        For the requests that run or wait at the runner.
+    full : float
+        For having no free slot.
+    distance : float
+        For another failure domain.
+    failures : float
+        For the share of failures.
+    slowness : float
+        For work that takes longer there than usual; negative if it takes less time.
+    silence : float
+        For requests that the runner has not answered for long.
+    trials : float
+        For requests on trial at the runner.
+    on_trial : float
+        For the requests that this one may end, if it is on trial.
+    connection : float
+        For a new connection.
+    """
+
+    prompt: float = 0.0
+    pending: float = 0.0
+    running: float = 0.0
+    waiting: float = 0.0
+    full: float = 0.0
+    distance: float = 0.0
+    failures: float = 0.0
+    slowness: float = 0.0
+    silence: float = 0.0
+    trials: float = 0.0
+    on_trial: float = 0.0
+    connection: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Return the sum of all terms."""
+        known = self.prompt + self.pending + self.connection + self.distance
+        load = self.running + self.waiting + self.full
+        speed = self.slowness + self.silence
+        return known + load + speed + self.failures + self.trials + self.on_trial
+
+
+@dataclass(slots=True)
+class Weighed:
+    """A runner with its cost, or why it may not get the request.
+
+    Attributes
+    ----------
+    exclusion : str
+        Empty if it may get the request.
+    """
+
+    candidate: Candidate
+    cost: Cost | None
+    exclusion: str = ""
+
+
 def place(
     candidates: Collection[Candidate],
     parts: tuple[Part, ...],
@@ -62,7 +130,43 @@
     on_trial: bool = False,
     domain_tokens: float = DEFAULT_DOMAIN_TOKENS,
 ) -> Candidate | None:
-    """Return the runner for a request, None if there is none.
+    """Return the runner for a request, None if there is none; see ``weigh``."""
+    weighed = weigh(
+        candidates,
+        parts,
+        home,
+        excluded,
+        connections_most,
+        now,
+        connected,
+        on_trial,
+        domain_tokens,
+    )
+    return cheapest(weighed, random)
+
+
+def cheapest(weighed: Collection[Weighed], random: Random) -> Candidate | None:
+    """Return the runner of the least cost; chance decides between equal ones."""
+    found = [
+        (each.cost.total, random.random(), index)
+        for index, each in enumerate(weighed)
+        if each.cost is not None
+    ]
+    return [*weighed][min(found)[2]].candidate if found else None
+
+
+def weigh(
+    candidates: Collection[Candidate],
+    parts: tuple[Part, ...],
+    home: str,
+    excluded: Collection[str],
+    connections_most: int,
+    now: float,
+    connected: Collection[str] = (),
+    on_trial: bool = False,
+    domain_tokens: float = DEFAULT_DOMAIN_TOKENS,
+) -> list[Weighed]:
+    """Return the cost of a request at each runner that may get it, and the others.
 
     Parameters
     ----------
@@ -82,30 +186,28 @@
     domain_tokens : float
         Cost of another failure domain; traffic between domains has a price.
     """
-    usable = usable_runners(candidates, excluded, connections_most, now)
-    if not usable:
-        return None
+    reasons = _exclusions(candidates, excluded, connections_most, now)
+    usable = _without_reason(candidates, reasons)
     home_runner = _home_runner(usable, parts)
     uneven = any(candidate.work_percent is not None for candidate in candidates)
-    costs = [
-        (
-            _cost(
-                candidate,
-                parts,
-                candidate is home_runner,
-                0.0 if candidate.entry.failure_domain == home else domain_tokens,
-                now,
-                uneven,
-            )
-            + (TRIAL_TOKENS if candidate.trials else 0.0)
-            + (REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0)
-            + (0.0 if candidate.entry.id in connected else CONNECT_TOKENS),
-            random.random(),
-            index,
+    weighed = []
+    for candidate, reason in zip(candidates, reasons, strict=True):
+        if reason:
+            weighed.append(Weighed(candidate, None, reason))
+            continue
+        cost = _cost(
+            candidate,
+            parts,
+            candidate is home_runner,
+            0.0 if candidate.entry.failure_domain == home else domain_tokens,
+            now,
+            uneven,
         )
-        for index, candidate in enumerate(usable)
-    ]
-    return usable[min(costs)[2]]
+        cost.trials = TRIAL_TOKENS if candidate.trials else 0.0
+        cost.on_trial = REQUEST_TOKENS * candidate.load(now) if on_trial else 0.0
+        cost.connection = 0.0 if candidate.entry.id in connected else CONNECT_TOKENS
+        weighed.append(Weighed(candidate, cost))
+    return weighed
 
 
 def usable_runners(
@@ -115,39 +217,77 @@
     now: float,
 ) -> list[Candidate]:
     """Return the runners that a request may be sent to; ejected ones if all are."""
-    eligible = [
-        candidate
-        for candidate in trusted(candidates)
-        if _accepts(candidate, excluded, connections_most, now)
-    ]
-    usable = [candidate for candidate in eligible if now >= candidate.ejected_until]
-    return usable or eligible
+    reasons = _exclusions(candidates, excluded, connections_most, now)
+    return _without_reason(candidates, reasons)
 
 
 def is_usable(
     candidate: Candidate, excluded: Collection[str], connections_most: int, now: float
 ) -> bool:
     """Whether ``usable_runners`` contains a runner whatever is known of the others."""
-    return (
-        candidate.may_be_used
-        and not candidate.unlisted
-        and now >= candidate.ejected_until
-        and _accepts(candidate, excluded, connections_most, now)
-    )
+    if _distrust(candidate, trusts_unlisted=False) or now < candidate.ejected_until:
+        return False
+    return not _obstacle(candidate, excluded, connections_most, now)
+
+
+def trusted(candidates: Collection[Candidate]) -> list[Candidate]:
+    """Return the runners that may get requests, by their entries and answers."""
+    return _without_reason(candidates, distrust(candidates))
+
 
+def distrust(candidates: Collection[Candidate]) -> list[str]:
+    """Return for each runner why ``trusted`` leaves it out, empty if it does not."""
+    trusts_unlisted = _trusts_unlisted(candidates)
+    return [_distrust(candidate, trusts_unlisted) for candidate in candidates]
 
-def _accepts(
+
+def _exclusions(
+    candidates: Collection[Candidate],
+    excluded: Collection[str],
+    connections_most: int,
+    now: float,
+) -> list[str]:
+    """Return for each runner why it may not get a request, empty if it may."""
+    reasons = [
+        reason or _obstacle(candidate, excluded, connections_most, now)
+        for candidate, reason in zip(candidates, distrust(candidates), strict=True)
+    ]
+    eligible = _without_reason(candidates, reasons)
+    if all(now < candidate.ejected_until for candidate in eligible):
+        return reasons
+    return [
+        reason or ("ejected" if now < candidate.ejected_until else "")
+        for candidate, reason in zip(candidates, reasons, strict=True)
+    ]
+
+
+def _without_reason(
+    candidates: Collection[Candidate], reasons: list[str]
+) -> list[Candidate]:
+    """Return the runners for which there is no reason against them."""
+    pairs = zip(candidates, reasons, strict=True)
+    return [candidate for candidate, reason in pairs if not reason]
+
+
+def _distrust(candidate: Candidate, trusts_unlisted: bool) -> str:
+    if not candidate.may_be_used:
+        return "left"
+    return "unlisted" if candidate.unlisted and not trusts_unlisted else ""
+
+
+def _obstacle(
     candidate: Candidate, excluded: Collection[str], connections_most: int, now: float
-) -> bool:
-    return (
-        candidate.entry.id not in excluded
-        and candidate.in_flight < connections_most
-        and now >= candidate.directives.backoff_until
-    )
+) -> str:
+    """Return why a listed runner may not get a request now, empty if it may."""
+    if candidate.entry.id in excluded:
+        return "tried"
+    if candidate.in_flight >= connections_most:
+        return "connections"
+    return "backoff" if now < candidate.directives.backoff_until else ""
 
 
-def trusted(candidates: Collection[Candidate]) -> list[Candidate]:
-    """Return the runners that may get requests.
+def _trusts_unlisted(candidates: Collection[Candidate]) -> bool:
+    """Whether runners whose entries were removed may get requests.
 
     An outage of the store lets the entries of most runners expire; a runner that leaves
     is one of few. So while more than half of the runners are listed, the others count
@@ -155,7 +295,7 @@
     """
     usable = [candidate for candidate in candidates if candidate.may_be_used]
     listed = [candidate for candidate in usable if not candidate.unlisted]
-    return listed if 2 * len(listed) > len(usable) else usable
+    return 2 * len(listed) <= len(usable)
 
 
 def _cost(
@@ -165,8 +305,8 @@
     distance: float,
     now: float,
     uneven: bool,
-) -> float:
-    """Return the cost of a request at a runner, in prompt tokens.
+) -> Cost:
+    """Return the cost of a request at a runner, for what the runner knows and does.
 
     Parameters
     ----------
@@ -182,28 +322,26 @@
     if is_home and parts:
         cached = max(cached, HOME_CACHED_SHARE * (total - parts[-1].tokens))
     load = candidate.load(now)
-    is_recent = now - candidate.others_at < REPORT_DECAY_SECONDS
-    cost = READ_WEIGHT * (total - cached) + candidate.pending_tokens
-    cost += REQUEST_TOKENS * load
-    if is_recent:
-        cost += WAITING_TOKENS * candidate.waiting
+    cost = Cost(READ_WEIGHT * (total - cached), candidate.pending_tokens)
+    cost.running = REQUEST_TOKENS * load
+    if now - candidate.others_at < REPORT_DECAY_SECONDS:
+        cost.waiting = WAITING_TOKENS * candidate.waiting
     if load >= candidate.entry.slots:
-        cost += FULL_TOKENS
-    cost += distance
+        cost.full = FULL_TOKENS
+    cost.distance = distance
     failures = candidate.failure_share(now)
     if uneven:
-        work = candidate.pending_tokens + REQUEST_TOKENS * load + OWN_TOKENS
-        work += (
-            total - cached + (WAITING_TOKENS * candidate.waiting if is_recent else 0)
-        )
-        cost += (candidate.slowness(now) - 1.0) * work + candidate.silence.tokens(now)
+        work = cost.pending + cost.running + OWN_TOKENS + total - cached + cost.waiting
+        cost.slowness = (candidate.slowness(now) - 1.0) * work
+        cost.silence = candidate.silence.tokens(now)
         failures = max(failures, candidate.silence.timeout_share(now))
-    return cost + FAILURE_TOKENS * failures
+    cost.failures = FAILURE_TOKENS * failures
+    return cost
 
 
 def _home_runner(usable: list[Candidate], parts: tuple[Part, ...]) -> Candidate | None:
     """Return the home runner of the last shared part."""
-    if len(parts) < 2:
+    if len(parts) < 2 or not usable:
         return None
     part = parts[-2].id
     return max(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,7 +5,13 @@
 from random import Random
 
 from godwitrudder.request.placing.candidate import Candidate, Part
-from godwitrudder.request.placing.placement import place
+from godwitrudder.request.placing.placement import (
+    is_usable,
+    place,
+    trusted,
+    usable_runners,
+    weigh,
+)
 from godwitrudder.validation import Address
 from godwitrudder.version.catalogue import ListedRunner
 
@@ -116,3 +122,33 @@
     for busy in group[1:]:
         busy.in_flight = 40
     assert choose_id(group) != "i-0"
+
+
+def test_the_usable_runners_are_those_that_weighing_does_not_exclude() -> None:
+    """The queue would wait for a runner that placement excludes, or the reverse."""
+    random, seen = Random(5), set()
+    for _ in range(500):
+        group = candidates(6)
+        for each in group:
+            each.unlisted = random.random() < 0.4
+            each.gone = random.random() < 0.2
+            each.in_flight = random.choice([0, 0, 0, 2])
+            each.ejected_until = random.choice([0.0, 0.0, 20.0])
+            each.directives.backoff_until = random.choice([0.0, 0.0, 20.0])
+        tried = {group[0].entry.id}
+        usable = usable_runners(group, tried, 2, 10.0)
+        weighed = weigh(group, PROMPT, "a", tried, 2, 10.0)
+        assert [each.candidate for each in weighed] == group
+        free = [each.candidate for each in weighed if not each.exclusion]
+        assert free == usable
+        assert [each.candidate for each in weighed if each.cost is not None] == usable
+        left_out = [each for each in group if each not in trusted(group)]
+        reasons = {each.candidate.entry.id: each.exclusion for each in weighed}
+        assert left_out == [
+            each for each in group if reasons[each.entry.id] in ("left", "unlisted")
+        ]
+        certain = [each for each in group if is_usable(each, tried, 2, 10.0)]
+        assert all(each in usable for each in certain)
+        seen |= set(reasons.values())
+    reasons_known = {"left", "unlisted", "tried", "connections", "backoff", "ejected"}
+    assert seen == reasons_known | {""}
