--- a/godwitrudder/process/forwarding/eligibility.py
+++ b/godwitrudder/process/forwarding/eligibility.py
@@ -126,7 +126,7 @@
             self._metrics.constrained.labels(str(reason)).inc()
 
     def obstacle(self, forwarded: ForwardedRequest, candidate: Candidate) -> str | None:
-        """Return what came up since the runner was chosen, None if nothing."""
+        """Return what came up since the choice of the runner, None if nothing."""
         now = time.monotonic()
         exclusion = self._constraints.exclusion(candidate, _homes(forwarded))
         if exclusion is not None:
