--- a/godwitrudder/process/directory.py
+++ b/godwitrudder/process/directory.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import OrderedDict
 from collections.abc import Callable, Collection
@@ -56,9 +57,13 @@
 RELIST_SECONDS: Final = 2.0
 """Time in which live runners are listed again after the store's first answer, or its
 first one after a silence."""
-PAGE_KILOBYTES: Final = 128
-"""Largest page of changes.  A host that has missed more reads the newest record of
-each key instead: 30 versions of 55 KB took 4 s on a link of 5 Mbit/s."""
+CONFIGURATION_PAGE_KILOBYTES: Final = 128
+"""Largest page of configurations.  A host that has missed more reads the newest one
+instead: 30 versions of 55 KB took 4 s on a link of 5 Mbit/s."""
+CATCH_UP_AFTER_SECONDS: Final = 1.5
+"""Time without a read after which the newest configuration is read instead of the
+changes.  Shorter failures are frequent on a busy store, and the newest records are many
+times as large as a read without changes."""
 MAX_FORMER_RUNNERS: Final = 1000
 """Dropped runners remembered, as their entries may return; the oldest are forgotten
 first."""
@@ -148,17 +153,21 @@
 
         A host that has missed several versions reads only the newest one.
         """
-        cursor, wait = Cursor(), 0.0
+        cursor, wait, read_at = Cursor(), 0.0, -math.inf
         while True:
             began = time.monotonic()
-            page = self._read_page(names.OPERATOR_TOPIC, cursor, wait)
+            page = self._read_page(
+                names.OPERATOR_TOPIC, cursor, wait, CONFIGURATION_PAGE_KILOBYTES
+            )
             # A read that waits after an outage would not tell of a restore at once.
             wait = 0.0 if page is None else self._configuration_poll_seconds
             if page is None:
-                cursor.offset = None
+                if self.catalogue is None or began - read_at > CATCH_UP_AFTER_SECONDS:
+                    cursor.offset = None
                 elapsed = time.monotonic() - began
                 gevent.sleep(max(0.0, RETRY_INTERVAL_SECONDS - elapsed))
                 continue
+            read_at = time.monotonic()
             if cursor.enter_era(page.era):
                 self._log.note("store_restored", topic="configuration", era=page.era)
                 continue
@@ -176,7 +185,7 @@
         """Poll the store for changes of the runners until the task is killed."""
         cursor, restored = Cursor(), False
         while True:
-            page = self._read_page(names.RUNNERS_TOPIC, cursor, 0.0)
+            page = self._read_page(names.RUNNERS_TOPIC, cursor)
             now = time.monotonic()
             if page is not None and cursor.enter_era(page.era):
                 self._log.note("store_restored", topic="runners", era=page.era)
@@ -190,15 +199,13 @@
                 self.answered_at, self._read_failed = now, False
                 if cursor.offset is None:
                     self._remove_unlisted({record.key for record in page.records}, now)
-                cursor.offset = page.next if page.whole else None
+                cursor.offset = page.next
                 for record in page.records:
                     self._apply_entry(record, now, restored)
                 restored = False
                 self.runners_read = True
                 self._note_unknown_domains()
                 self._check_ready()
-                if not page.whole:
-                    continue
             elif isinstance(page, Forgotten):
                 cursor.offset = None
                 continue
@@ -212,12 +219,16 @@
             self.ready.set()
 
     def _read_page(
-        self, topic: str, cursor: Cursor, wait: float
+        self,
+        topic: str,
+        cursor: Cursor,
+        wait: float = 0.0,
+        max_kilobytes: int | None = None,
     ) -> Page | Forgotten | None:
         if cursor.offset is None:
             page: Page | Forgotten | Rejected | Unavailable = self._store.newest(topic)
         else:
-            page = self._store.read_keyed(topic, cursor.offset, wait, PAGE_KILOBYTES)
+            page = self._store.read_keyed(topic, cursor.offset, wait, max_kilobytes)
         if isinstance(page, Rejected | Unavailable):
             self._log.note("store_no_answer", topic=topic, answer=str(page))
             return None
